--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Configures and builds one folder. Usage: scripts/build.sh FOLDER [cmake options]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+folder=$1
+shift
+launcher=()
+if command -v ccache >/dev/null; then
+  # A precompiled header is part of the cache key by its content, not by its time stamp.
+  export CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
+  launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
+fi
+cmake -S . -B "$folder" -G Ninja "${launcher[@]}" "$@" >/dev/null
+cmake --build "$folder"
--- /dev/null
+++ b/src/core/Events.h
@@ -0,0 +1,159 @@
+// Events into and effects out of the whole deterministic core of one daemon.
+#ifndef hyssoppaddle_core_Events_h
+#define hyssoppaddle_core_Events_h
+
+#include "agreement/Events.h"
+#include "planner/Planner.h"
+#include "request/Events.h"
+#include "state/Commands.h"
+#include "state/Outcome.h"
+#include "wire/PeerMessage.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hyssoppaddle::core {
+
+// A command of an operator, member, caller or upstream, to be decided by the
+// log.
+struct CommandReceived
+{
+  std::uint64_t token = 0; // names the waiting HTTP exchange
+  state::Command command;
+};
+
+struct PeerReceived
+{
+  InstanceId from;
+  wire::PeerMessage message;
+};
+
+// The connection to a peer ended; forwarded commands on it are undecided.
+struct PeerLost
+{
+  InstanceId peer;
+};
+
+struct StorageDone
+{
+  std::uint64_t sequence = 0;
+};
+
+// The snapshot that SaveSnapshot asked for is durable.
+struct SnapshotSaved
+{
+  agreement::SnapshotMeta meta;
+};
+
+// A linearizable read: ReadDecided follows when this instance has applied all
+// that was committed when this event came.
+struct ReadAsked
+{
+  std::uint64_t token = 0;
+};
+
+// An upstream's announcement with its task reports.
+struct AnnouncementReceived
+{
+  std::uint64_t token = 0;
+  state::Announcement announcement;
+  std::vector<state::TaskReport> reports;
+};
+
+// An operator changes the set of entry instances.
+struct ConfigurationAsked
+{
+  std::uint64_t token = 0;
+  agreement::ChangeKind kind = agreement::ChangeKind::AddLearner;
+  InstanceId instance;
+};
+
+struct Tick
+{};
+
+using Event = std::variant<CommandReceived,
+                           PeerReceived,
+                           PeerLost,
+                           StorageDone,
+                           SnapshotSaved,
+                           ReadAsked,
+                           AnnouncementReceived,
+                           ConfigurationAsked,
+                           request::Event,
+                           Tick>;
+
+struct SendPeer
+{
+  InstanceId to;
+  wire::PeerMessage message;
+};
+
+struct WriteStorage
+{
+  agreement::Persist persist;
+};
+
+struct SaveSnapshot
+{
+  agreement::SnapshotMeta meta;
+  std::string bytes;
+};
+
+// Answer to CommandReceived or ConfigurationAsked.
+struct CommandDecided
+{
+  std::uint64_t token = 0;
+  bool decided = false; // false: no leader could be reached
+  bool unknown = false; // not decided, but it may still be
+  state::Outcome outcome;
+};
+
+struct ReadDecided
+{
+  std::uint64_t token = 0;
+  bool ready = false;
+};
+
+struct AnswerAnnouncement
+{
+  std::uint64_t token = 0;
+  bool accepted = true; // false: stale; stored boot and sequence follow
+  std::int64_t storedBootedAtMs = 0;
+  std::uint64_t storedSequence = 0;
+  Duration interval{ 0 };
+  std::vector<planner::Instruction> instructions;
+};
+
+struct DeliverInstruction
+{
+  planner::Instruction instruction;
+  std::string address;
+  std::string payload; // of the job, for StartTask
+  ServiceId service;
+};
+
+struct LeaderChanged
+{
+  InstanceId leader;
+  agreement::Term term = 0;
+  bool self = false;
+};
+
+using Effect = std::variant<SendPeer,
+                            WriteStorage,
+                            SaveSnapshot,
+                            CommandDecided,
+                            ReadDecided,
+                            AnswerAnnouncement,
+                            DeliverInstruction,
+                            LeaderChanged,
+                            request::Effect,
+                            planner::LogDecision>;
+
+using Effects = std::vector<Effect>;
+
+} // namespace hyssoppaddle::core
+
+#endif
--- /dev/null
+++ b/src/core/Reducer.h
@@ -0,0 +1,79 @@
+// The one reducer over all events of a daemon. It dispatches to agreement,
+// state, request and planner, and turns their effects into events of each other
+// or into effects for the shell.
+#ifndef hyssoppaddle_core_Reducer_h
+#define hyssoppaddle_core_Reducer_h
+
+#include "agreement/Raft.h"
+#include "base/Time.h"
+#include "core/Events.h"
+#include "planner/Planner.h"
+#include "request/RequestReducer.h"
+#include "state/FleetState.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hyssoppaddle::core {
+
+struct ReducerOptions
+{
+  InstanceId self;
+  DataCentreId dataCentre;
+  std::string boot; // unique per process life
+  std::uint64_t seed = 0;
+  agreement::Configuration initial;
+  agreement::RaftTimes raftTimes;
+  agreement::RaftLimits raftLimits;
+  request::RequestOptions request; // self, data centre, boot, seed are set here
+  planner::PlannerOptions planner;
+  Duration renewInterval{ 1000000 };
+};
+
+// What `status` shows of one entry instance, as the leader sees it.
+struct EntryStatus
+{
+  InstanceId entry;
+  bool voter = false;
+  agreement::LogIndex appliedIndex = 0;
+  std::uint64_t bundleVersion = 0;
+  std::optional<Duration> heardAgo;
+};
+
+class Reducer
+{
+public:
+  Reducer(ReducerOptions aOptions,
+          agreement::RecoveredLog aRecovered,
+          Time aNow,
+          WallTime aWallNow);
+  ~Reducer();
+  Reducer(const Reducer&) = delete;
+  Reducer& operator=(const Reducer&) = delete;
+
+  Effects Reduce(const Event& aEvent, Time aNow, WallTime aWallNow);
+
+  // Graceful stop: refuses new requests, returns permits as they fall idle,
+  // hands over the leadership. IsDrained() tells when the process may end.
+  Effects BeginStop(Time aNow, WallTime aWallNow);
+  [[nodiscard]] bool IsDrained() const;
+
+  [[nodiscard]] const state::FleetState& State() const;
+  [[nodiscard]] const agreement::Raft& Log() const;
+  [[nodiscard]] const request::RequestReducer& Requests() const;
+  [[nodiscard]] const planner::Planner& Plans() const;
+  [[nodiscard]] agreement::LogIndex AppliedIndex() const;
+  // True when requests can be served: a leader is known and the view is fresh.
+  [[nodiscard]] bool IsReady(Time aNow) const;
+  // On the leader: every entry instance it knows.
+  [[nodiscard]] std::vector<EntryStatus> Entries(Time aNow) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+} // namespace hyssoppaddle::core
+
+#endif
--- /dev/null
+++ b/src/planner/Planner.h
@@ -0,0 +1,160 @@
+// Decisions of the leader: permit allocation, shares, placement, maintenance
+// waves, moves and repair. It reads the replicated state and proposes commands;
+// the log records them.
+#ifndef hyssoppaddle_planner_Planner_h
+#define hyssoppaddle_planner_Planner_h
+
+#include "base/Id.h"
+#include "base/Time.h"
+#include "state/Commands.h"
+#include "state/FleetState.h"
+#include "wire/PeerMessage.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hyssoppaddle::planner {
+
+// This instance became leader; all soft statistics start anew.
+struct BecameLeader
+{};
+
+struct LostLeadership
+{};
+
+// The replicated state changed.
+struct StateChanged
+{
+  state::Changes changes;
+};
+
+// A renewal of an entry instance arrived.
+struct EntryRenewed
+{
+  InstanceId entry;
+  std::string boot;
+  std::vector<wire::TeamDemand> demand;
+};
+
+// Usage report of tasks, seen before it is in the log.
+struct UsageReported
+{
+  InstanceId instance;
+  std::vector<state::TaskReport> reports;
+};
+
+// A command of this planner was refused by the state machine or lost.
+struct CommandRefused
+{
+  state::CommandBody command;
+  std::string reason;
+};
+
+struct Tick
+{};
+
+using Event = std::variant<BecameLeader,
+                           LostLeadership,
+                           StateChanged,
+                           EntryRenewed,
+                           UsageReported,
+                           CommandRefused,
+                           Tick>;
+
+// Append to the log.
+struct ProposeCommand
+{
+  state::CommandBody command;
+};
+
+enum class InstructionKind : std::uint8_t
+{
+  StartTask,
+  StopTask,
+  Drain,
+  Reboot,
+};
+
+// Sent to an upstream over HTTP, at least once; the upstream ignores old
+// epochs.
+struct Instruction
+{
+  InstanceId instance;
+  InstructionKind kind = InstructionKind::StartTask;
+  JobId job;
+  std::uint64_t epoch = 0;
+  state::StopMode mode = state::StopMode::Stop;
+  Duration lease{ 0 };
+  bool resume = false; // from the checkpoint
+};
+
+struct SendInstruction
+{
+  Instruction instruction;
+};
+
+// One line of the decision log.
+struct LogDecision
+{
+  std::string kind; // "place", "wave", "move", "repair", "permits", "share"
+  std::string subject;
+  TeamId team;
+  PoolId pool;
+  std::vector<std::string> candidates;
+  std::string chosen;
+  std::string rule;
+  std::string reason;
+  bool refusal = false;
+};
+
+using Effect = std::variant<ProposeCommand, SendInstruction, LogDecision>;
+using Effects = std::vector<Effect>;
+
+struct PlannerOptions
+{
+  std::uint64_t seed = 0;
+  Duration permitLease{ 20000000 };
+  Duration maxDeadline{ 60000000 };
+  Duration taskLease{ 30000000 };
+  std::size_t maxDecisionsPerStep = 64; // bounds the work per event
+};
+
+class Planner
+{
+public:
+  // aState must outlive this object.
+  Planner(PlannerOptions aOptions, const state::FleetState& aState);
+  ~Planner();
+  Planner(Planner&&) noexcept;
+  Planner& operator=(Planner&&) noexcept;
+
+  Effects Step(const Event& aEvent, Time aNow, WallTime aWallNow);
+
+  // Permits to ask back from an entry instance with its next renewal.
+  [[nodiscard]] std::vector<wire::TeamDemand> Recalls(
+    const InstanceId& aEntry) const;
+  // Instructions still owed to an instance, carried by the answers to its
+  // announcements as well.
+  [[nodiscard]] std::vector<Instruction> PendingInstructions(
+    const InstanceId& aInstance) const;
+
+  // Plain sentences for `explain`: why, waiting for what, what would let it go
+  // on.
+  [[nodiscard]] std::vector<std::string> ExplainJob(const JobId& aJob) const;
+  [[nodiscard]] std::vector<std::string> ExplainInstance(
+    const InstanceId& aInstance) const;
+  [[nodiscard]] std::vector<std::string> ExplainTeam(const TeamId& aTeam) const;
+  [[nodiscard]] std::vector<std::string> ExplainWave() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+} // namespace hyssoppaddle::planner
+
+#endif
--- /dev/null
+++ b/src/shell/JsonLog.cpp
@@ -0,0 +1,102 @@
+// JSON log lines over glog. The message is the whole line, so glog's prefix is
+// switched off.
+#include "shell/JsonLog.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <string>
+
+namespace hyssoppaddle::shell {
+
+namespace {
+
+std::atomic<LogLevel> minimumLevel{ LogLevel::Info };
+
+std::string_view
+Name(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return "debug";
+    case LogLevel::Info:
+      return "info";
+    case LogLevel::Warning:
+      return "warning";
+    case LogLevel::Error:
+      return "error";
+  }
+  return "info";
+}
+
+std::string
+Timestamp()
+{
+  using std::chrono::duration_cast;
+  using std::chrono::microseconds;
+  constexpr long kMicrosecondsPerSecond = 1'000'000;
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto total = duration_cast<microseconds>(sinceEpoch).count();
+  const std::time_t seconds = total / kMicrosecondsPerSecond;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> day{};
+  std::strftime(day.data(), day.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::array<char, 48> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%s.%06ldZ",
+                day.data(),
+                static_cast<long>(total % kMicrosecondsPerSecond));
+  return text.data();
+}
+
+} // namespace
+
+void
+StartLogging(std::string_view aProgram, LogLevel aLevel)
+{
+  static const std::string kProgram(aProgram);
+  FLAGS_logtostderr = true;
+  FLAGS_log_prefix = false;
+  minimumLevel = aLevel;
+  if (!google::IsGoogleLoggingInitialized()) {
+    google::InitGoogleLogging(kProgram.c_str());
+  }
+}
+
+void
+Log(LogLevel aLevel, std::string_view aEvent, const nlohmann::json& aFields)
+{
+  if (aLevel < minimumLevel.load(std::memory_order_relaxed)) {
+    return;
+  }
+  nlohmann::ordered_json line;
+  line["ts"] = Timestamp();
+  line["level"] = Name(aLevel);
+  line["event"] = aEvent;
+  for (const auto& [key, value] : aFields.items()) {
+    line[key] = value;
+  }
+  // Invalid UTF-8 from outside must not stop the daemon, so it is replaced.
+  const std::string text =
+    line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  switch (aLevel) {
+    case LogLevel::Error:
+      LOG(ERROR) << text;
+      break;
+    case LogLevel::Warning:
+      LOG(WARNING) << text;
+      break;
+    default:
+      LOG(INFO) << text;
+      break;
+  }
+}
+
+} // namespace hyssoppaddle::shell
--- /dev/null
+++ b/src/wire/FrameReader.h
@@ -0,0 +1,42 @@
+// Splits a byte stream into frames: 4-byte big-endian length, then that many
+// bytes.
+#ifndef hyssoppaddle_wire_FrameReader_h
+#define hyssoppaddle_wire_FrameReader_h
+
+#include "base/Result.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hyssoppaddle::wire {
+
+inline constexpr std::size_t kMaxFrameBytes = 1024 * 1024;
+inline constexpr std::size_t kFrameHeaderBytes = 4;
+
+// Prepends the length. aPayload must not exceed kMaxFrameBytes.
+std::string
+EncodeFrame(std::string_view aPayload);
+
+class FrameReader
+{
+public:
+  explicit FrameReader(std::size_t aMaxBytes = kMaxFrameBytes);
+
+  // Adds received bytes.
+  void Feed(std::string_view aBytes);
+
+  // Next whole payload, nothing when more bytes are needed, TooLarge or
+  // Malformed (empty frame) when the stream must be closed.
+  Result<std::optional<std::string>> Next();
+
+private:
+  std::size_t maxBytes;
+  std::string buffer;
+  std::size_t consumed = 0;
+};
+
+} // namespace hyssoppaddle::wire
+
+#endif
--- /dev/null
+++ b/src/wire/PeerMessage.h
@@ -0,0 +1,124 @@
+// Messages between entry instances, after the greeting.
+#ifndef hyssoppaddle_wire_PeerMessage_h
+#define hyssoppaddle_wire_PeerMessage_h
+
+#include "agreement/Messages.h"
+#include "state/Commands.h"
+#include "state/Outcome.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace hyssoppaddle::wire {
+
+// First frame in both directions. The proof is a keyed BLAKE2b over both
+// nonces, sent in GreetingProof once the other nonce is known.
+struct Greeting
+{
+  std::uint32_t protocol = 0;
+  std::string cluster;
+  InstanceId instance;
+  std::string boot;
+  std::string nonce; // 16 random bytes
+  bool operator==(const Greeting&) const = default;
+};
+
+struct GreetingProof
+{
+  std::string proof; // 32 bytes
+  bool operator==(const GreetingProof&) const = default;
+};
+
+struct RaftMessage
+{
+  agreement::Message message;
+  bool operator==(const RaftMessage&) const = default;
+};
+
+// A command for the leader to append.
+struct Forward
+{
+  std::uint64_t token = 0;
+  state::Command command;
+  bool operator==(const Forward&) const = default;
+};
+
+struct ForwardReply
+{
+  std::uint64_t token = 0;
+  // False when this instance does not lead or lost the leadership: the command
+  // may (unknown) or may not have been appended.
+  bool decided = false;
+  bool unknown = false;
+  agreement::LogIndex index = 0; // applied here, so a reader can wait for it
+  state::Outcome outcome;
+  bool operator==(const ForwardReply&) const = default;
+};
+
+struct TeamDemand
+{
+  TeamId team;
+  std::uint32_t inUse = 0;
+  std::uint32_t waiting = 0;
+  bool operator==(const TeamDemand&) const = default;
+};
+
+// Entry instance to leader, every second, and at once when permits run short.
+struct Renew
+{
+  std::uint64_t nonce = 0;
+  std::string boot;
+  agreement::LogIndex appliedIndex = 0;
+  std::uint64_t bundleVersion = 0; // in force here
+  std::vector<TeamDemand> demand;  // teams with permits or waiting work
+  bool operator==(const Renew&) const = default;
+};
+
+// Leader to entry instance, after a majority confirmed its leadership.
+struct RenewReply
+{
+  std::uint64_t nonce = 0;
+  agreement::LogIndex confirmedIndex = 0;
+  // Permits the leader would like back, at most the idle ones are returned.
+  std::vector<TeamDemand> recalls; // inUse = number wanted back
+  bool operator==(const RenewReply&) const = default;
+};
+
+struct HeardUpstream
+{
+  InstanceId instance;
+  std::string boot;
+  std::uint64_t sequence = 0;
+  bool silent = false; // watched here and not heard for the bound
+  bool operator==(const HeardUpstream&) const = default;
+};
+
+// Newly watched and newly silent upstreams, batched for 100 ms.
+struct Heard
+{
+  std::vector<HeardUpstream> upstreams;
+  bool operator==(const Heard&) const = default;
+};
+
+// An instance that is not yet in the configuration asks the leader to add it.
+struct JoinRequest
+{
+  bool wantsVote = false;
+  bool operator==(const JoinRequest&) const = default;
+};
+
+using PeerMessage = std::variant<Greeting,
+                                 GreetingProof,
+                                 RaftMessage,
+                                 Forward,
+                                 ForwardReply,
+                                 Renew,
+                                 RenewReply,
+                                 Heard,
+                                 JoinRequest>;
+
+} // namespace hyssoppaddle::wire
+
+#endif
