Add the top reducer: submissions, leases, liveness of upstreams

Cause: the parts need one deterministic reducer that passes events between them and gives the shell effects as data. Change: src/core dispatches to agreement, state, request and planner. It tracks each command until its outcome, renews leases from the time of sending, answers confirmed reads, and decides when a silent upstream is marked. ReturnPermits gets a sequence number, because a resend after a lost answer would otherwise return permits twice.

--- a/src/core/Events.h
+++ b/src/core/Events.h
@@ -45,6 +45,7 @@
 struct SnapshotSaved
 {
   agreement::SnapshotMeta meta;
+  std::string bytes;
 };
 
 // A linearizable read: ReadDecided follows when this instance has applied all
--- a/src/core/Reducer.h
+++ b/src/core/Reducer.h
@@ -45,7 +45,7 @@
 {
 public:
   Reducer(ReducerOptions aOptions,
-          agreement::RecoveredLog aRecovered,
+          const agreement::RecoveredLog& aRecovered,
           Time aNow,
           WallTime aWallNow);
   ~Reducer();
--- /dev/null
+++ b/src/core/ReducerEffects.cpp
@@ -0,0 +1,114 @@
+// Effects of the request path and the planner: commands for the log, or effects
+// for the shell.
+#include "core/ReducerImpl.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace hyssoppaddle::core {
+
+void
+Reducer::Impl::Run(request::Effects aEffects)
+{
+  for (request::Effect& effect : aEffects) {
+    std::visit(
+      [this, &effect](auto& aConcrete) {
+        using T = std::decay_t<decltype(aConcrete)>;
+        if constexpr (std::is_same_v<T, request::ClaimNeeded> ||
+                      std::is_same_v<T, request::ClaimEnded> ||
+                      std::is_same_v<T, request::SendReturnPermits> ||
+                      std::is_same_v<T, request::RenewNow>) {
+          this->Run(aConcrete);
+        } else {
+          this->effects.emplace_back(std::move(effect));
+        }
+      },
+      effect);
+  }
+}
+
+void
+Reducer::Impl::Run(const request::ClaimNeeded& aEffect)
+{
+  Origin origin;
+  origin.kind = OriginKind::Claim;
+  origin.request = aEffect.request;
+  state::Command command;
+  command.body = aEffect.claim;
+  this->Submit(std::move(origin), std::move(command));
+}
+
+void
+Reducer::Impl::Run(const request::ClaimEnded& aEffect)
+{
+  state::Command command;
+  command.body = aEffect.finish;
+  this->Submit(Origin{}, std::move(command));
+}
+
+void
+Reducer::Impl::Run(const request::SendReturnPermits& aEffect)
+{
+  state::Command command;
+  state::ReturnPermits permits = aEffect.permits;
+  permits.sequence = this->nextReturn++;
+  command.body = std::move(permits);
+  this->Submit(Origin{}, std::move(command));
+}
+
+void
+Reducer::Impl::Run(const request::RenewNow& /*aEffect*/)
+{
+  if (this->renewals.MaySendNow(this->now)) {
+    this->SendRenewal();
+  }
+}
+
+void
+Reducer::Impl::Run(planner::Effects aEffects)
+{
+  for (planner::Effect& effect : aEffects) {
+    std::visit(
+      [this](auto& aConcrete) {
+        using T = std::decay_t<decltype(aConcrete)>;
+        if constexpr (std::is_same_v<T, planner::LogDecision>) {
+          this->effects.emplace_back(std::move(aConcrete));
+        } else {
+          this->Run(aConcrete);
+        }
+      },
+      effect);
+  }
+}
+
+void
+Reducer::Impl::Run(const planner::ProposeCommand& aEffect)
+{
+  Origin origin;
+  origin.kind = OriginKind::Planner;
+  state::Command command;
+  command.body = aEffect.command;
+  this->Submit(std::move(origin), std::move(command));
+}
+
+void
+Reducer::Impl::Run(const planner::SendInstruction& aEffect)
+{
+  const auto upstream =
+    this->state.Upstreams().find(aEffect.instruction.instance);
+  if (upstream == this->state.Upstreams().end()) {
+    return;
+  }
+  DeliverInstruction deliver;
+  deliver.instruction = aEffect.instruction;
+  deliver.address = upstream->second.announcement.address;
+  deliver.service = upstream->second.announcement.service;
+  const auto job = this->state.Jobs().find(aEffect.instruction.job);
+  if (job != this->state.Jobs().end()) {
+    deliver.payload = job->second.payload;
+    deliver.service = job->second.service;
+  }
+  this->effects.emplace_back(std::move(deliver));
+}
+
+} // namespace hyssoppaddle::core
--- /dev/null
+++ b/src/core/ReducerLeases.cpp
@@ -0,0 +1,194 @@
+// Renewals of the leases, reads confirmed by a majority, registration of this
+// boot.
+#include "core/ReducerImpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoppaddle::core {
+
+namespace {
+
+constexpr Duration kReadTimeout{ 5000000 };
+constexpr Duration kRegistrationRetry{ 2000000 };
+
+} // namespace
+
+wire::Renew
+Reducer::Impl::MakeRenew(std::uint64_t aNonce) const
+{
+  wire::Renew renew;
+  renew.nonce = aNonce;
+  renew.boot = this->options.boot;
+  renew.appliedIndex = this->appliedIndex;
+  renew.bundleVersion = this->state.ActiveBundle().version;
+  renew.demand = this->requests.Demand();
+  return renew;
+}
+
+void
+Reducer::Impl::RenewLeases()
+{
+  if (this->renewals.IsDue(this->now)) {
+    this->SendRenewal();
+  }
+}
+
+void
+Reducer::Impl::SendRenewal()
+{
+  if (this->leader.empty()) {
+    return;
+  }
+  const wire::Renew renew = this->MakeRenew(this->renewals.Start(this->now));
+  if (this->leads) {
+    this->On(this->options.self, renew);
+  } else {
+    this->SendTo(this->leader, renew);
+  }
+}
+
+void
+Reducer::Impl::On(const InstanceId& aFrom, const wire::Renew& aMessage)
+{
+  if (!this->leads) {
+    return;
+  }
+  this->Contact(aFrom, aMessage);
+  this->renewalBatch.push_back({ aFrom, aMessage.nonce });
+  this->work.emplace_back(planner::Event(
+    planner::EntryRenewed{ aFrom, aMessage.boot, aMessage.demand }));
+}
+
+void
+Reducer::Impl::Contact(const InstanceId& aEntry, const wire::Renew& aRenew)
+{
+  EntryContact& contact = this->contacts[aEntry];
+  contact.lastHeard = this->now;
+  contact.appliedIndex = aRenew.appliedIndex;
+  contact.bundleVersion = aRenew.bundleVersion;
+}
+
+void
+Reducer::Impl::FlushRenewalBatch()
+{
+  if (!this->leads || this->renewalBatch.empty()) {
+    return;
+  }
+  const std::uint64_t token = this->nextReadToken++;
+  this->renewalsAsked.emplace(token, std::exchange(this->renewalBatch, {}));
+  this->work.emplace_back(agreement::Event(agreement::ReadRequest{ token }));
+  this->DrainWork();
+}
+
+void
+Reducer::Impl::On(const InstanceId& /*aFrom*/, const wire::RenewReply& aMessage)
+{
+  const auto read = this->readsByNonce.find(aMessage.nonce);
+  if (read != this->readsByNonce.end()) {
+    this->readsWaiting.push_back({ aMessage.confirmedIndex, read->second });
+    this->readsByNonce.erase(read);
+  }
+  this->renewals.Answered(aMessage);
+  this->ApplyRenewals();
+  this->ReleaseReads();
+}
+
+void
+Reducer::Impl::ApplyRenewals()
+{
+  std::optional<EffectiveRenewal> renewal =
+    this->renewals.TakeEffective(this->appliedIndex);
+  // An instance that is not registered has no permits and no say in the state.
+  if (!renewal || !this->IsRegistered()) {
+    return;
+  }
+  request::Renewed event;
+  event.sentAt = renewal->sentAt;
+  for (const wire::TeamDemand& recall : renewal->recalls) {
+    event.recalls.emplace_back(recall.team, recall.inUse);
+  }
+  this->work.emplace_back(request::Event(std::move(event)));
+}
+
+void
+Reducer::Impl::On(const ReadAsked& aEvent)
+{
+  this->readDeadlines.emplace(this->now + kReadTimeout, aEvent.token);
+  this->openReads.insert(aEvent.token);
+  if (this->leads) {
+    const std::uint64_t token = this->nextReadToken++;
+    this->readsByToken.emplace(token, aEvent.token);
+    this->work.emplace_back(agreement::Event(agreement::ReadRequest{ token }));
+    return;
+  }
+  if (this->leader.empty()) {
+    return; // ends by its deadline
+  }
+  const std::uint64_t nonce = this->renewals.Start(this->now);
+  this->readsByNonce.emplace(nonce, aEvent.token);
+  this->SendTo(this->leader, this->MakeRenew(nonce));
+}
+
+void
+Reducer::Impl::ReleaseReads()
+{
+  const auto isReady = [this](const PendingRead& aRead) {
+    return aRead.index <= this->appliedIndex;
+  };
+  for (const PendingRead& read : this->readsWaiting) {
+    if (isReady(read) && this->openReads.erase(read.token) > 0) {
+      this->effects.emplace_back(ReadDecided{ read.token, true });
+    }
+  }
+  std::erase_if(this->readsWaiting, isReady);
+}
+
+void
+Reducer::Impl::ExpireReads()
+{
+  const auto end = this->readDeadlines.upper_bound(this->now);
+  for (auto read = this->readDeadlines.begin(); read != end; ++read) {
+    const std::uint64_t token = read->second;
+    if (this->openReads.erase(token) == 0) {
+      continue;
+    }
+    const auto isSame = [token](const auto& aEntry) {
+      return aEntry.second == token;
+    };
+    std::erase_if(this->readsByNonce, isSame);
+    std::erase_if(this->readsByToken, isSame);
+    std::erase_if(this->readsWaiting, [token](const PendingRead& aRead) {
+      return aRead.token == token;
+    });
+    this->effects.emplace_back(ReadDecided{ token, false });
+  }
+  this->readDeadlines.erase(this->readDeadlines.begin(), end);
+}
+
+bool
+Reducer::Impl::IsRegistered() const
+{
+  const auto entry = this->state.Entries().find(this->options.self);
+  return entry != this->state.Entries().end() &&
+         entry->second.boot == this->options.boot;
+}
+
+void
+Reducer::Impl::RegisterSelf()
+{
+  const bool isWaiting =
+    this->registrationSentAt &&
+    this->now - *this->registrationSentAt < kRegistrationRetry;
+  if (this->leader.empty() || this->stopping || isWaiting ||
+      this->IsRegistered()) {
+    return;
+  }
+  this->registrationSentAt = this->now;
+  state::Command command;
+  command.body = state::RegisterEntry{ this->options.self, this->options.boot };
+  this->Submit(Origin{}, std::move(command));
+  this->DrainWork();
+}
+
+} // namespace hyssoppaddle::core
--- /dev/null
+++ b/src/core/ReducerUpstreams.cpp
@@ -0,0 +1,250 @@
+// Announcements of upstreams heard by this entry instance, and the leader's
+// decision that one is silent.
+#include "core/ReducerImpl.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace hyssoppaddle::core {
+
+namespace {
+
+constexpr Duration kMinAnnounceInterval{ 1000000 };
+// Announcements a second that one entry instance is meant to take. One costs
+// about 100 us of processor time over HTTP, and 1.2% of a core is 12 ms a
+// second.
+constexpr double kAnnouncementsPerSecondAndEntry = 50;
+// An entry instance that has not renewed for this long no longer hears
+// upstreams.
+constexpr Duration kEntrySilence{ 5000000 };
+// Usage that differs by less than this fraction from the record stays out of
+// the log.
+constexpr double kUsageChange = 0.1;
+
+bool
+DiffersByFraction(std::int64_t aLeft, std::int64_t aRight)
+{
+  const double scale =
+    static_cast<double>(std::max(std::abs(aLeft), std::abs(aRight)));
+  return std::abs(static_cast<double>(aLeft - aRight)) > kUsageChange * scale;
+}
+
+bool
+HasUsageChanged(const state::Resources& aOld, const state::Resources& aNew)
+{
+  return DiffersByFraction(aOld.milliCpus, aNew.milliCpus) ||
+         DiffersByFraction(aOld.memoryMb, aNew.memoryMb) ||
+         aOld.accelerators != aNew.accelerators;
+}
+
+// True when a report tells the log something: another state, other usage, or a
+// lease with less than half of its time left.
+bool
+IsNews(const state::FleetState& aState,
+       const InstanceId& aInstance,
+       const state::TaskReport& aReport)
+{
+  const auto job = aState.Jobs().find(aReport.job);
+  if (job == aState.Jobs().end() || !job->second.task) {
+    return false;
+  }
+  const state::TaskRecord& task = *job->second.task;
+  if (task.epoch != aReport.epoch || task.instance != aInstance) {
+    return false;
+  }
+  return task.state != aReport.state ||
+         HasUsageChanged(task.usage, aReport.usage) ||
+         task.leaseEnd - aState.Now() < task.lease / 2;
+}
+
+} // namespace
+
+void
+Reducer::Impl::On(const AnnouncementReceived& aEvent)
+{
+  const state::Announcement& announcement = aEvent.announcement;
+  const auto stored = this->state.Upstreams().find(announcement.instance);
+  if (stored != this->state.Upstreams().end()) {
+    const state::Announcement& last = stored->second.announcement;
+    const bool isStale =
+      std::tie(announcement.bootedAtMs, announcement.boot) <
+        std::tie(last.bootedAtMs, last.boot) ||
+      (announcement.boot == last.boot && announcement.sequence < last.sequence);
+    if (isStale) {
+      this->effects.emplace_back(AnswerAnnouncement{ aEvent.token,
+                                                     false,
+                                                     last.bootedAtMs,
+                                                     last.sequence,
+                                                     this->AnnounceInterval(),
+                                                     {} });
+      return;
+    }
+  }
+  if (this->NeedsUpdate(announcement)) {
+    state::Command command;
+    command.body = state::UpdateUpstream{ announcement };
+    this->Submit(Origin{}, std::move(command));
+  }
+  if (announcement.state == state::UpstreamState::Serving) {
+    this->watch.Hear(announcement, this->AnnounceInterval(), this->now);
+  }
+  this->work.emplace_back(request::Event(request::Announced{ announcement }));
+  this->SubmitReports(aEvent);
+  this->DrainWork();
+  this->Answer(aEvent);
+}
+
+void
+Reducer::Impl::Answer(const AnnouncementReceived& aEvent)
+{
+  AnswerAnnouncement answer;
+  answer.token = aEvent.token;
+  answer.interval = this->AnnounceInterval();
+  if (this->leads) {
+    answer.instructions =
+      this->planner.PendingInstructions(aEvent.announcement.instance);
+  }
+  this->effects.emplace_back(std::move(answer));
+}
+
+void
+Reducer::Impl::SubmitReports(const AnnouncementReceived& aEvent)
+{
+  const InstanceId& instance = aEvent.announcement.instance;
+  state::ReportTasks report;
+  report.instance = instance;
+  report.boot = aEvent.announcement.boot;
+  for (const state::TaskReport& task : aEvent.reports) {
+    if (IsNews(this->state, instance, task)) {
+      report.reports.push_back(task);
+    }
+  }
+  if (this->leads && !aEvent.reports.empty()) {
+    this->work.emplace_back(
+      planner::Event(planner::UsageReported{ instance, aEvent.reports }));
+  }
+  if (report.reports.empty()) {
+    return;
+  }
+  state::Command command;
+  command.body = std::move(report);
+  this->Submit(Origin{}, std::move(command));
+}
+
+Duration
+Reducer::Impl::AnnounceInterval() const
+{
+  const auto upstreams = static_cast<double>(this->state.Upstreams().size());
+  const auto entries =
+    static_cast<double>(std::max<std::size_t>(this->state.Entries().size(), 1));
+  const double seconds =
+    upstreams / (entries * kAnnouncementsPerSecondAndEntry);
+  const Duration scaled{ static_cast<Duration::rep>(seconds * 1e6) };
+  return std::max(kMinAnnounceInterval, scaled);
+}
+
+bool
+Reducer::Impl::NeedsUpdate(const state::Announcement& aNew) const
+{
+  const auto stored = this->state.Upstreams().find(aNew.instance);
+  if (stored == this->state.Upstreams().end()) {
+    return true;
+  }
+  if (stored->second.state != aNew.state) {
+    return true;
+  }
+  state::Announcement comparable = aNew;
+  comparable.sequence = stored->second.announcement.sequence;
+  return !(comparable == stored->second.announcement);
+}
+
+void
+Reducer::Impl::FlushHeard()
+{
+  while (this->watch.HasQueue() && !this->leader.empty()) {
+    wire::Heard heard{ this->watch.TakeQueue() };
+    if (this->leads) {
+      this->On(this->options.self, heard);
+    } else {
+      this->SendTo(this->leader, std::move(heard));
+    }
+  }
+}
+
+void
+Reducer::Impl::On(const InstanceId& aFrom, const wire::Heard& aMessage)
+{
+  if (!this->leads) {
+    // The leader asks whether anyone still hears these upstreams.
+    for (const wire::HeardUpstream& asked : aMessage.upstreams) {
+      this->watch.Confirm(asked.instance, asked.boot, asked.sequence);
+    }
+    this->FlushHeard();
+    return;
+  }
+  wire::Heard question;
+  for (const wire::HeardUpstream& heard : aMessage.upstreams) {
+    if (this->liveness.Report(aFrom, heard, this->now)) {
+      question.upstreams.push_back(heard);
+      this->watch.Confirm(heard.instance, heard.boot, heard.sequence);
+    }
+  }
+  if (question.upstreams.empty()) {
+    return;
+  }
+  for (const auto& [entry, contact] : this->contacts) {
+    if (entry != this->options.self) {
+      this->SendTo(entry, question);
+    }
+  }
+}
+
+void
+Reducer::Impl::CheckSilence()
+{
+  this->watch.CollectSilent(this->now);
+  if (!this->leads) {
+    return;
+  }
+  for (state::MarkUpstreamSilent& silent :
+       this->liveness.TakeSilent(this->now)) {
+    const auto record = this->state.Upstreams().find(silent.instance);
+    if (record == this->state.Upstreams().end() ||
+        record->second.state == state::UpstreamState::Silent) {
+      continue;
+    }
+    state::Command command;
+    command.body = std::move(silent);
+    this->Submit(Origin{}, std::move(command));
+  }
+  this->DrainWork();
+}
+
+void
+Reducer::Impl::CheckEntries()
+{
+  if (!this->leads) {
+    return;
+  }
+  for (const auto& [entry, contact] : this->contacts) {
+    if (this->now - contact.lastHeard > kEntrySilence) {
+      this->liveness.SuspectAllOf(entry, this->now);
+    }
+  }
+}
+
+void
+Reducer::Impl::StartLiveness()
+{
+  std::vector<state::Announcement> expected;
+  for (const auto& [instance, record] : this->state.Upstreams()) {
+    if (record.state == state::UpstreamState::Serving) {
+      expected.push_back(record.announcement);
+    }
+  }
+  this->liveness.Start(expected, this->now);
+}
+
+} // namespace hyssoppaddle::core
--- /dev/null
+++ b/src/core/RenewalTracker.cpp
@@ -0,0 +1,73 @@
+// A lease is measured from the sending of its renewal: measured from the
+// arrival of the answer it could outlast what the leader had confirmed.
+#include "core/RenewalTracker.h"
+
+#include <utility>
+
+namespace hyssoppaddle::core {
+
+namespace {
+
+constexpr Duration kMinGap{ 20000 };
+constexpr std::size_t kMaxOutstanding = 64;
+
+} // namespace
+
+RenewalTracker::RenewalTracker(Duration aInterval)
+  : interval(aInterval)
+{
+}
+
+bool
+RenewalTracker::IsDue(Time aNow) const
+{
+  return !this->lastSent || aNow - *this->lastSent >= this->interval;
+}
+
+bool
+RenewalTracker::MaySendNow(Time aNow) const
+{
+  return !this->lastSent || aNow - *this->lastSent >= kMinGap;
+}
+
+std::uint64_t
+RenewalTracker::Start(Time aNow)
+{
+  this->lastSent = aNow;
+  const std::uint64_t nonce = this->nextNonce++;
+  this->outstanding.emplace(nonce, aNow);
+  if (this->outstanding.size() > kMaxOutstanding) {
+    this->outstanding.erase(this->outstanding.begin());
+  }
+  return nonce;
+}
+
+void
+RenewalTracker::Answered(const wire::RenewReply& aReply)
+{
+  const auto sent = this->outstanding.find(aReply.nonce);
+  if (sent == this->outstanding.end()) {
+    return;
+  }
+  this->answered[aReply.nonce] =
+    Answer{ sent->second, aReply.confirmedIndex, aReply.recalls };
+  this->outstanding.erase(sent);
+}
+
+std::optional<EffectiveRenewal>
+RenewalTracker::TakeEffective(agreement::LogIndex aApplied)
+{
+  std::optional<EffectiveRenewal> newest;
+  for (auto entry = this->answered.begin(); entry != this->answered.end();) {
+    if (entry->second.index > aApplied) {
+      ++entry;
+      continue;
+    }
+    newest = EffectiveRenewal{ entry->second.sentAt,
+                               std::move(entry->second.recalls) };
+    entry = this->answered.erase(entry);
+  }
+  return newest;
+}
+
+} // namespace hyssoppaddle::core
--- a/src/state/Commands.h
+++ b/src/state/Commands.h
@@ -365,6 +365,9 @@
   std::string boot;
   TeamId team;
   std::uint32_t count = 0;
+  // Counts up over the returns of one boot. An equal or lower one is a resend
+  // and changes nothing, so that a lost answer cannot return permits twice.
+  std::uint64_t sequence = 0;
   bool operator==(const ReturnPermits&) const = default;
 };
 
--- a/src/state/Records.h
+++ b/src/state/Records.h
@@ -159,6 +159,7 @@
   // Permits of earlier boots, withheld until the time given.
   std::map<TeamId, std::uint32_t> withheld;
   WallTime withheldUntil;
+  std::uint64_t lastReturn = 0; // highest ReturnPermits::sequence applied
   bool operator==(const EntryRecord&) const = default;
 };
 
