--- a/src/api/ControlHandler.h
+++ b/src/api/ControlHandler.h
@@ -98,6 +98,9 @@
   // Keyed digest of a key's secret, as state::KeyRecord stores it.
   [[nodiscard]] virtual std::string KeyDigest(
     std::string_view aSecret) const = 0;
+  // The same for any text, in lower-case hexadecimal: a stable identifier.
+  [[nodiscard]] virtual std::string KeyDigestHex(
+    std::string_view aText) const = 0;
   // Random bytes in lower-case hexadecimal, for key secrets and identifiers.
   [[nodiscard]] virtual std::string RandomHex(std::size_t aBytes) const = 0;
 };
--- /dev/null
+++ b/src/api/ObjectReader.h
@@ -0,0 +1,56 @@
+// Reads the fields of a JSON request body and collects what is wrong with them.
+#ifndef hyssoppaddle_api_ObjectReader_h
+#define hyssoppaddle_api_ObjectReader_h
+
+#include "base/Finding.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace hyssoppaddle::api {
+
+class ObjectReader
+{
+public:
+  // aObject must outlive this reader. A value that is no object gives a finding
+  // and then reads as an empty one.
+  ObjectReader(const nlohmann::json& aObject,
+               Findings& aFindings,
+               std::string aPath = "");
+
+  // Required text; must not be empty.
+  std::string Text(std::string_view aName);
+  std::string OptionalText(std::string_view aName);
+  std::int64_t Number(std::string_view aName,
+                      std::int64_t aLow,
+                      std::int64_t aHigh);
+  std::int64_t OptionalNumber(std::string_view aName,
+                              std::int64_t aLow,
+                              std::int64_t aHigh,
+                              std::int64_t aDefault);
+  bool OptionalFlag(std::string_view aName, bool aDefault);
+  // The value of a nested object or array; a null value when it is missing.
+  const nlohmann::json& Nested(std::string_view aName);
+  [[nodiscard]] std::string PathOf(std::string_view aName) const;
+
+  // Reports every field that was not asked for.
+  void RejectUnknown();
+
+  void Report(std::string_view aName, std::string aMessage);
+
+private:
+  const nlohmann::json& object;
+  Findings& findings;
+  std::string path;
+  std::set<std::string, std::less<>> asked;
+
+  const nlohmann::json* Find(std::string_view aName);
+};
+
+} // namespace hyssoppaddle::api
+
+#endif
