Add the replicated state machine

FinishClaim repeats the attempt number of its grant, as a delayed end could otherwise end a later attempt.

--- a/src/state/Commands.h
+++ b/src/state/Commands.h
@@ -115,6 +115,9 @@
   std::string idempotencyKey;
   ClaimState state = ClaimState::Unknown;
   std::uint32_t status = 0; // HTTP status when Done
+  // As in the ClaimOutcome that granted it. A delayed end of an earlier attempt
+  // must not end a later one, which would then be granted a third time.
+  std::uint32_t attempt = 1;
   bool operator==(const FinishClaim&) const = default;
 };
 
--- /dev/null
+++ b/src/state/InstanceReconcile.cpp
@@ -0,0 +1,88 @@
+// How the instance table follows an accepted bundle. A listed pool is where a
+// new instance starts; for a known one a changed pool is only a wish, since the
+// instance must drain before it moves.
+#include "state/InstanceTable.h"
+
+#include <utility>
+
+namespace hyssoppaddle::state {
+
+std::vector<InstanceId>
+InstanceTable::Reconcile(const Bundle& aBundle, Context& aContext)
+{
+  std::set<InstanceId> listed;
+  for (const PoolSpec& pool : aBundle.pools) {
+    for (const InstanceSpec& spec : pool.instances) {
+      listed.insert(spec.name);
+      const Entry known = this->records.find(spec.name);
+      if (known == this->records.end()) {
+        this->AddListed(spec, pool.name, aContext);
+      } else {
+        this->UpdateListed(known, spec, pool.name, aContext);
+      }
+    }
+  }
+  std::vector<InstanceId> left;
+  for (Entry entry = this->records.begin(); entry != this->records.end();) {
+    const Entry current = entry++;
+    if (listed.contains(current->first) || current->second.retired) {
+      continue;
+    }
+    const InstanceId instance = current->first;
+    aContext.changes.instances.push_back(instance);
+    current->second.retired = true;
+    this->DropIfRetired(current);
+    if (!this->records.contains(instance)) {
+      left.push_back(instance);
+    }
+  }
+  return left;
+}
+
+void
+InstanceTable::AddListed(const InstanceSpec& aSpec,
+                         const PoolId& aPool,
+                         Context& aContext)
+{
+  InstanceRecord record;
+  record.pool = aPool;
+  record.homePool = aPool;
+  record.dataCentre = aSpec.dataCentre;
+  record.rack = aSpec.rack;
+  record.capacity = aSpec.capacity;
+  record.since = aContext.now;
+  record.lastMaintained = aContext.now;
+  this->AddToIndexes(
+    this->records.emplace(aSpec.name, std::move(record)).first);
+  aContext.changes.instances.push_back(aSpec.name);
+}
+
+void
+InstanceTable::UpdateListed(Entry aEntry,
+                            const InstanceSpec& aSpec,
+                            const PoolId& aPool,
+                            Context& aContext)
+{
+  InstanceRecord& record = aEntry->second;
+  const InstanceRecord before = record;
+  record.dataCentre = aSpec.dataCentre;
+  record.rack = aSpec.rack;
+  record.capacity = aSpec.capacity;
+  record.retired = false;
+  if (record.homePool != aPool) {
+    record.homePool = aPool;
+    const bool isThere = record.pool == aPool;
+    if (!isThere) {
+      record.requested = InstanceRequest::Move;
+      record.requestedPool = aPool;
+    } else if (record.requested == InstanceRequest::Move) {
+      record.requested.reset();
+      record.requestedPool = PoolId();
+    }
+  }
+  if (!(record == before)) {
+    aContext.changes.instances.push_back(aEntry->first);
+  }
+}
+
+} // namespace hyssoppaddle::state
--- /dev/null
+++ b/src/state/InstanceTable.cpp
@@ -0,0 +1,309 @@
+// Phases, moves and wishes of fleet instances. Every change of pool or phase
+// goes through the indexes, so the budget check reads one counter.
+#include "state/InstanceTable.h"
+
+#include "state/PhaseRules.h"
+
+namespace hyssoppaddle::state {
+
+namespace {
+
+bool
+IsPlannedStop(InstancePhase aTo)
+{
+  return aTo == InstancePhase::Draining;
+}
+
+// Out of service, so that it can leave the table without harm.
+bool
+IsOut(InstancePhase aPhase)
+{
+  return aPhase == InstancePhase::Expected ||
+         aPhase == InstancePhase::Stopped || aPhase == InstancePhase::Lost;
+}
+
+bool
+IsBack(InstancePhase aPhase)
+{
+  return aPhase == InstancePhase::Serving || aPhase == InstancePhase::Soaking;
+}
+
+} // namespace
+
+Outcome
+InstanceTable::SetPhase(const SetInstancePhase& aCommand,
+                        const BundleTable& aBundles,
+                        const std::string& aBoot,
+                        Context& aContext)
+{
+  const Entry entry = this->records.find(aCommand.instance);
+  if (entry == this->records.end()) {
+    return Refuse(ErrorCode::NotFound,
+                  "no instance is named " + aCommand.instance.value);
+  }
+  InstanceRecord& record = entry->second;
+  if (record.phase != aCommand.from) {
+    return Refuse(ErrorCode::Conflict,
+                  "the instance is " + std::string(ToString(record.phase)));
+  }
+  if (!CanFollow(aCommand.from, aCommand.to)) {
+    return Refuse(ErrorCode::InvalidArgument,
+                  "an instance that is " +
+                    std::string(ToString(aCommand.from)) + " cannot become " +
+                    std::string(ToString(aCommand.to)));
+  }
+  if (Outcome outcome = this->CheckBudget(record, aCommand, aBundles);
+      !outcome.Ok()) {
+    return outcome;
+  }
+  if (aCommand.from == InstancePhase::Soaking &&
+      aCommand.to == InstancePhase::Serving &&
+      aContext.now < record.since + aBundles.Active().policy.soakTime) {
+    return Refuse(ErrorCode::Conflict, "the soak time has not passed");
+  }
+  if (IsPlannedStop(aCommand.to)) {
+    record.bootAtStop = aBoot;
+  }
+  this->SetPhase(
+    entry, aCommand.to, aCommand.purpose, aCommand.reason, aContext);
+  this->DropIfRetired(entry);
+  return Accept();
+}
+
+Outcome
+InstanceTable::CheckBudget(const InstanceRecord& aRecord,
+                           const SetInstancePhase& aCommand,
+                           const BundleTable& aBundles) const
+{
+  const bool leavesService = aCommand.from == InstancePhase::Serving;
+  if (!leavesService && !IsPlannedStop(aCommand.to)) {
+    return Accept();
+  }
+  const PoolSpec* pool = aBundles.FindPool(aRecord.pool);
+  const std::uint32_t needed = pool == nullptr ? 0 : pool->minAvailable;
+  const std::uint32_t serving = this->AvailableIn(aRecord.pool);
+  const std::uint32_t after = leavesService ? serving - 1 : serving;
+  if (after >= needed) {
+    return Accept();
+  }
+  return Refuse(ErrorCode::Conflict,
+                "pool " + aRecord.pool.value + " would have " +
+                  std::to_string(after) + " serving, but min_available is " +
+                  std::to_string(needed));
+}
+
+Outcome
+InstanceTable::Move(const MoveInstance& aCommand,
+                    const BundleTable& aBundles,
+                    Context& aContext)
+{
+  const Entry entry = this->records.find(aCommand.instance);
+  if (entry == this->records.end()) {
+    return Refuse(ErrorCode::NotFound,
+                  "no instance is named " + aCommand.instance.value);
+  }
+  InstanceRecord& record = entry->second;
+  if (record.phase != InstancePhase::Moving || record.pool != aCommand.from) {
+    return Refuse(ErrorCode::Conflict,
+                  "the instance is " + std::string(ToString(record.phase)) +
+                    " in pool " + record.pool.value);
+  }
+  if (aBundles.FindPool(aCommand.to) == nullptr) {
+    return Refuse(ErrorCode::NotFound, "no pool is named " + aCommand.to.value);
+  }
+  this->SetPool(entry, aCommand.to);
+  record.movingTo = PoolId();
+  if (record.requested == InstanceRequest::Move &&
+      record.requestedPool == aCommand.to) {
+    record.requested.reset();
+    record.requestedPool = PoolId();
+  }
+  aContext.changes.instances.push_back(aCommand.instance);
+  return Accept();
+}
+
+Outcome
+InstanceTable::Request(const RequestInstance& aCommand,
+                       const BundleTable& aBundles,
+                       Context& aContext)
+{
+  const Entry entry = this->records.find(aCommand.instance);
+  if (entry == this->records.end()) {
+    return Refuse(ErrorCode::NotFound,
+                  "no instance is named " + aCommand.instance.value);
+  }
+  InstanceRecord& record = entry->second;
+  const bool isMove = aCommand.request == InstanceRequest::Move;
+  if (isMove && aBundles.FindPool(aCommand.to) == nullptr) {
+    return Refuse(ErrorCode::NotFound, "no pool is named " + aCommand.to.value);
+  }
+  if (isMove && record.pool == aCommand.to) {
+    return Refuse(ErrorCode::Conflict,
+                  "the instance is in pool " + aCommand.to.value + " already");
+  }
+  record.requested = aCommand.request;
+  record.requestedPool = isMove ? aCommand.to : PoolId();
+  const bool isDone =
+    aCommand.request == InstanceRequest::Return && IsBack(record.phase);
+  if (isDone) {
+    record.requested.reset();
+  }
+  aContext.changes.instances.push_back(aCommand.instance);
+  return Accept(isDone ? "the instance is in service"
+                       : "the request waits for the planner");
+}
+
+void
+InstanceTable::OnAnnouncement(const Announcement& aAnnouncement,
+                              bool aIsNewBoot,
+                              Context& aContext)
+{
+  const Entry entry = this->records.find(aAnnouncement.instance);
+  if (entry == this->records.end()) {
+    return;
+  }
+  InstanceRecord& record = entry->second;
+  if (aAnnouncement.state == UpstreamState::Departing) {
+    if (IsBack(record.phase)) {
+      record.bootAtStop = aAnnouncement.boot;
+      this->SetPhase(entry,
+                     InstancePhase::Draining,
+                     StopPurpose::None,
+                     "the upstream announced its departure",
+                     aContext);
+    }
+    return;
+  }
+  // While a reboot is awaited, only another boot than the stopped one proves
+  // it.
+  const bool isNewBoot = record.phase == InstancePhase::Rebooting
+                           ? aAnnouncement.boot != record.bootAtStop
+                           : aIsNewBoot;
+  const std::optional<InstancePhase> next =
+    PhaseAfterServing(record.phase, record.purpose, isNewBoot);
+  if (next.has_value()) {
+    this->SetPhase(entry, *next, StopPurpose::None, "announced", aContext);
+  }
+}
+
+void
+InstanceTable::OnSilent(const InstanceId& aInstance, Context& aContext)
+{
+  const Entry entry = this->records.find(aInstance);
+  if (entry == this->records.end() || !IsLostWhenSilent(entry->second.phase)) {
+    return;
+  }
+  this->SetPhase(entry,
+                 InstancePhase::Lost,
+                 StopPurpose::None,
+                 "the upstream fell silent",
+                 aContext);
+  this->DropIfRetired(entry);
+}
+
+void
+InstanceTable::SetPhase(Entry aEntry,
+                        InstancePhase aPhase,
+                        StopPurpose aPurpose,
+                        const std::string& aReason,
+                        Context& aContext)
+{
+  InstanceRecord& record = aEntry->second;
+  this->RemoveFromIndexes(aEntry);
+  if (record.phase == InstancePhase::Rebooting &&
+      aPhase == InstancePhase::Soaking) {
+    record.lastMaintained = aContext.now;
+  }
+  record.phase = aPhase;
+  record.purpose = aPurpose;
+  record.since = aContext.now;
+  record.reason = aReason;
+  record.movingTo =
+    aPhase == InstancePhase::Moving ? record.requestedPool : PoolId();
+  if (IsBack(aPhase) && record.requested == InstanceRequest::Return) {
+    record.requested.reset();
+  }
+  this->AddToIndexes(aEntry);
+  aContext.changes.instances.push_back(aEntry->first);
+}
+
+void
+InstanceTable::DropIfRetired(Entry aEntry)
+{
+  if (aEntry->second.retired && IsOut(aEntry->second.phase)) {
+    this->RemoveFromIndexes(aEntry);
+    this->records.erase(aEntry);
+  }
+}
+
+const InstanceRecord*
+InstanceTable::Find(const InstanceId& aInstance) const
+{
+  const auto found = this->records.find(aInstance);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+const std::set<InstanceId>&
+InstanceTable::Of(const PoolId& aPool) const
+{
+  static const std::set<InstanceId> kNone;
+  const auto found = this->byPool.find(aPool);
+  return found == this->byPool.end() ? kNone : found->second;
+}
+
+std::uint32_t
+InstanceTable::AvailableIn(const PoolId& aPool) const
+{
+  const auto found = this->available.find(aPool);
+  return found == this->available.end() ? 0 : found->second;
+}
+
+void
+InstanceTable::Load(std::map<InstanceId, InstanceRecord> aRecords)
+{
+  this->records = std::move(aRecords);
+  this->byPool.clear();
+  this->available.clear();
+  for (Entry entry = this->records.begin(); entry != this->records.end();
+       ++entry) {
+    this->AddToIndexes(entry);
+  }
+}
+
+void
+InstanceTable::SetPool(Entry aEntry, const PoolId& aPool)
+{
+  this->RemoveFromIndexes(aEntry);
+  aEntry->second.pool = aPool;
+  this->AddToIndexes(aEntry);
+}
+
+void
+InstanceTable::AddToIndexes(Entry aEntry)
+{
+  const InstanceRecord& record = aEntry->second;
+  this->byPool[record.pool].insert(aEntry->first);
+  if (record.phase == InstancePhase::Serving) {
+    this->available[record.pool] += 1;
+  }
+}
+
+void
+InstanceTable::RemoveFromIndexes(Entry aEntry)
+{
+  const InstanceRecord& record = aEntry->second;
+  const auto pool = this->byPool.find(record.pool);
+  pool->second.erase(aEntry->first);
+  if (pool->second.empty()) {
+    this->byPool.erase(pool);
+  }
+  if (record.phase == InstancePhase::Serving) {
+    const auto count = this->available.find(record.pool);
+    count->second -= 1;
+    if (count->second == 0) {
+      this->available.erase(count);
+    }
+  }
+}
+
+} // namespace hyssoppaddle::state
--- /dev/null
+++ b/src/state/JobTasks.cpp
@@ -0,0 +1,221 @@
+// Tasks of jobs: placement under an epoch, reports, and what the end of a task
+// means for its job. The epoch is a fencing token: a report or a stop that
+// names an earlier one changes nothing.
+#include "state/JobTable.h"
+
+#include <array>
+
+namespace hyssoppaddle::state {
+
+namespace {
+
+bool
+IsLive(TaskState aState)
+{
+  return aState == TaskState::Placed || aState == TaskState::Running ||
+         aState == TaskState::Throttled;
+}
+
+// State of a job after its task has ended, when no cancellation is pending. A
+// non-idempotent job waits again only if its task surely did not run or stated
+// a checkpoint to go on from.
+struct EndRule
+{
+  TaskState task;
+  JobState idempotent;
+  JobState nonIdempotent;
+};
+
+constexpr std::array kEndRules{
+  EndRule{ TaskState::Checkpointed, JobState::Waiting, JobState::Waiting },
+  EndRule{ TaskState::Done, JobState::Done, JobState::Done },
+  EndRule{ TaskState::Failed, JobState::Waiting, JobState::Failed },
+  EndRule{ TaskState::Stopped, JobState::Waiting, JobState::Failed },
+  EndRule{ TaskState::NotRun, JobState::Waiting, JobState::Waiting },
+  EndRule{ TaskState::Unknown, JobState::Waiting, JobState::OutcomeUnknown },
+};
+
+JobState
+StateAfter(TaskState aTask, const JobRecord& aJob)
+{
+  for (const EndRule& rule : kEndRules) {
+    if (rule.task != aTask) {
+      continue;
+    }
+    const JobState next =
+      aJob.idempotent ? rule.idempotent : rule.nonIdempotent;
+    const bool endsByCancel =
+      aJob.cancelRequested &&
+      (next == JobState::Waiting || aTask == TaskState::Stopped);
+    return endsByCancel ? JobState::Cancelled : next;
+  }
+  return JobState::OutcomeUnknown;
+}
+
+// True when the report shows that the requested change has happened.
+bool
+Fulfils(TaskState aReported, StopMode aRequested)
+{
+  return (aRequested == StopMode::Throttle &&
+          aReported == TaskState::Throttled) ||
+         (aRequested == StopMode::Resume && aReported == TaskState::Running);
+}
+
+} // namespace
+
+Outcome
+JobTable::CheckPlace(const PlaceTask& aCommand) const
+{
+  const JobRecord* job = this->Find(aCommand.job);
+  if (job == nullptr) {
+    return Refuse(ErrorCode::NotFound, "no job has this ID");
+  }
+  if (job->state != JobState::Waiting) {
+    return Refuse(ErrorCode::Conflict, "the job does not wait");
+  }
+  if (aCommand.epoch != job->epoch + 1) {
+    return Refuse(ErrorCode::Conflict,
+                  "the epoch must be " + std::to_string(job->epoch + 1));
+  }
+  if (aCommand.lease <= Duration(0) || aCommand.lease > kMaxTaskLease) {
+    return Refuse(ErrorCode::InvalidArgument,
+                  "a lease is longer than 0 and at most 1 h");
+  }
+  return Accept();
+}
+
+Outcome
+JobTable::Place(const PlaceTask& aCommand, Context& aContext)
+{
+  const Entry entry = this->records.find(aCommand.job);
+  JobRecord& job = entry->second;
+  this->RemoveFromIndexes(entry);
+  TaskRecord task;
+  task.instance = aCommand.instance;
+  task.epoch = aCommand.epoch;
+  task.placedAt = aContext.now;
+  task.leaseEnd = aContext.now + aCommand.lease;
+  task.lease = aCommand.lease;
+  task.charged = aCommand.charged;
+  job.task = std::move(task);
+  job.epoch = aCommand.epoch;
+  job.state = JobState::Placed;
+  job.reason.clear();
+  this->AddToIndexes(entry);
+  aContext.changes.jobs.push_back(aCommand.job);
+  return Accept();
+}
+
+Outcome
+JobTable::Stop(const StopTask& aCommand, Context& aContext)
+{
+  const Entry entry = this->records.find(aCommand.job);
+  if (entry == this->records.end()) {
+    return Refuse(ErrorCode::NotFound, "no job has this ID");
+  }
+  JobRecord& job = entry->second;
+  if (!job.task.has_value() || job.task->epoch != aCommand.epoch) {
+    return Refuse(ErrorCode::Conflict, "no live task has this epoch");
+  }
+  if (job.cancelRequested && aCommand.mode != StopMode::Stop) {
+    return Refuse(ErrorCode::Conflict, "the job is being cancelled");
+  }
+  job.task->requested = aCommand.mode;
+  job.reason = aCommand.reason;
+  aContext.changes.jobs.push_back(aCommand.job);
+  return Accept();
+}
+
+Outcome
+JobTable::Report(const ReportTasks& aCommand,
+                 const std::string& aCurrentBoot,
+                 Context& aContext)
+{
+  const bool isCurrentBoot =
+    aCurrentBoot.empty() || aCurrentBoot == aCommand.boot;
+  for (const TaskReport& report : aCommand.reports) {
+    this->ApplyReport(aCommand, report, isCurrentBoot, aContext);
+  }
+  return Accept();
+}
+
+void
+JobTable::ApplyReport(const ReportTasks& aCommand,
+                      const TaskReport& aReport,
+                      bool aIsCurrentBoot,
+                      Context& aContext)
+{
+  const Entry entry = this->records.find(aReport.job);
+  if (entry == this->records.end() || !entry->second.task.has_value()) {
+    return;
+  }
+  const TaskRecord& task = *entry->second.task;
+  if (task.epoch != aReport.epoch || task.instance != aCommand.instance) {
+    return;
+  }
+  if (!IsLive(aReport.state)) {
+    this->FinishTask(entry, aReport.state, aReport.detail, aContext);
+    return;
+  }
+  // A late report of a process that has been replaced does not renew a lease.
+  if (aIsCurrentBoot) {
+    this->RenewTask(entry, aReport, aContext);
+  }
+}
+
+void
+JobTable::RenewTask(Entry aEntry, const TaskReport& aReport, Context& aContext)
+{
+  TaskRecord& task = *aEntry->second.task;
+  task.state = aReport.state;
+  task.usage = aReport.usage;
+  task.leaseEnd = aContext.now + task.lease;
+  if (task.requested.has_value() && Fulfils(task.state, *task.requested)) {
+    task.requested.reset();
+  }
+  aContext.changes.jobs.push_back(aEntry->first);
+}
+
+Outcome
+JobTable::End(const EndTask& aCommand, Context& aContext)
+{
+  const Entry entry = this->records.find(aCommand.job);
+  if (entry == this->records.end()) {
+    return Refuse(ErrorCode::NotFound, "no job has this ID");
+  }
+  const JobRecord& job = entry->second;
+  if (!job.task.has_value() || job.task->epoch != aCommand.epoch) {
+    return Refuse(ErrorCode::Conflict, "no live task has this epoch");
+  }
+  if (aCommand.state != TaskState::Unknown) {
+    return Refuse(ErrorCode::InvalidArgument,
+                  "without a report the end of a task is unknown");
+  }
+  // The worker's clock may run slower than the leader's by the margin.
+  const Duration margin = WithClockMargin(job.task->lease) - job.task->lease;
+  if (aContext.now < job.task->leaseEnd + margin) {
+    return Refuse(ErrorCode::Conflict,
+                  "the lease and its margin have not passed");
+  }
+  this->FinishTask(entry, aCommand.state, aCommand.reason, aContext);
+  return Accept();
+}
+
+void
+JobTable::FinishTask(Entry aEntry,
+                     TaskState aState,
+                     const std::string& aReason,
+                     Context& aContext)
+{
+  JobRecord& job = aEntry->second;
+  if (aState == TaskState::Failed) {
+    job.failedOn.insert(job.task->instance);
+  }
+  if (aState == TaskState::Checkpointed) {
+    job.checkpointed = true;
+  }
+  job.reason = aReason;
+  this->SetState(aEntry, StateAfter(aState, job), aContext);
+}
+
+} // namespace hyssoppaddle::state
--- /dev/null
+++ b/src/state/MemberTable.h
@@ -0,0 +1,48 @@
+// Owner of the members and their pending joins.
+#ifndef hyssoppaddle_state_MemberTable_h
+#define hyssoppaddle_state_MemberTable_h
+
+#include "state/Context.h"
+#include "state/Records.h"
+
+#include <map>
+#include <set>
+
+namespace hyssoppaddle::state {
+
+class MemberTable
+{
+public:
+  Outcome Propose(const ProposeMember& aCommand, Context& aContext);
+  Outcome Approve(const ApproveMember& aCommand, Context& aContext);
+  Outcome Withdraw(const WithdrawApproval& aCommand, Context& aContext);
+  Outcome Leave(const LeaveMember& aCommand, Context& aContext);
+
+  // True when aApprovals holds every current member and there is at least one.
+  [[nodiscard]] bool AllApproved(const std::set<MemberId>& aApprovals) const;
+  [[nodiscard]] bool IsMember(const MemberId& aMember) const;
+
+  [[nodiscard]] const std::map<MemberId, MemberRecord>& Members() const
+  {
+    return this->members;
+  }
+  [[nodiscard]] const std::map<MemberId, JoinRecord>& Joins() const
+  {
+    return this->joins;
+  }
+  void Load(std::map<MemberId, MemberRecord> aMembers,
+            std::map<MemberId, JoinRecord> aJoins);
+
+private:
+  void AcceptJoin(const MemberId& aMember, Context& aContext);
+  // A departure can complete joins; the earliest proposal goes first.
+  void AcceptCompleteJoins(Context& aContext);
+  [[nodiscard]] MemberId FirstCompleteJoin() const;
+
+  std::map<MemberId, MemberRecord> members;
+  std::map<MemberId, JoinRecord> joins; // never of a current member
+};
+
+} // namespace hyssoppaddle::state
+
+#endif
--- a/src/state/Outcome.h
+++ b/src/state/Outcome.h
@@ -18,6 +18,8 @@
   ClaimState state =
     ClaimState::Running; // of the earlier claim when not granted
   std::uint32_t status = 0;
+  // Number of this grant of the claim; FinishClaim must repeat it.
+  std::uint32_t attempt = 1;
   bool operator==(const ClaimOutcome&) const = default;
 };
 
--- a/src/state/Records.h
+++ b/src/state/Records.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace hyssoppaddle::state {
 
@@ -61,6 +62,7 @@
   WallTime claimedAt;
   ClaimState state = ClaimState::Running;
   std::uint32_t status = 0;
+  std::uint32_t attempt = 1; // grants so far
   bool operator==(const ClaimRecord&) const = default;
 };
 
@@ -159,6 +161,9 @@
   // Permits of earlier boots, withheld until the time given.
   std::map<TeamId, std::uint32_t> withheld;
   WallTime withheldUntil;
+  // Latest first, at most 8. A delayed registration of one of them must not
+  // replace the running boot.
+  std::vector<std::string> earlierBoots;
   bool operator==(const EntryRecord&) const = default;
 };
 
--- /dev/null
+++ b/src/state/UpstreamTable.cpp
@@ -0,0 +1,151 @@
+// Order of announcements and silence.
+#include "state/UpstreamTable.h"
+
+#include <tuple>
+
+namespace hyssoppaddle::state {
+
+namespace {
+
+auto
+OrderOf(const Announcement& aAnnouncement)
+{
+  return std::tie(
+    aAnnouncement.bootedAtMs, aAnnouncement.boot, aAnnouncement.sequence);
+}
+
+// The upstream reads the stored values from this text when its own clock has
+// gone back.
+std::string
+DescribeStored(const Announcement& aStored)
+{
+  return "stale announcement: booted_at_ms " +
+         std::to_string(aStored.bootedAtMs) + ", boot " + aStored.boot +
+         ", sequence " + std::to_string(aStored.sequence) + " is stored";
+}
+
+} // namespace
+
+Outcome
+UpstreamTable::Update(const Announcement& aAnnouncement, Context& aContext)
+{
+  const auto known = this->records.find(aAnnouncement.instance);
+  if (known == this->records.end()) {
+    this->Store(this->records[aAnnouncement.instance], aAnnouncement, aContext);
+    return Accept();
+  }
+  UpstreamRecord& record = known->second;
+  if (record.announcement == aAnnouncement) {
+    return AcceptAgain("the announcement is already recorded");
+  }
+  if (OrderOf(aAnnouncement) <= OrderOf(record.announcement)) {
+    return Refuse(ErrorCode::Conflict, DescribeStored(record.announcement));
+  }
+  this->Store(record, aAnnouncement, aContext);
+  return Accept();
+}
+
+void
+UpstreamTable::Store(UpstreamRecord& aRecord,
+                     const Announcement& aAnnouncement,
+                     Context& aContext)
+{
+  const bool isNewBoot = aRecord.announcement.boot != aAnnouncement.boot;
+  const bool wasServing = aRecord.state == UpstreamState::Serving;
+  if (isNewBoot || !wasServing) {
+    aRecord.servingSince = aContext.now;
+  }
+  if (aRecord.announcement.service != aAnnouncement.service) {
+    this->RemoveFromIndex(aRecord.announcement.service, aAnnouncement.instance);
+  }
+  aRecord.announcement = aAnnouncement;
+  aRecord.state = aAnnouncement.state;
+  aRecord.changedAt = aContext.now;
+  this->byService[aAnnouncement.service].insert(aAnnouncement.instance);
+  aContext.changes.upstreams.push_back(aAnnouncement.instance);
+}
+
+Outcome
+UpstreamTable::MarkSilent(const MarkUpstreamSilent& aCommand, Context& aContext)
+{
+  const auto known = this->records.find(aCommand.instance);
+  if (known == this->records.end()) {
+    return Refuse(ErrorCode::NotFound, "no such upstream has announced itself");
+  }
+  UpstreamRecord& record = known->second;
+  if (record.announcement.boot != aCommand.boot ||
+      record.announcement.sequence > aCommand.sequence) {
+    return Refuse(ErrorCode::Conflict, DescribeStored(record.announcement));
+  }
+  if (record.state == UpstreamState::Silent) {
+    return AcceptAgain("the upstream is already marked silent");
+  }
+  record.state = UpstreamState::Silent;
+  // A delayed announcement from before the silence is stale from now on.
+  record.announcement.sequence = aCommand.sequence;
+  record.changedAt = aContext.now;
+  aContext.changes.upstreams.push_back(aCommand.instance);
+  return Accept();
+}
+
+void
+UpstreamTable::Remove(const InstanceId& aInstance, Context& aContext)
+{
+  const auto known = this->records.find(aInstance);
+  if (known == this->records.end()) {
+    return;
+  }
+  this->RemoveFromIndex(known->second.announcement.service, aInstance);
+  this->records.erase(known);
+  aContext.changes.upstreams.push_back(aInstance);
+}
+
+const std::string&
+UpstreamTable::BootOf(const InstanceId& aInstance) const
+{
+  static const std::string kNone;
+  const auto known = this->records.find(aInstance);
+  return known == this->records.end() ? kNone : known->second.announcement.boot;
+}
+
+bool
+UpstreamTable::IsServing(const InstanceId& aInstance) const
+{
+  const auto known = this->records.find(aInstance);
+  return known != this->records.end() &&
+         known->second.state == UpstreamState::Serving;
+}
+
+const std::set<InstanceId>&
+UpstreamTable::Of(const ServiceId& aService) const
+{
+  static const std::set<InstanceId> kNone;
+  const auto found = this->byService.find(aService);
+  return found == this->byService.end() ? kNone : found->second;
+}
+
+void
+UpstreamTable::Load(std::map<InstanceId, UpstreamRecord> aRecords)
+{
+  this->records = std::move(aRecords);
+  this->byService.clear();
+  for (const auto& [instance, record] : this->records) {
+    this->byService[record.announcement.service].insert(instance);
+  }
+}
+
+void
+UpstreamTable::RemoveFromIndex(const ServiceId& aService,
+                               const InstanceId& aInstance)
+{
+  const auto found = this->byService.find(aService);
+  if (found == this->byService.end()) {
+    return;
+  }
+  found->second.erase(aInstance);
+  if (found->second.empty()) {
+    this->byService.erase(found);
+  }
+}
+
+} // namespace hyssoppaddle::state
