--- a/src/state/PermitTable.cpp
+++ b/src/state/PermitTable.cpp
@@ -29,6 +29,7 @@
       std::min(record.earlierBoots.size(), kKeptEarlierBoots));
   }
   record.boot = aCommand.boot;
+  record.lastReturn = 0;
   record.registeredAt = aContext.now;
   aContext.changes.entries.push_back(aCommand.entry);
   return Accept();
@@ -81,13 +82,18 @@
       !outcome.Ok()) {
     return outcome;
   }
-  auto& permits = this->records[aCommand.entry].permits;
+  EntryRecord& record = this->records[aCommand.entry];
+  if (aCommand.sequence <= record.lastReturn) {
+    return AcceptAgain("this return was applied before");
+  }
+  auto& permits = record.permits;
   const auto held = permits.find(aCommand.team);
   if (aCommand.count == 0 || held == permits.end() ||
       held->second < aCommand.count) {
     return Refuse(ErrorCode::Conflict,
                   "fewer permits are held than are returned, or none is");
   }
+  record.lastReturn = aCommand.sequence;
   held->second -= aCommand.count;
   if (held->second == 0) {
     permits.erase(held);
--- a/src/state/Records.h
+++ b/src/state/Records.h
@@ -164,6 +164,7 @@
   // Latest first, at most 8. A delayed registration of one of them must not
   // replace the running boot.
   std::vector<std::string> earlierBoots;
+  std::uint64_t lastReturn = 0; // highest ReturnPermits::sequence applied
   bool operator==(const EntryRecord&) const = default;
 };
 
