Take the reply by move in the explain handler

Cause: lint reported a parameter taken by value and only read. Change: the reply callback is moved out of the exchange. Observed: lint clean, build green.

--- a/src/api/StatusApi.cpp
+++ b/src/api/StatusApi.cpp
@@ -161,6 +161,7 @@
 void
 ControlApi::Explain(Exchange aExchange)
 {
+  const ReplyCallback reply = std::move(aExchange.reply);
   const core::Reducer& core = this->port.Core();
   const std::string job = QueryValue(aExchange.query, "job");
   const std::string instance = QueryValue(aExchange.query, "instance");
@@ -180,15 +181,15 @@
   } else if (!wave.empty()) {
     Append(lines, core.Plans().ExplainWave());
   } else {
-    aExchange.reply(ProblemReply(
+    reply(ProblemReply(
       422, "invalid", "expected ?job=, ?instance=, ?team= or ?wave=current"));
     return;
   }
   const bool leads = core.Log().CurrentRole() == agreement::Role::Leader;
-  aExchange.reply(JsonReply(200,
-                            { { "explanation", lines },
-                              { "leader", core.Log().Leader().value },
-                              { "complete", leads } }));
+  reply(JsonReply(200,
+                  { { "explanation", lines },
+                    { "leader", core.Log().Leader().value },
+                    { "complete", leads } }));
 }
 
 void
