--- a/src/agreement/LogEntry.h
+++ b/src/agreement/LogEntry.h
@@ -42,6 +42,9 @@
 {
   Term term = 0;
   InstanceId votedFor; // empty: no vote in this term
+  // Set while the replica has lost its storage and no leader has proved it
+  // caught up: it neither votes nor campaigns, and its answers do not count.
+  bool recovering = false;
   bool operator==(const HardState&) const = default;
 };
 
--- a/src/agreement/Messages.h
+++ b/src/agreement/Messages.h
@@ -38,6 +38,8 @@
   Term previousTerm = 0;
   LogIndex commitIndex = 0;
   std::uint64_t round = 0; // echoed; confirms leadership for reads
+  // Echo of AppendReply::recovery: the receiver is caught up and may vote.
+  std::uint64_t recovered = 0;
   std::vector<LogEntry> entries;
   bool operator==(const AppendRequest&) const = default;
 };
@@ -47,8 +49,11 @@
   Term term = 0;
   bool accepted = false;
   LogIndex matchIndex = 0; // durable up to here when accepted
-  LogIndex hint = 0;       // where to try next when not accepted
+  LogIndex hint = 0;       // first index to send next when not accepted
   std::uint64_t round = 0;
+  // Not 0 while the sender has lost its storage: its answers do not count
+  // towards commits, reads and the check of the quorum. New per process life.
+  std::uint64_t recovery = 0;
   bool operator==(const AppendReply&) const = default;
 };
 
@@ -59,6 +64,8 @@
   SnapshotMeta meta;
   std::uint64_t offset = 0;
   std::uint64_t totalBytes = 0;
+  // XXH64 of all bytes: chunks of two leaders may be combined only when equal.
+  std::uint64_t digest = 0;
   std::string data;
   std::uint64_t round = 0;
   bool operator==(const SnapshotChunk&) const = default;
@@ -71,6 +78,7 @@
   std::uint64_t nextOffset = 0; // resumes here
   bool installed = false;
   std::uint64_t round = 0;
+  std::uint64_t recovery = 0; // as in AppendReply
   bool operator==(const SnapshotReply&) const = default;
 };
 
--- a/src/agreement/Raft.h
+++ b/src/agreement/Raft.h
@@ -26,11 +26,11 @@
 struct RaftLimits
 {
   std::size_t maxEntriesPerAppend = 256;
-  std::size_t maxBytesPerAppend = 256 * 1024;
+  std::size_t maxBytesPerAppend = 256UL * 1024;
   std::size_t maxAppendsInFlight = 8; // per follower
-  std::size_t snapshotChunkBytes = 16 * 1024;
+  std::size_t snapshotChunkBytes = 16UL * 1024;
   std::size_t snapshotAfterEntries = 4096;
-  std::size_t snapshotAfterBytes = 4 * 1024 * 1024;
+  std::size_t snapshotAfterBytes = 4UL * 1024 * 1024;
   std::size_t entriesKeptAfterSnapshot = 1024; // for followers slightly behind
   std::size_t maxReplicas = 12;
 };
--- /dev/null
+++ b/src/agreement/RaftConfiguration.cpp
@@ -0,0 +1,214 @@
+// Configuration changes, one at a time, and the transfer of leadership.
+#include "agreement/ConfigurationCodec.h"
+#include "agreement/RaftImpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoppaddle::agreement {
+
+namespace {
+
+// Entries that a learner may lack when it is promoted. Under constant load it
+// always lacks what is in flight.
+constexpr LogIndex kPromotionLag = 64;
+
+bool
+Contains(const std::vector<InstanceId>& aNames, const InstanceId& aName)
+{
+  return std::binary_search(aNames.begin(), aNames.end(), aName);
+}
+
+void
+Insert(std::vector<InstanceId>& aNames, const InstanceId& aName)
+{
+  aNames.insert(std::lower_bound(aNames.begin(), aNames.end(), aName), aName);
+}
+
+} // namespace
+
+void
+Raft::Impl::Handle(const ChangeConfiguration& aEvent)
+{
+  // A change must not start before an entry of the own term is committed: a
+  // change of an earlier leader could otherwise still take effect beside it.
+  const bool ready = this->role == Role::Leader && !this->transferring &&
+                     this->CommittedInTerm() &&
+                     this->log.ConfigurationIndex() <= this->commitIndex;
+  const std::optional<Configuration> next =
+    ready ? this->Changed(aEvent) : std::nullopt;
+  if (!next) {
+    this->effects.emplace_back(
+      ProposalFailed{ aEvent.token, false, this->leader });
+    return;
+  }
+  const LogIndex index = this->log.LastIndex() + 1;
+  this->proposals[index] = aEvent.token;
+  if (aEvent.kind == ChangeKind::Remove) {
+    const auto found = this->progress.find(aEvent.instance);
+    if (found != this->progress.end()) {
+      found->second.removedAt = index;
+      found->second.removedUntil = this->now + this->times.maxElectionTimeout;
+    }
+  }
+  this->AppendLocal(LogEntry{ index,
+                              this->hard.term,
+                              EntryKind::Configuration,
+                              PackConfiguration(*next) });
+  this->SyncProgress(index); // a new replica is probed at once
+  this->Broadcast();
+}
+
+std::optional<Configuration>
+Raft::Impl::Changed(const ChangeConfiguration& aChange) const
+{
+  Configuration next = this->log.ActiveConfiguration();
+  const InstanceId& who = aChange.instance;
+  const bool isVoter = Contains(next.voters, who);
+  const bool isLearner = Contains(next.learners, who);
+  switch (aChange.kind) {
+    case ChangeKind::AddLearner:
+      if (who.empty() || isVoter || isLearner ||
+          next.voters.size() + next.learners.size() >=
+            this->limits.maxReplicas) {
+        return std::nullopt;
+      }
+      Insert(next.learners, who);
+      return next;
+    case ChangeKind::PromoteToVoter:
+      if (!isLearner || !this->IsCaughtUp(who)) {
+        return std::nullopt;
+      }
+      std::erase(next.learners, who);
+      Insert(next.voters, who);
+      break;
+    case ChangeKind::Remove:
+      if (!isVoter && !isLearner) {
+        return std::nullopt;
+      }
+      std::erase(next.voters, who);
+      std::erase(next.learners, who);
+      break;
+  }
+  if (!this->HasLiveMajority(next)) {
+    return std::nullopt;
+  }
+  return next;
+}
+
+bool
+Raft::Impl::IsCaughtUp(const InstanceId& aLearner) const
+{
+  const auto found = this->progress.find(aLearner);
+  if (found == this->progress.end() || !found->second.lastHeard) {
+    return false;
+  }
+  const Progress& state = found->second;
+  const Duration silence = this->now - *state.lastHeard;
+  return state.state == FlowState::Replicate && state.recovery == 0 &&
+         state.match + kPromotionLag >= this->commitIndex &&
+         silence <= 2 * this->times.learnerHeartbeat;
+}
+
+// A change that leaves no majority of live voters would stop the cluster for
+// good.
+bool
+Raft::Impl::HasLiveMajority(const Configuration& aNext) const
+{
+  const auto live = static_cast<std::size_t>(std::count_if(
+    aNext.voters.begin(), aNext.voters.end(), [&](const InstanceId& aVoter) {
+      if (aVoter == this->self) {
+        return true;
+      }
+      const auto found = this->progress.find(aVoter);
+      return found != this->progress.end() && found->second.recovery == 0 &&
+             found->second.lastHeard &&
+             this->now - *found->second.lastHeard <=
+               2 * this->times.learnerHeartbeat;
+    }));
+  return !aNext.voters.empty() && live >= aNext.voters.size() / 2 + 1;
+}
+
+// A leader that removed itself serves until that is committed, and then hands
+// over at once instead of leaving the others to their timeouts.
+void
+Raft::Impl::FinishRemovals()
+{
+  this->ForgetRemoved();
+  if (this->role != Role::Leader || this->IsVoter(this->self) ||
+      this->log.ConfigurationIndex() > this->commitIndex) {
+    return;
+  }
+  this->Broadcast();
+  const InstanceId next = this->TransferCandidate();
+  if (!next.empty()) {
+    this->Send(next, TimeoutNow{ this->hard.term });
+  }
+  this->BecomeFollower(InstanceId());
+}
+
+// A removed replica gets the entry that removes it, so that it does not
+// campaign; one that is lost is forgotten after the longest election timeout.
+void
+Raft::Impl::ForgetRemoved()
+{
+  std::erase_if(this->progress, [&](const auto& aItem) {
+    const Progress& state = aItem.second;
+    if (!state.removedAt) {
+      return false;
+    }
+    const bool knows =
+      state.match >= *state.removedAt && state.sentCommit >= *state.removedAt;
+    return knows || this->now >= state.removedUntil;
+  });
+}
+
+void
+Raft::Impl::Handle(const TransferLeadership& /*aEvent*/)
+{
+  if (this->role != Role::Leader || this->transferring) {
+    return;
+  }
+  this->transferTarget = this->TransferCandidate();
+  if (this->transferTarget.empty()) {
+    return;
+  }
+  this->transferring = true;
+  this->timeoutNowSent = false;
+  this->transferDeadline = this->now + this->times.minElectionTimeout;
+  this->TryTransfer();
+}
+
+void
+Raft::Impl::TryTransfer()
+{
+  if (!this->transferring || this->timeoutNowSent) {
+    return;
+  }
+  const auto found = this->progress.find(this->transferTarget);
+  if (found != this->progress.end() &&
+      found->second.match == this->log.LastIndex()) {
+    this->timeoutNowSent = true;
+    this->Send(this->transferTarget, TimeoutNow{ this->hard.term });
+  }
+}
+
+// The live voter that has the most; empty when there is none.
+InstanceId
+Raft::Impl::TransferCandidate() const
+{
+  InstanceId best;
+  LogIndex bestMatch = 0;
+  for (const auto& [replica, state] : this->progress) {
+    const bool live = state.lastHeard && this->now - *state.lastHeard <=
+                                           this->times.minElectionTimeout;
+    if (this->IsVoter(replica) && live && state.recovery == 0 &&
+        state.match > bestMatch) {
+      best = replica;
+      bestMatch = state.match;
+    }
+  }
+  return best;
+}
+
+} // namespace hyssoppaddle::agreement
--- /dev/null
+++ b/src/agreement/RaftImpl.h
@@ -0,0 +1,276 @@
+// Internal state of Raft, shared by its source files.
+#ifndef hyssoppaddle_agreement_RaftImpl_h
+#define hyssoppaddle_agreement_RaftImpl_h
+
+#include "agreement/Raft.h"
+#include "agreement/ReplicaLog.h"
+#include "base/Random.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace hyssoppaddle::agreement {
+
+// A snapshot that can be sent. Shared, because a transfer outlives the taking
+// of a newer snapshot.
+struct StoredSnapshot
+{
+  SnapshotMeta meta;
+  std::string bytes;
+  std::uint64_t digest = 0; // XXH64 of bytes
+};
+
+std::uint64_t
+SnapshotDigest(std::string_view aBytes);
+
+enum class FlowState : std::uint8_t
+{
+  Probe,     // one append at a time until the matching index is known
+  Replicate, // pipelined
+  Snapshot,  // the entries it needs are gone
+};
+
+// What the leader knows about another replica.
+struct Progress
+{
+  FlowState state = FlowState::Probe;
+  LogIndex match = 0;            // durable there
+  LogIndex next = 1;             // first index to send
+  std::deque<LogIndex> inFlight; // last index of each unanswered append
+  bool probeSent = false;
+  LogIndex sentCommit = 0;
+  std::uint64_t ackedRound = 0;
+  Time lastSent{};
+  std::optional<Time> lastHeard;
+
+  std::shared_ptr<const StoredSnapshot> snapshot; // being sent
+  std::uint64_t ackedOffset = 0;
+  std::uint64_t sentOffset = 0;
+
+  // Not 0 while the replica has lost its storage: it counts in no quorum.
+  std::uint64_t recovery = 0;
+  // Entry appended after this leader learned of the loss. Once a majority of
+  // the others has it, no vote or entry that the replica has forgotten can
+  // still take effect in a later term than this leader's.
+  LogIndex recoveryTarget = 0;
+
+  // Set when removed from the configuration: appends go on until it knows.
+  std::optional<LogIndex> removedAt;
+  Time removedUntil{};
+};
+
+struct HeldMessage
+{
+  InstanceId to;
+  Message message;
+};
+
+// A Persist effect that is not yet reported durable.
+struct OutstandingPersist
+{
+  std::uint64_t sequence = 0;
+  LogIndex lastIndex = 0; // durable up to here once done; 0 when no entries
+  std::vector<HeldMessage> held;
+};
+
+// What this step has to make durable.
+struct Unsaved
+{
+  std::optional<LogIndex> truncateFrom;
+  std::vector<LogEntry> entries;
+  std::shared_ptr<const StoredSnapshot> snapshot;
+};
+
+struct PartialSnapshot
+{
+  SnapshotMeta meta;
+  std::uint64_t digest = 0;
+  std::uint64_t totalBytes = 0;
+  std::string bytes;
+};
+
+// Reads confirmed by one round.
+struct ReadRound
+{
+  std::uint64_t round = 0; // 0: none outstanding
+  LogIndex index = 0;
+  std::vector<std::uint64_t> tokens;
+};
+
+struct Raft::Impl
+{
+  Impl(InstanceId aSelf,
+       Configuration aInitial,
+       RecoveredLog aRecovered,
+       std::uint64_t aSeed,
+       Time aNow,
+       RaftTimes aTimes,
+       RaftLimits aLimits);
+
+  // Raft.cpp: dispatch, durable state, roles.
+  Effects Step(const Event& aEvent, Time aNow);
+  [[nodiscard]] Time NextTick() const;
+  void Handle(const Tick& aEvent);
+  void Handle(const MessageReceived& aEvent);
+  void Handle(const Propose& aEvent);
+  void Handle(const Persisted& aEvent);
+  void Handle(const ReadRequest& aEvent);
+  void Handle(const SnapshotTaken& aEvent);
+  void Handle(const ChangeConfiguration& aEvent);
+  void Handle(const TransferLeadership& aEvent);
+  void Start();
+  void EmitPersist();
+  void ReleaseHeld(std::vector<HeldMessage> aHeld);
+  void ReportRole();
+  void Send(const InstanceId& aTo, Message aMessage);
+  // Sends once everything decided up to the end of this step is durable.
+  void SendWhenDurable(const InstanceId& aTo, Message aMessage);
+  // Sends once the current term is durable; entries need not be.
+  void SendAtTerm(const InstanceId& aTo, Message aMessage);
+  [[nodiscard]] bool IsTermDurable() const;
+  void AppendLocal(LogEntry aEntry);
+  void TruncateLocal(LogIndex aFrom);
+  void AdoptTerm(Term aTerm);
+  void BecomeFollower(const InstanceId& aLeader);
+  void FailPending();
+  void ResetElectionDeadline();
+  void ApplyCommitted();
+  void MaybeTakeSnapshot();
+  [[nodiscard]] bool IsVoter(const InstanceId& aReplica) const;
+  [[nodiscard]] std::size_t Majority() const;
+
+  // RaftElection.cpp
+  void ElectionTick();
+  [[nodiscard]] bool MayCampaign() const;
+  [[nodiscard]] bool IsBlank() const;
+  [[nodiscard]] bool HearsLeader() const;
+  [[nodiscard]] bool IsUpToDate(const VoteRequest& aRequest) const;
+  void StartPreVote();
+  void StartElection(bool aTransfer);
+  void AskForVotes(const VoteRequest& aRequest);
+  void AnnounceBlank();
+  void NoteBlank(const InstanceId& aFrom, const VoteRequest& aRequest);
+  void CountVotes();
+  void BecomeLeader();
+  void On(const InstanceId& aFrom, const VoteRequest& aRequest);
+  void On(const InstanceId& aFrom, const VoteReply& aReply);
+  void On(const InstanceId& aFrom, const TimeoutNow& aRequest);
+  void OnPreVote(const InstanceId& aFrom, const VoteRequest& aRequest);
+
+  // RaftFollower.cpp
+  [[nodiscard]] bool AcceptLeader(const InstanceId& aFrom, Term aTerm);
+  void On(const InstanceId& aFrom, const AppendRequest& aRequest);
+  void Accept(const InstanceId& aTo, LogIndex aVerified, std::uint64_t aRound);
+  void Reject(const InstanceId& aTo, LogIndex aHint, std::uint64_t aRound);
+  [[nodiscard]] LogIndex RetryIndex(LogIndex aPrevious) const;
+  void CommitUpTo(LogIndex aIndex);
+  [[nodiscard]] bool MergeEntries(const AppendRequest& aRequest);
+  void EndRecovery(const InstanceId& aLeader);
+  void On(const InstanceId& aFrom, const SnapshotChunk& aChunk);
+  void Collect(const SnapshotChunk& aChunk);
+  [[nodiscard]] bool InstallCollected();
+  void ReplySnapshot(const InstanceId& aTo,
+                     const SnapshotChunk& aChunk,
+                     std::uint64_t aNextOffset,
+                     bool aInstalled);
+
+  // RaftReplication.cpp
+  void LeaderTick();
+  [[nodiscard]] Time LeaderNextTick() const;
+  [[nodiscard]] Duration HeartbeatOf(const InstanceId& aReplica) const;
+  [[nodiscard]] Time QuorumDeadline() const;
+  void SyncProgress(LogIndex aNext);
+  void Broadcast();
+  void SendHeartbeat(const InstanceId& aTo, Progress& aProgress);
+  void SendAppend(const InstanceId& aTo,
+                  Progress& aProgress,
+                  bool aWithEntries);
+  void SendPending(const InstanceId& aTo, Progress& aProgress);
+  void AdvanceCommit();
+  void On(const InstanceId& aFrom, const AppendReply& aReply);
+  [[nodiscard]] Progress* NoteAnswer(const InstanceId& aFrom,
+                                     Term aTerm,
+                                     std::uint64_t aRound,
+                                     std::uint64_t aRecovery);
+  [[nodiscard]] bool NoteRecovery(Progress& aProgress, std::uint64_t aRecovery);
+  void OnAccepted(Progress& aProgress, LogIndex aMatch);
+  void OnRejected(Progress& aProgress, LogIndex aHint);
+
+  // RaftReads.cpp
+  void StartReadRound();
+  void CheckReadRound();
+  [[nodiscard]] bool RoundConfirmed() const;
+  [[nodiscard]] bool CommittedInTerm() const;
+
+  // RaftSnapshot.cpp
+  void StartSnapshot(const InstanceId& aTo, Progress& aProgress);
+  void SendChunks(const InstanceId& aTo, Progress& aProgress);
+  void SendChunk(const InstanceId& aTo, Progress& aProgress);
+  void OnChunkAnswered(Progress& aProgress, std::uint64_t aNextOffset);
+  void On(const InstanceId& aFrom, const SnapshotReply& aReply);
+
+  // RaftConfiguration.cpp
+  [[nodiscard]] std::optional<Configuration> Changed(
+    const ChangeConfiguration& aChange) const;
+  [[nodiscard]] bool IsCaughtUp(const InstanceId& aLearner) const;
+  [[nodiscard]] bool HasLiveMajority(const Configuration& aNext) const;
+  void FinishRemovals();
+  void ForgetRemoved();
+  void TryTransfer();
+  [[nodiscard]] InstanceId TransferCandidate() const;
+
+  InstanceId self;
+  RaftTimes times;
+  RaftLimits limits;
+  Random random;
+  Time now{};
+  bool started = false;
+
+  // Durable state as decided; what is on disk follows by Persist effects.
+  HardState hard;
+  HardState emittedHard; // as of the last Persist
+  ReplicaLog log;
+  std::shared_ptr<const StoredSnapshot> snapshot; // null: none yet
+  LogIndex durableIndex = 0; // entries up to here are durable here
+  std::uint64_t lastSequence = 0;
+  std::uint64_t hardSequence = 0; // of the last Persist with a hard state
+  std::deque<OutstandingPersist> outstanding; // ascending by sequence
+  Unsaved unsaved;
+  std::vector<HeldMessage> heldThisStep;
+  Effects effects;
+
+  Role role = Role::Follower;
+  InstanceId leader;
+  std::optional<RoleChanged> reported;
+  LogIndex commitIndex = 0; // never decreases
+  LogIndex appliedIndex = 0;
+  LogIndex snapshotWanted = 0; // index of the unanswered TakeSnapshot
+  std::size_t bytesSinceSnapshot = 0;
+
+  // Followers and candidates.
+  Time electionDeadline{};
+  Time lastLeaderContact{};
+  std::uint64_t recoveryNonce = 0; // not 0 while hard.recovering
+  std::set<InstanceId> votes;
+  std::uint64_t ownVoteSequence = 0; // Persist that holds the own vote
+  std::set<InstanceId> blankPeers;   // showed an empty log in term 0
+  std::optional<PartialSnapshot> partial;
+
+  // Leaders.
+  std::map<InstanceId, Progress> progress;
+  std::map<LogIndex, std::uint64_t> proposals; // index to token
+  Time electedAt{};
+  LogIndex termStart = 0; // first entry of the own term
+  std::uint64_t round = 0;
+  ReadRound reading;
+  std::vector<std::uint64_t> waitingReads;
+  bool transferring = false;
+  bool timeoutNowSent = false;
+  InstanceId transferTarget;
+  Time transferDeadline{};
+};
+
+} // namespace hyssoppaddle::agreement
+
+#endif
--- /dev/null
+++ b/src/agreement/ReplicaLog.h
@@ -0,0 +1,66 @@
+// The log of one replica in memory: entries after a base position, and the
+// configurations that they and the snapshot set.
+#ifndef hyssoppaddle_agreement_ReplicaLog_h
+#define hyssoppaddle_agreement_ReplicaLog_h
+
+#include "agreement/LogEntry.h"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace hyssoppaddle::agreement {
+
+class ReplicaLog
+{
+public:
+  ReplicaLog() = default;
+  // aConfiguration is in force at aBase.
+  ReplicaLog(LogIndex aBaseIndex, Term aBaseTerm, Configuration aConfiguration);
+
+  [[nodiscard]] LogIndex BaseIndex() const { return this->baseIndex; }
+  [[nodiscard]] LogIndex LastIndex() const;
+  [[nodiscard]] Term LastTerm() const;
+  // Nothing below the base and above the last entry.
+  [[nodiscard]] std::optional<Term> TermAt(LogIndex aIndex) const;
+  // aIndex must be above the base and at most the last index.
+  [[nodiscard]] const LogEntry& At(LogIndex aIndex) const;
+  // First index of the run of entries with the term of aIndex.
+  [[nodiscard]] LogIndex FirstOfTerm(LogIndex aIndex) const;
+
+  // Entries from aFrom on, at least one when there is one.
+  [[nodiscard]] std::vector<LogEntry> Slice(LogIndex aFrom,
+                                            std::size_t aMaxEntries,
+                                            std::size_t aMaxBytes) const;
+
+  // The index of aEntry must follow the last one.
+  void Append(LogEntry aEntry);
+  // Also restores the configuration that was in force before aFrom.
+  void TruncateFrom(LogIndex aFrom);
+  // Drops entries up to aIndex, which must be in the log.
+  void CompactTo(LogIndex aIndex);
+
+  [[nodiscard]] const Configuration& ActiveConfiguration() const;
+  // Index of the entry that set the active configuration; 0 for the initial.
+  [[nodiscard]] LogIndex ConfigurationIndex() const;
+  // Configuration in force at aIndex, which must not be below the base.
+  [[nodiscard]] const Configuration& ConfigurationAt(LogIndex aIndex) const;
+
+private:
+  struct ConfigurationRecord
+  {
+    LogIndex index = 0;
+    Configuration configuration;
+  };
+
+  LogIndex baseIndex = 0;
+  Term baseTerm = 0;
+  std::deque<LogEntry> entries; // entries[i].index == baseIndex + 1 + i
+  // Ascending by index and never empty; the first is in force at the base.
+  std::vector<ConfigurationRecord> configurations{ ConfigurationRecord{} };
+};
+
+} // namespace hyssoppaddle::agreement
+
+#endif
--- a/src/storage/LogStore.h
+++ b/src/storage/LogStore.h
@@ -20,7 +20,7 @@
 {
   std::string cluster;
   InstanceId owner;
-  std::size_t segmentBytes = 8 * 1024 * 1024;
+  std::size_t segmentBytes = 8UL * 1024 * 1024;
 };
 
 class LogStore
