Add the request path: admission, permits, routing, ejection, retries, claims

The daemon had no part that takes a relayed request from its header to its end. Each unit (directory, router, ejector, queues, permits, retry budget, claims, authorizer) has its own header; Engine joins them and Step only dispatches.

--- /dev/null
+++ b/src/request/Concurrency.cpp
@@ -0,0 +1,109 @@
+// Latency baseline and adaptive concurrency limit.
+#include "request/Concurrency.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::request {
+
+void
+LatencyBaseline::Add(Duration aLatency, Time aNow)
+{
+  if (this->samples == 0 || aNow - this->windowStart >= kWindow) {
+    this->StartWindow(aNow);
+  }
+  // Stochastic median: moves by a fixed fraction towards each sample, with a
+  // larger step while there are few of them.
+  const auto sample =
+    static_cast<double>(std::max<Duration::rep>(aLatency.count(), 1));
+  const double step = std::max(0.02, 0.5 / (1.0 + this->samples));
+  if (this->median <= 0) {
+    this->median = sample;
+  } else if (sample > this->median) {
+    this->median = std::min(sample, this->median * (1 + step));
+  } else {
+    this->median = std::max(sample, this->median * (1 - step));
+  }
+  ++this->samples;
+}
+
+void
+LatencyBaseline::StartWindow(Time aNow)
+{
+  if (this->samples >= kMinSamples) {
+    this->closed.at(this->next) = this->median;
+    this->next = (this->next + 1) % kWindows;
+  }
+  this->samples = 0;
+  this->windowStart = aNow;
+}
+
+std::optional<Duration>
+LatencyBaseline::Usual() const
+{
+  double lowest = this->samples >= kMinSamples ? this->median : 0;
+  for (const double value : this->closed) {
+    if (value > 0 && (lowest <= 0 || value < lowest)) {
+      lowest = value;
+    }
+  }
+  if (lowest <= 0) {
+    return std::nullopt;
+  }
+  return Duration(static_cast<Duration::rep>(lowest));
+}
+
+void
+ConcurrencyLimit::SetCeiling(std::uint32_t aCeiling)
+{
+  const std::uint32_t ceilingNow = std::max(aCeiling, 1U);
+  if (ceilingNow == this->ceiling) {
+    return;
+  }
+  // Starts at the declared number: slow start limits a new upstream, and the
+  // first answers lower the limit of one that is shared.
+  this->ceiling = ceilingNow;
+  this->value = ceilingNow;
+}
+
+void
+ConcurrencyLimit::OnAnswer(Duration aLatency,
+                           std::optional<Duration> aUsual,
+                           bool aBusy,
+                           Time aNow)
+{
+  const auto sample = static_cast<double>(aLatency.count());
+  this->latency = this->latency <= 0
+                    ? sample
+                    : this->latency + kSmoothing * (sample - this->latency);
+  if (!aUsual) {
+    return;
+  }
+  if (this->latency > kTolerance * static_cast<double>(aUsual->count())) {
+    this->Decrease(aNow);
+  } else if (aBusy) {
+    this->value = std::min(this->value + 1 / this->value,
+                           static_cast<double>(this->ceiling));
+  }
+}
+
+void
+ConcurrencyLimit::OnRejected(Time aNow)
+{
+  this->Decrease(aNow);
+}
+
+void
+ConcurrencyLimit::Decrease(Time aNow)
+{
+  // One decrease per answer time: the requests already under way report the
+  // same overload again.
+  const Duration gap = std::max(
+    kMinDecreaseGap, Duration(static_cast<Duration::rep>(this->latency)));
+  if (this->decreasedAt != Time{} && aNow - this->decreasedAt < gap) {
+    return;
+  }
+  this->decreasedAt = aNow;
+  this->value = std::max(1.0, this->value * kDecrease);
+}
+
+} // namespace hyssoppaddle::request
--- /dev/null
+++ b/src/request/Engine.h
@@ -0,0 +1,199 @@
+// Joins the units of the request path: moves each request through its stages
+// and keeps the lists, permits and load of its upstream in step. The methods
+// are split over Engine*.cpp by subject.
+#ifndef hyssoppaddle_request_Engine_h
+#define hyssoppaddle_request_Engine_h
+
+#include "request/AdmissionQueue.h"
+#include "request/Authorizer.h"
+#include "request/ClaimTracker.h"
+#include "request/Directory.h"
+#include "request/Ejector.h"
+#include "request/Leases.h"
+#include "request/PermitPool.h"
+#include "request/Request.h"
+#include "request/RequestReducer.h"
+#include "request/RetryBudget.h"
+#include "request/Router.h"
+#include "request/TeamBacklog.h"
+#include "request/Timers.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hyssoppaddle::request {
+
+class Engine
+{
+public:
+  Engine(RequestOptions aOptions, const state::FleetState& aView);
+
+  // Sets the time of this step and does what has become due.
+  void Begin(Time aNow, WallTime aWallNow);
+  // Returns the effects of this step.
+  Effects End();
+
+  void On(const RequestArrived& aEvent);
+  void On(const ClaimDecided& aEvent);
+  void On(const AttemptAdvanced& aEvent);
+  void On(const AttemptFinished& aEvent);
+  void On(const AttemptRefused& aEvent);
+  void On(const AttemptFailed& aEvent);
+  void On(const CallerGone& aEvent);
+  void On(const Announced& aEvent);
+  void On(const ViewChanged& aEvent);
+  void On(const Renewed& aEvent);
+  void On(const Tick& aEvent);
+
+  void StopAdmission();
+  [[nodiscard]] std::size_t Active() const { return this->requests.size(); }
+  [[nodiscard]] std::vector<wire::TeamDemand> Demand() const;
+  [[nodiscard]] const RequestCounters& Counters() const
+  {
+    return this->counters;
+  }
+  [[nodiscard]] bool IsViewFresh(Time aNow) const
+  {
+    return this->leases.KeysFresh(aNow);
+  }
+  [[nodiscard]] std::vector<std::string> ExplainTeam(const TeamId& aTeam,
+                                                     Time aNow) const;
+  [[nodiscard]] std::vector<std::string> ExplainUpstream(
+    const InstanceId& aUpstream,
+    Time aNow) const;
+
+private:
+  // Permit of an attempt that may still run although nobody waits for it.
+  struct Hold
+  {
+    TeamId team;
+    InstanceId upstream;
+    std::string boot;
+    Timers::Handle timer;
+  };
+
+  struct Reason
+  {
+    Problem problem = Problem::NoUpstream;
+    bool notRun = true;
+    std::optional<Duration> retryAfter;
+    std::string detail;
+  };
+
+  // Admission (EngineAdmission.cpp).
+  std::optional<Reason> Admit(Request& aRequest);
+  // Key, lease and service. aTeam receives the team to charge; may be null.
+  std::optional<Reason> CheckKey(const Request& aRequest, TeamId* aTeam) const;
+  static Reason StaleReason();
+  std::optional<Reason> CheckQueue(const Request& aRequest);
+  [[nodiscard]] Offer OfferOf(const Request& aRequest) const;
+  void Enqueue(Request& aRequest);
+  void Dequeue(Request& aRequest);
+  void Dispatch(const ServiceId& aService);
+  void DispatchTeam(const TeamId& aTeam);
+  void DispatchAll();
+  bool StartNext(const ServiceId& aService, ServiceGroup& aGroup);
+  void AskForPermits(const TeamId& aTeam);
+  void AskForClaim(Request& aRequest);
+  void RefuseByClaim(Request& aRequest, const state::Outcome& aOutcome);
+  [[nodiscard]] bool MayStart(const Request& aRequest) const;
+  // All queued keyed requests, or only those whose key is no longer valid.
+  void RefuseQueuedKeyed(bool aAll);
+
+  // Attempts (EngineAttempts.cpp).
+  bool Reserve(Request& aRequest, ServiceGroup& aGroup);
+  [[nodiscard]] bool IsListed(const Upstream& aUpstream) const;
+  void FreeUpstream(Request& aRequest);
+  void FreePermit(const TeamId& aTeam);
+  void StartAttempt(Request& aRequest);
+  Request* FindRunning(RequestNumber aRequest, AttemptNumber aAttempt);
+  void FailAttempt(Request& aRequest, const AttemptFailed& aEvent);
+  [[nodiscard]] bool MayRetry(const Request& aRequest,
+                              AttemptPhase aPhase,
+                              bool aStatedNotRun) const;
+  // Starts the delay before a retry; false when the budget is spent or the
+  // deadline too near.
+  bool Retry(Request& aRequest);
+  void HoldPermit(Request& aRequest);
+  void FreeHold(std::uint64_t aNumber);
+  void ReportFailure(Upstream& aUpstream, std::string_view aReason);
+  void ReportSuccess(Upstream& aUpstream, Duration aLatency, bool aBusy);
+
+  // Ends (EngineEnds.cpp). Each removes the request.
+  void RefuseRequest(Request& aRequest, Reason aReason);
+  void AbortRequest(Request& aRequest);
+  void EndFailed(Request& aRequest, AttemptPhase aPhase);
+  void DeadlinePassed(Request& aRequest);
+  void AbandonRunning(Request& aRequest);
+  void LeaveStage(Request& aRequest);
+  void EndClaim(const Request& aRequest,
+                state::ClaimState aState,
+                std::uint32_t aStatus);
+  void Remove(Request& aRequest);
+
+  // View and time (EngineView.cpp).
+  void LoadView();
+  void OnDirectory(const Directory::Update& aUpdate);
+  void LeaveGroup(Upstream& aUpstream, ServiceGroup& aGroup);
+  void ForgetFailures(Upstream& aUpstream, ServiceGroup& aGroup);
+  void CancelProbe(Upstream& aUpstream);
+  [[nodiscard]] Duration ServedFor(const Upstream& aUpstream) const;
+  void BeginRamp(Upstream& aUpstream, Duration aServedFor);
+  void RefreshUpstream(Upstream& aUpstream);
+  void WatchHeard(Upstream& aUpstream);
+  void FreeHoldsOfOldBoots(Upstream& aUpstream);
+  void OnTimer(const Timer& aTimer);
+  void OnUpstreamTimer(const Timer& aTimer);
+  void RetryDue(Request& aRequest);
+  void CheckLeases();
+  void RefuseRemovedServices();
+  void RefuseQueued(const Reason& aReason, bool aOnlyRemoved);
+
+  void Log(std::string aKind, const Request& aRequest, Router::Choice aChoice);
+  void LogUpstream(std::string aKind,
+                   const Upstream& aUpstream,
+                   std::string_view aReason);
+
+  RequestOptions options;
+  const state::FleetState* view;
+  RequestCounters counters;
+  Effects effects;
+  Time now;
+  WallTime wallNow; // fleet time, see Authorizer::FleetTime
+  bool loaded = false;
+  bool stopping = false;
+  bool keysWereFresh = false;
+  bool permitsWereValid = false;
+  std::optional<Time> askedForPermits;
+
+  Random random;
+  Leases leases;
+  Timers timers;
+  Directory directory;
+  Router router;
+  Ejector ejector;
+  PermitPool permits;
+  ClaimTracker claims;
+  Authorizer authorizer;
+  TeamBacklog backlog;
+  std::map<ServiceId, AdmissionQueue> queues;
+  std::map<ServiceId, RetryBudget> budgets;
+  std::unordered_map<RequestNumber, Request> requests;
+  std::map<KeyId, std::set<RequestNumber>> queuedByKey;
+  std::map<ServiceId, std::set<RequestNumber>> queuedByService;
+  std::map<std::uint64_t, Hold> holds;
+  // What became free in this step; End dispatches it.
+  std::set<TeamId> freedTeams;
+  std::set<ServiceId> freedServices;
+  std::uint64_t nextHold = 1;
+};
+
+} // namespace hyssoppaddle::request
+
+#endif
--- /dev/null
+++ b/src/request/FairQueue.cpp
@@ -0,0 +1,182 @@
+// Weighted fair queueing between teams, earliest deadline first within one.
+#include "request/FairQueue.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::request {
+
+namespace {
+
+constexpr double kSmoothing = 0.1;
+constexpr double kDefaultCost = 10000; // us, before anything was measured
+constexpr double kMaxCredit = 1000000; // us of virtual time
+
+void
+Smooth(double& aMean, double aSample)
+{
+  aMean = aMean <= 0 ? aSample : aMean + kSmoothing * (aSample - aMean);
+}
+
+} // namespace
+
+std::size_t
+FairQueue::BucketOf(Time aDeadline)
+{
+  return static_cast<std::size_t>(aDeadline.time_since_epoch().count() /
+                                  1000000) %
+         kBuckets;
+}
+
+double
+FairQueue::CostOf(const Team& aTeam) const
+{
+  if (aTeam.estimate > 0) {
+    return aTeam.estimate;
+  }
+  return this->meanCost > 0 ? this->meanCost : kDefaultCost;
+}
+
+void
+FairQueue::Push(const Waiting& aItem, std::uint32_t aShare, Time aNow)
+{
+  Team& team = this->teams[aItem.team];
+  if (team.items.empty()) {
+    team.share = std::max(aShare, 1U);
+    team.start = std::max(team.start, this->virtualTime);
+    this->order.emplace(team.start, aItem.team);
+    this->waitingShares += team.share;
+    team.rate.OnWaiting(aNow);
+  }
+  if (team.items.emplace(aItem.deadline, aItem.request).second) {
+    ++team.perSecond.at(BucketOf(aItem.deadline));
+    ++this->size;
+  }
+}
+
+bool
+FairQueue::Remove(const Waiting& aItem)
+{
+  const auto found = this->teams.find(aItem.team);
+  if (found == this->teams.end() ||
+      !found->second.items.contains({ aItem.deadline, aItem.request })) {
+    return false;
+  }
+  this->Erase(found->first, found->second, aItem);
+  return true;
+}
+
+void
+FairQueue::Erase(const TeamId& aName, Team& aTeam, const Waiting& aItem)
+{
+  aTeam.items.erase({ aItem.deadline, aItem.request });
+  --aTeam.perSecond.at(BucketOf(aItem.deadline));
+  --this->size;
+  if (aTeam.items.empty()) {
+    this->order.erase({ aTeam.start, aName });
+    this->waitingShares -= aTeam.share;
+    aTeam.rate.OnEmpty();
+  }
+}
+
+std::optional<Waiting>
+FairQueue::Pop(const Eligible& aEligible, Time aNow)
+{
+  const auto next = std::ranges::find_if(
+    this->order, [&](const auto& aEntry) { return aEligible(aEntry.second); });
+  if (next == this->order.end()) {
+    return std::nullopt;
+  }
+  const TeamId name = next->second;
+  Team& team = this->teams.at(name);
+  const auto [deadline, request] = *team.items.begin();
+  const Waiting item{ request, name, deadline };
+  team.rate.OnServed(aNow);
+  this->order.erase(next);
+  this->virtualTime = std::max(this->virtualTime, team.start);
+  // A team that was passed over because it had no permit does not collect
+  // credit for all that time; a refund of OnEnded is kept.
+  const double base = std::max(team.start, this->virtualTime - kMaxCredit);
+  team.start = base + this->CostOf(team) / team.share;
+  this->order.emplace(team.start, name);
+  this->Erase(name, team, item);
+  return item;
+}
+
+void
+FairQueue::OnEnded(const TeamId& aTeam, Duration aCharged, Duration aActual)
+{
+  const auto found = this->teams.find(aTeam);
+  if (found == this->teams.end()) {
+    return;
+  }
+  Team& team = found->second;
+  const auto actual = static_cast<double>(aActual.count());
+  Smooth(team.estimate, actual);
+  Smooth(this->meanCost, actual);
+  const bool waits = !team.items.empty();
+  if (waits) {
+    this->order.erase({ team.start, aTeam });
+  }
+  team.start += (actual - static_cast<double>(aCharged.count())) / team.share;
+  if (waits) {
+    this->order.emplace(team.start, aTeam);
+  }
+}
+
+Duration
+FairQueue::Estimate(const TeamId& aTeam) const
+{
+  const auto found = this->teams.find(aTeam);
+  const double cost =
+    found == this->teams.end() ? kDefaultCost : this->CostOf(found->second);
+  return Duration(static_cast<Duration::rep>(cost));
+}
+
+std::size_t
+FairQueue::SizeOf(const TeamId& aTeam) const
+{
+  const auto found = this->teams.find(aTeam);
+  return found == this->teams.end() ? 0 : found->second.items.size();
+}
+
+std::size_t
+FairQueue::Ahead(const TeamId& aTeam, Time aDeadline) const
+{
+  const auto found = this->teams.find(aTeam);
+  if (found == this->teams.end() || found->second.items.empty()) {
+    return 0;
+  }
+  const Team& team = found->second;
+  const Time first = team.items.begin()->first;
+  const std::size_t last = BucketOf(aDeadline);
+  if (aDeadline < first) {
+    return 0;
+  }
+  std::size_t ahead = 0;
+  std::size_t bucket = BucketOf(first);
+  while (bucket != last) {
+    ahead += team.perSecond.at(bucket);
+    bucket = (bucket + 1) % kBuckets;
+  }
+  return ahead + team.perSecond.at(last);
+}
+
+std::optional<double>
+FairQueue::RateOf(const TeamId& aTeam, Time aNow) const
+{
+  const auto found = this->teams.find(aTeam);
+  return found == this->teams.end() ? std::nullopt
+                                    : found->second.rate.PerSecond(aNow);
+}
+
+double
+FairQueue::ShareOf(const TeamId& aTeam, std::uint32_t aShare) const
+{
+  const bool waits = this->SizeOf(aTeam) > 0;
+  const double own = std::max(aShare, 1U);
+  const double others =
+    static_cast<double>(this->waitingShares) - (waits ? own : 0);
+  return own / std::max(own + others, 1.0);
+}
+
+} // namespace hyssoppaddle::request
--- /dev/null
+++ b/src/request/RetryBudget.cpp
@@ -0,0 +1,67 @@
+// Counts of first attempts and retries in ten buckets of one second.
+#include "request/RetryBudget.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::request {
+
+namespace {
+
+std::int64_t
+SecondOf(Time aNow)
+{
+  return aNow.time_since_epoch().count() / 1000000;
+}
+
+} // namespace
+
+RetryBudget::Second&
+RetryBudget::Current(Time aNow)
+{
+  const std::int64_t number = SecondOf(aNow);
+  Second& second =
+    this->seconds.at(static_cast<std::size_t>(number) % kSeconds);
+  if (second.number != number) {
+    second = Second{ number, 0, 0 };
+  }
+  return second;
+}
+
+void
+RetryBudget::OnFirstAttempt(Time aNow)
+{
+  ++this->Current(aNow).first;
+}
+
+bool
+RetryBudget::TryRetry(Time aNow)
+{
+  Second& current = this->Current(aNow);
+  if (current.retries >= kFloorPerSecond) {
+    std::uint64_t first = 0;
+    std::uint64_t retries = 0;
+    for (const Second& second : this->seconds) {
+      if (current.number - second.number <
+          static_cast<std::int64_t>(kSeconds)) {
+        first += second.first;
+        retries += second.retries;
+      }
+    }
+    if ((retries + 1) * 100 > first * kPercent) {
+      return false;
+    }
+  }
+  ++current.retries;
+  return true;
+}
+
+Duration
+RetryBudget::Delay(std::uint32_t aTries, Random& aRandom)
+{
+  const std::uint32_t doublings = std::min(aTries > 0 ? aTries - 1 : 0, 10U);
+  const Duration full =
+    std::min(kFirstDelay * (Duration::rep{ 1 } << doublings), kLongestDelay);
+  return aRandom.Between(full / 2, full);
+}
+
+} // namespace hyssoppaddle::request
