--- a/src/state/FleetState.cpp
+++ b/src/state/FleetState.cpp
@@ -3,8 +3,13 @@
 
 #include "state/CommandHandler.h"
 #include "state/Tables.h"
+#include "wire/Codec.h"
+#include "wire/SnapshotCodec.h"
+
+#include <sodium.h>
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -28,6 +33,33 @@
 
 namespace {
 
+// 16 bytes are enough to tell the bodies of one actor's requests apart.
+constexpr std::size_t kBodyDigestBytes = 16;
+
+std::string
+DigestOf(const CommandBody& aBody)
+{
+  const std::string bytes = wire::EncodeCommandBody(aBody);
+  std::array<unsigned char, kBodyDigestBytes> digest{};
+  crypto_generichash(digest.data(),
+                     digest.size(),
+                     reinterpret_cast<const unsigned char*>(bytes.data()),
+                     bytes.size(),
+                     nullptr,
+                     0);
+  return { digest.begin(), digest.end() };
+}
+
+// The first outcome of a claim says "granted"; repeating it would grant the
+// claim twice. Claims recognise repeats by their own key.
+bool
+RemembersOutcome(const Command& aCommand)
+{
+  return !aCommand.requestId.empty() &&
+         !std::holds_alternative<ClaimRequest>(aCommand.body) &&
+         !std::holds_alternative<FinishClaim>(aCommand.body);
+}
+
 void
 Expire(Tables& aTables, Context& aContext)
 {
@@ -38,6 +70,35 @@
   aTables.permits.Expire(aContext);
 }
 
+Outcome
+ApplyBody(const Command& aCommand, Tables& aTables, Context& aContext)
+{
+  return std::visit(CommandHandler(aTables, aContext), aCommand.body);
+}
+
+Outcome
+ApplyOnce(const Command& aCommand, Tables& aTables, Context& aContext)
+{
+  if (aCommand.requestId.size() > kMaxRequestIdBytes) {
+    return Refuse(ErrorCode::InvalidArgument,
+                  "a request ID has at most 256 bytes");
+  }
+  CachedOutcome entry;
+  entry.key = RequestKey{ aCommand.actor, aCommand.requestId };
+  entry.bodyDigest = DigestOf(aCommand.body);
+  if (auto first = aTables.outcomes.Find(entry.key, entry.bodyDigest)) {
+    return *std::move(first);
+  }
+  Outcome outcome = ApplyBody(aCommand, aTables, aContext);
+  // A refusal for lack of room was not run; the same request may come again.
+  if (outcome.Ok() || outcome.error->code != ErrorCode::Unavailable) {
+    entry.at = aContext.now;
+    entry.outcome = outcome;
+    aTables.outcomes.Store(std::move(entry));
+  }
+  return outcome;
+}
+
 } // namespace
 
 Outcome
@@ -48,19 +109,25 @@
   Changes unread;
   Context context{ tables.now, aChanges == nullptr ? unread : *aChanges };
   Expire(tables, context);
-  return std::visit(CommandHandler(tables, context), aCommand.body);
+  return RemembersOutcome(aCommand) ? ApplyOnce(aCommand, tables, context)
+                                    : ApplyBody(aCommand, tables, context);
 }
 
 std::string
 FleetState::Snapshot() const
 {
-  return {};
+  return wire::EncodeSnapshot(this->impl->tables);
 }
 
 Result<void>
-FleetState::Restore(std::string_view /*aBytes*/)
+FleetState::Restore(std::string_view aBytes)
 {
-  return Fail(ErrorCode::Malformed, "snapshots are not implemented yet");
+  Result<Tables> restored = wire::DecodeSnapshot(aBytes);
+  if (!restored.has_value()) {
+    return tl::unexpected(std::move(restored.error()));
+  }
+  this->impl->tables = std::move(*restored);
+  return {};
 }
 
 WallTime
--- a/src/wire/Codec.h
+++ b/src/wire/Codec.h
@@ -19,6 +19,10 @@
 Result<state::Command>
 DecodeCommand(std::string_view aBytes);
 
+// The body alone. Equal bodies have equal bytes.
+std::string
+EncodeCommandBody(const state::CommandBody& aBody);
+
 std::string
 EncodeConfiguration(const agreement::Configuration& aConfiguration);
 Result<agreement::Configuration>
--- /dev/null
+++ b/src/wire/PeerSchema.h
@@ -0,0 +1,122 @@
+// Written form of the messages between entry instances and of the log entries
+// they carry.
+#ifndef hyssoppaddle_wire_PeerSchema_h
+#define hyssoppaddle_wire_PeerSchema_h
+
+#include "agreement/Messages.h"
+#include "wire/CommandSchema.h"
+#include "wire/PeerMessage.h"
+
+namespace hyssoppaddle::wire {
+
+HYSSOPPADDLE_LAST_VALUE(agreement::EntryKind, Empty);
+
+HYSSOPPADDLE_SCHEMA(agreement::Configuration, aIt.voters, aIt.learners);
+HYSSOPPADDLE_SCHEMA(agreement::LogEntry,
+                    aIt.index,
+                    aIt.term,
+                    aIt.kind,
+                    aIt.payload);
+HYSSOPPADDLE_SCHEMA(agreement::SnapshotMeta,
+                    aIt.index,
+                    aIt.term,
+                    aIt.configuration);
+HYSSOPPADDLE_SCHEMA(agreement::VoteRequest,
+                    aIt.term,
+                    aIt.preVote,
+                    aIt.lastIndex,
+                    aIt.lastTerm,
+                    aIt.transfer);
+HYSSOPPADDLE_SCHEMA(agreement::VoteReply, aIt.term, aIt.preVote, aIt.granted);
+HYSSOPPADDLE_SCHEMA(agreement::AppendRequest,
+                    aIt.term,
+                    aIt.previousIndex,
+                    aIt.previousTerm,
+                    aIt.commitIndex,
+                    aIt.round,
+                    aIt.entries);
+HYSSOPPADDLE_SCHEMA(agreement::AppendReply,
+                    aIt.term,
+                    aIt.accepted,
+                    aIt.matchIndex,
+                    aIt.hint,
+                    aIt.round);
+HYSSOPPADDLE_SCHEMA(agreement::SnapshotChunk,
+                    aIt.term,
+                    aIt.meta,
+                    aIt.offset,
+                    aIt.totalBytes,
+                    aIt.data,
+                    aIt.round);
+HYSSOPPADDLE_SCHEMA(agreement::SnapshotReply,
+                    aIt.term,
+                    aIt.index,
+                    aIt.nextOffset,
+                    aIt.installed,
+                    aIt.round);
+HYSSOPPADDLE_SCHEMA(agreement::TimeoutNow, aIt.term);
+
+template<>
+struct TypeNumbers<agreement::Message>
+{
+  static constexpr std::array<std::uint16_t, 7> kNumbers{
+    1, // VoteRequest
+    2, // VoteReply
+    3, // AppendRequest
+    4, // AppendReply
+    5, // SnapshotChunk
+    6, // SnapshotReply
+    7, // TimeoutNow
+  };
+};
+
+HYSSOPPADDLE_SCHEMA(Greeting,
+                    aIt.protocol,
+                    aIt.cluster,
+                    aIt.instance,
+                    aIt.boot,
+                    aIt.nonce);
+HYSSOPPADDLE_SCHEMA(GreetingProof, aIt.proof);
+HYSSOPPADDLE_SCHEMA(RaftMessage, aIt.message);
+HYSSOPPADDLE_SCHEMA(Forward, aIt.token, aIt.command);
+HYSSOPPADDLE_SCHEMA(ForwardReply,
+                    aIt.token,
+                    aIt.decided,
+                    aIt.unknown,
+                    aIt.index,
+                    aIt.outcome);
+HYSSOPPADDLE_SCHEMA(TeamDemand, aIt.team, aIt.inUse, aIt.waiting);
+HYSSOPPADDLE_SCHEMA(Renew,
+                    aIt.nonce,
+                    aIt.boot,
+                    aIt.appliedIndex,
+                    aIt.bundleVersion,
+                    aIt.demand);
+HYSSOPPADDLE_SCHEMA(RenewReply, aIt.nonce, aIt.confirmedIndex, aIt.recalls);
+HYSSOPPADDLE_SCHEMA(HeardUpstream,
+                    aIt.instance,
+                    aIt.boot,
+                    aIt.sequence,
+                    aIt.silent);
+HYSSOPPADDLE_SCHEMA(Heard, aIt.upstreams);
+HYSSOPPADDLE_SCHEMA(JoinRequest, aIt.wantsVote);
+
+template<>
+struct TypeNumbers<PeerMessage>
+{
+  static constexpr std::array<std::uint16_t, 9> kNumbers{
+    1, // Greeting
+    2, // GreetingProof
+    3, // RaftMessage
+    4, // Forward
+    5, // ForwardReply
+    6, // Renew
+    7, // RenewReply
+    8, // Heard
+    9, // JoinRequest
+  };
+};
+
+} // namespace hyssoppaddle::wire
+
+#endif
--- /dev/null
+++ b/src/wire/Schema.h
@@ -0,0 +1,58 @@
+// How a struct maps to a msgpack array: Schema<T>::Of ties its fields in the
+// order they are written. One list serves both directions.
+#ifndef hyssoppaddle_wire_Schema_h
+#define hyssoppaddle_wire_Schema_h
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <tuple>
+#include <variant>
+
+namespace hyssoppaddle::wire {
+
+template<typename T>
+struct Schema; // with: static auto Of(auto& aValue)
+
+// The highest enumerator; decoders refuse higher values.
+template<typename Enum>
+struct LastValue; // with: static constexpr Enum kValue
+
+// The written type number of every alternative of a variant, in the order of
+// the alternatives. A number is never given to another type, so that a later
+// version can add and remove alternatives.
+template<typename Variant>
+struct TypeNumbers; // with: static constexpr std::array kNumbers
+
+template<typename Array>
+constexpr bool
+AreDistinct(const Array& aNumbers)
+{
+  for (std::size_t i = 0; i < aNumbers.size(); ++i) {
+    for (std::size_t j = i + 1; j < aNumbers.size(); ++j) {
+      if (aNumbers[i] == aNumbers[j]) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace hyssoppaddle::wire
+
+// Fields of a struct in written order, each as aIt.name.
+#define HYSSOPPADDLE_SCHEMA(Type, ...)                                         \
+  template<>                                                                   \
+  struct Schema<Type>                                                          \
+  {                                                                            \
+    static auto Of(auto& aIt) { return std::tie(__VA_ARGS__); }                \
+  }
+
+#define HYSSOPPADDLE_LAST_VALUE(Enum, Last)                                    \
+  template<>                                                                   \
+  struct LastValue<Enum>                                                       \
+  {                                                                            \
+    static constexpr Enum kValue = Enum::Last;                                 \
+  }
+
+#endif
--- /dev/null
+++ b/src/wire/SnapshotCheck.h
@@ -0,0 +1,36 @@
+// The records of a snapshot before they become tables, and the checks that the
+// tables depend on.
+#ifndef hyssoppaddle_wire_SnapshotCheck_h
+#define hyssoppaddle_wire_SnapshotCheck_h
+
+#include "state/OutcomeCache.h"
+#include "state/Records.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace hyssoppaddle::wire {
+
+struct SnapshotRecords
+{
+  std::map<MemberId, state::MemberRecord> members;
+  std::map<MemberId, state::JoinRecord> joins;
+  std::map<std::uint64_t, state::BundleRecord> bundles;
+  std::map<KeyId, state::KeyRecord> keys;
+  std::map<state::ClaimKey, state::ClaimRecord> claims;
+  std::map<JobId, state::JobRecord> jobs;
+  std::map<InstanceId, state::UpstreamRecord> upstreams;
+  std::map<InstanceId, state::InstanceRecord> instances;
+  std::map<WaveId, state::WaveRecord> waves;
+  std::map<InstanceId, state::EntryRecord> entries;
+  std::deque<state::CachedOutcome> outcomes;
+};
+
+// First contradiction found, as a sentence; empty when there is none.
+std::string
+ProblemOf(const SnapshotRecords& aRecords);
+
+} // namespace hyssoppaddle::wire
+
+#endif
