Grant permits on demand and place waiting jobs

The whole request path waits for permits and the job path for placement. Adds the allocator, the share ledger, learned sizes, the placement queue, failure records, task leases, owed instructions and the way of an instance through a planned stop, each as a unit, and the dispatch in Planner::Step. Nine tests in test/planner run the real FleetState against fake upstreams in virtual time and pass: spreading, lease expiry, cancellations, failing workers and jobs, jobs that can never run.

--- /dev/null
+++ b/src/planner/PermitAllocator.h
@@ -0,0 +1,96 @@
+// Grants permits of each team to entry instances by reported demand, recalls
+// idle ones for where work waits, and reclaims those of silent holders.
+#ifndef hyssoppaddle_planner_PermitAllocator_h
+#define hyssoppaddle_planner_PermitAllocator_h
+
+#include "planner/Context.h"
+#include "planner/Reservations.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hyssoppaddle::planner {
+
+class PermitAllocator
+{
+public:
+  explicit PermitAllocator(Reservations& aReservations);
+
+  void Reset(Time aNow);
+  void OnRenewed(Context& aContext, const EntryRenewed& aRenewal);
+  void OnEntryChanged(Context& aContext, const InstanceId& aEntry);
+  void OnRefused(Context& aContext, const state::GrantPermits& aGrant);
+  void OnTick(Context& aContext);
+  // Limits changed.
+  void OnBundle(Context& aContext);
+
+  // Largest number of slots a team may use while the pools of its services are
+  // full; the limit applies when there is none.
+  void SetCap(const TeamId& aTeam, std::uint32_t aCap);
+  void ClearCaps() { this->caps.clear(); }
+  // Slots of waiting jobs that the limit keeps from running; idle permits are
+  // recalled for them.
+  void SetWaitingTaskSlots(const TeamId& aTeam, std::uint32_t aSlots);
+
+  [[nodiscard]] std::vector<wire::TeamDemand> Recalls(
+    const InstanceId& aEntry) const;
+  // In use plus waiting over all entry instances, as last reported.
+  [[nodiscard]] wire::TeamDemand Demand(const TeamId& aTeam) const;
+  [[nodiscard]] std::uint32_t Cap(const state::FleetState& aState,
+                                  const TeamId& aTeam) const;
+
+private:
+  // One team on one entry instance.
+  struct Share
+  {
+    std::uint32_t inUse = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t granted = 0; // by the replicated state
+    std::uint32_t pending = 0; // proposed, not yet applied
+    std::uint32_t recall = 0;
+    Time pendingSince{};
+    Time busySince{}; // last renewal with more than half of the permits in use
+
+    [[nodiscard]] std::uint32_t Held() const
+    {
+      return this->granted + this->pending;
+    }
+    [[nodiscard]] std::uint32_t Idle() const;
+    [[nodiscard]] std::uint32_t Need() const;
+  };
+
+  struct Entry
+  {
+    std::string boot;
+    Time renewedAt{};
+    std::map<TeamId, std::uint32_t> reported; // teams in the last renewal
+  };
+
+  void Rebalance(Context& aContext, const TeamId& aTeam);
+  void Grant(Context& aContext,
+             const TeamId& aTeam,
+             const InstanceId& aEntry,
+             std::uint32_t aCount);
+  void GrantFree(Context& aContext, const TeamId& aTeam);
+  void RecallIdle(Context& aContext, const TeamId& aTeam);
+  void ReleasePending(Share& aShare, const TeamId& aTeam);
+  void ReclaimSilent(Context& aContext);
+  void SyncGranted(Context& aContext, const InstanceId& aEntry);
+  [[nodiscard]] std::uint32_t Unmet(const TeamId& aTeam) const;
+  [[nodiscard]] std::uint32_t Excess(const Context& aContext,
+                                     const TeamId& aTeam) const;
+
+  Reservations& reservations;
+  Time since{}; // leadership began
+  std::map<InstanceId, Entry> entries;
+  std::map<InstanceId, Time> reclaimedAt;
+  std::map<TeamId, std::map<InstanceId, Share>> teams;
+  std::map<TeamId, std::uint32_t> caps;
+  std::map<TeamId, std::uint32_t> waitingTaskSlots;
+};
+
+} // namespace hyssoppaddle::planner
+
+#endif
--- /dev/null
+++ b/src/planner/Placement.h
@@ -0,0 +1,124 @@
+// Places waiting jobs on instances: by class, then share deficit, then age;
+// spread over racks and data centres.
+#ifndef hyssoppaddle_planner_Placement_h
+#define hyssoppaddle_planner_Placement_h
+
+#include "planner/Context.h"
+#include "planner/InstanceLoads.h"
+#include "planner/JobTracker.h"
+#include "planner/Reservations.h"
+#include "planner/ShareLedger.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hyssoppaddle::planner {
+
+class Placement
+{
+public:
+  Placement(JobTracker& aJobs,
+            InstanceLoads& aLoads,
+            ShareLedger& aLedger,
+            Reservations& aReservations);
+
+  void Reset();
+  // Places what fits in the pools that changed since the last call, until the
+  // step's bound is spent; the rest stays for the next call.
+  void Run(Context& aContext);
+  // Looks at one pool per tick for jobs that can never run and for large jobs
+  // that small ones keep from fitting.
+  void Sweep(Context& aContext);
+
+  // Slots of waiting jobs that only their team's limit holds back.
+  [[nodiscard]] const std::map<TeamId, std::uint32_t>& HeldByLimit() const
+  {
+    return this->heldByLimit;
+  }
+  [[nodiscard]] std::vector<std::string> Explain(const Context& aContext,
+                                                 const JobId& aJob) const;
+
+private:
+  using Blocked = std::set<std::pair<state::WorkClass, TeamId>>;
+  using Line = PlacementQueue::Line;
+
+  struct Pick
+  {
+    state::WorkClass workClass = state::WorkClass::Print;
+    TeamId team;
+    const Line* line = nullptr;
+  };
+
+  struct Choice
+  {
+    InstanceId instance;
+    std::vector<std::string> candidates;
+  };
+
+  // One instance kept free for a large job.
+  struct Hold
+  {
+    JobId job;
+    InstanceId instance;
+  };
+
+  bool PlacePool(Context& aContext, const PoolId& aPool);
+  [[nodiscard]] std::optional<Pick> Next(const Context& aContext,
+                                         const PoolId& aPool,
+                                         const Blocked& aBlocked) const;
+  [[nodiscard]] std::optional<Pick> FirstIn(state::WorkClass aClass,
+                                            const PlacementQueue::Teams& aTeams,
+                                            const Blocked& aBlocked) const;
+  bool PlaceOne(Context& aContext, const PoolId& aPool, const Pick& aPick);
+  bool TryJob(Context& aContext, const PoolId& aPool, const JobId& aJob);
+  void Place(Context& aContext,
+             const JobId& aJob,
+             const state::JobRecord& aRecord,
+             const Choice& aChoice);
+  [[nodiscard]] std::optional<Choice> Choose(
+    const Context& aContext,
+    const PoolId& aPool,
+    const JobId& aJob,
+    const state::JobRecord& aRecord) const;
+  [[nodiscard]] bool MayUse(const Context& aContext,
+                            const PoolId& aPool,
+                            const JobId& aJob,
+                            const state::JobRecord& aRecord,
+                            const InstanceId& aInstance) const;
+  [[nodiscard]] state::Resources SizeOn(const state::JobRecord& aRecord,
+                                        const InstanceLoad& aLoad) const;
+  void SweepPool(Context& aContext, const PoolId& aPool);
+  void SweepJob(Context& aContext,
+                const PoolId& aPool,
+                const JobId& aJob,
+                std::uint32_t aLargestSlots);
+  [[nodiscard]] std::string WhyNever(const Context& aContext,
+                                     const state::JobRecord& aRecord,
+                                     std::uint32_t aLargestSlots) const;
+  void HoldFor(Context& aContext,
+               const PoolId& aPool,
+               const JobId& aJob,
+               const state::JobRecord& aRecord);
+  [[nodiscard]] std::uint32_t LargestSlots(const Context& aContext,
+                                           const PoolId& aPool) const;
+
+  JobTracker& jobs;
+  InstanceLoads& loads;
+  ShareLedger& ledger;
+  Reservations& reservations;
+  std::set<PoolId> pending;
+  PoolId cursor;      // of Run
+  PoolId sweepCursor; // of Sweep
+  std::map<TeamId, std::uint32_t> heldByLimit;
+  std::map<PoolId, Hold> holds;
+  std::map<std::pair<PoolId, state::WorkClass>, Time> lastServed;
+};
+
+} // namespace hyssoppaddle::planner
+
+#endif
--- /dev/null
+++ b/src/planner/Planner.cpp
@@ -0,0 +1,220 @@
+// Dispatch of events to the units of the planner, in a fixed order, within the
+// bound of decisions per step.
+#include "planner/Planner.h"
+
+#include "planner/PlannerImpl.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace hyssoppaddle::planner {
+
+Planner::Planner(PlannerOptions aOptions, const state::FleetState& aState)
+  : impl(std::make_unique<Impl>(aOptions, aState))
+{
+}
+
+Planner::~Planner() = default;
+Planner::Planner(Planner&&) noexcept = default;
+Planner&
+Planner::operator=(Planner&&) noexcept = default;
+
+Effects
+Planner::Step(const Event& aEvent, Time aNow, WallTime aWallNow)
+{
+  Effects effects;
+  Context context{
+    this->impl->state,
+    this->impl->options,
+    aNow,
+    aWallNow,
+    effects,
+    this->impl->options.maxDecisionsPerStep,
+  };
+  this->impl->now = aNow;
+  this->impl->wall = aWallNow;
+  std::visit([&](const auto& aConcrete) { this->impl->On(context, aConcrete); },
+             aEvent);
+  if (this->impl->leads) {
+    this->impl->Finish(context);
+  }
+  return effects;
+}
+
+std::vector<wire::TeamDemand>
+Planner::Recalls(const InstanceId& aEntry) const
+{
+  return this->impl->permits.Recalls(aEntry);
+}
+
+std::vector<Instruction>
+Planner::PendingInstructions(const InstanceId& aInstance) const
+{
+  return this->impl->owed.To(aInstance);
+}
+
+Planner::Impl::Impl(const PlannerOptions& aOptions,
+                    const state::FleetState& aState)
+  : options(aOptions)
+  , state(aState)
+  , permits(this->reservations)
+  , jobs(this->loads, this->ledger, this->reservations, this->owed)
+  , placement(this->jobs, this->loads, this->ledger, this->reservations)
+  , budget(this->history)
+  , lifecycle(this->jobs, this->owed, this->budget)
+{
+}
+
+void
+Planner::Impl::On(Context& aContext, const BecameLeader& /*aEvent*/)
+{
+  this->leads = true;
+  this->reservations.Clear();
+  this->loads.Clear();
+  this->owed.Clear();
+  this->ledger.Reset(aContext.now);
+  this->jobs.Reset();
+  this->placement.Reset();
+  this->history.Clear();
+  this->budget.Clear();
+  this->lifecycle.Clear();
+  this->permits.Reset(aContext.now);
+  this->ReadBundle(aContext);
+  for (const auto& [instance, record] : this->state.Instances()) {
+    this->OnInstance(aContext, instance);
+  }
+  for (const auto& [job, record] : this->state.Jobs()) {
+    this->jobs.OnJobChanged(aContext, job);
+  }
+}
+
+void
+Planner::Impl::On(Context& /*aContext*/, const LostLeadership& /*aEvent*/)
+{
+  this->leads = false;
+}
+
+void
+Planner::Impl::ReadBundle(Context& aContext)
+{
+  const state::Bundle& bundle = this->state.ActiveBundle();
+  this->ledger.SetWindow(bundle.policy.shareWindow);
+  for (const state::TeamSpec& team : bundle.teams) {
+    this->ledger.SetShare(team.name, team.share);
+  }
+  this->permits.OnBundle(aContext);
+}
+
+void
+Planner::Impl::OnInstance(Context& aContext, const InstanceId& aInstance)
+{
+  const auto found = this->state.Instances().find(aInstance);
+  if (this->loads.Refresh(this->state, aInstance) &&
+      found != this->state.Instances().end()) {
+    this->jobs.MarkDirty(found->second.pool);
+  }
+  this->budget.OnInstance(this->state, aInstance);
+  this->history.OnInstance(this->state,
+                           aInstance,
+                           this->state.ActiveBundle().policy.soakTime,
+                           aContext.now);
+  this->lifecycle.OnInstance(aContext, aInstance);
+}
+
+void
+Planner::Impl::On(Context& aContext, const StateChanged& aEvent)
+{
+  if (!this->leads) {
+    return;
+  }
+  const state::Changes& changes = aEvent.changes;
+  if (changes.bundle) {
+    this->ReadBundle(aContext);
+  }
+  for (const InstanceId& instance : changes.upstreams) {
+    this->OnInstance(aContext, instance);
+  }
+  for (const InstanceId& instance : changes.instances) {
+    this->OnInstance(aContext, instance);
+  }
+  for (const JobId& job : changes.jobs) {
+    this->jobs.OnJobChanged(aContext, job);
+  }
+  for (const InstanceId& entry : changes.entries) {
+    this->permits.OnEntryChanged(aContext, entry);
+  }
+}
+
+void
+Planner::Impl::On(Context& aContext, const EntryRenewed& aEvent)
+{
+  if (this->leads) {
+    this->permits.OnRenewed(aContext, aEvent);
+  }
+}
+
+void
+Planner::Impl::On(Context& aContext, const UsageReported& aEvent)
+{
+  if (this->leads) {
+    this->jobs.OnUsage(aContext, aEvent);
+  }
+}
+
+void
+Planner::Impl::On(Context& aContext, const CommandRefused& aEvent)
+{
+  if (!this->leads) {
+    return;
+  }
+  if (const auto* grant = std::get_if<state::GrantPermits>(&aEvent.command)) {
+    this->permits.OnRefused(aContext, *grant);
+  }
+  if (const auto* place = std::get_if<state::PlaceTask>(&aEvent.command)) {
+    this->jobs.PlacementRefused(aContext, *place);
+  }
+  if (const auto* phase =
+        std::get_if<state::SetInstancePhase>(&aEvent.command)) {
+    this->budget.OnRefused(phase->instance);
+    this->lifecycle.OnRefused(aContext, phase->instance);
+  }
+}
+
+void
+Planner::Impl::On(Context& aContext, const Tick& /*aEvent*/)
+{
+  if (!this->leads) {
+    return;
+  }
+  this->ledger.Advance(aContext.now);
+  this->ledger.SetCapacity(this->loads.Capacity());
+  this->permits.OnTick(aContext);
+  this->jobs.OnTick(aContext);
+  this->budget.OnTick(aContext.now);
+  this->placement.Sweep(aContext);
+  this->HandOverLimits();
+  this->lifecycle.OnTick(aContext);
+}
+
+// Jobs that only their team's limit holds back make idle permits return.
+void
+Planner::Impl::HandOverLimits()
+{
+  for (const auto& [team, slots] : this->placement.HeldByLimit()) {
+    const std::uint64_t waiting = this->jobs.Queue().TeamSlots(team);
+    this->permits.SetWaitingTaskSlots(
+      team, static_cast<std::uint32_t>(std::min<std::uint64_t>(waiting, 1000)));
+  }
+}
+
+// Work that every step ends with: new placements and due instructions.
+void
+Planner::Impl::Finish(Context& aContext)
+{
+  this->ledger.Advance(aContext.now);
+  this->placement.Run(aContext);
+  this->owed.SendDue(aContext);
+}
+
+} // namespace hyssoppaddle::planner
--- /dev/null
+++ b/src/planner/PlannerImpl.h
@@ -0,0 +1,55 @@
+// The units of the planner and how they are wired.
+#ifndef hyssoppaddle_planner_PlannerImpl_h
+#define hyssoppaddle_planner_PlannerImpl_h
+
+#include "planner/Budget.h"
+#include "planner/Context.h"
+#include "planner/DomainHistory.h"
+#include "planner/InstanceLoads.h"
+#include "planner/JobTracker.h"
+#include "planner/Lifecycle.h"
+#include "planner/OwedInstructions.h"
+#include "planner/PermitAllocator.h"
+#include "planner/Placement.h"
+#include "planner/Planner.h"
+#include "planner/Reservations.h"
+#include "planner/ShareLedger.h"
+
+namespace hyssoppaddle::planner {
+
+struct Planner::Impl
+{
+  Impl(const PlannerOptions& aOptions, const state::FleetState& aState);
+
+  void On(Context& aContext, const BecameLeader& aEvent);
+  void On(Context& aContext, const LostLeadership& aEvent);
+  void On(Context& aContext, const StateChanged& aEvent);
+  void On(Context& aContext, const EntryRenewed& aEvent);
+  void On(Context& aContext, const UsageReported& aEvent);
+  void On(Context& aContext, const CommandRefused& aEvent);
+  void On(Context& aContext, const Tick& aEvent);
+  void Finish(Context& aContext);
+  void ReadBundle(Context& aContext);
+  void OnInstance(Context& aContext, const InstanceId& aInstance);
+  void HandOverLimits();
+
+  PlannerOptions options;
+  const state::FleetState& state;
+  bool leads = false;
+  Time now{};      // of the last step, for explanations
+  WallTime wall{}; // likewise
+  Reservations reservations;
+  InstanceLoads loads;
+  ShareLedger ledger;
+  OwedInstructions owed;
+  PermitAllocator permits;
+  JobTracker jobs;
+  Placement placement;
+  DomainHistory history;
+  Budget budget;
+  Lifecycle lifecycle;
+};
+
+} // namespace hyssoppaddle::planner
+
+#endif
--- /dev/null
+++ b/src/planner/ShareLedger.cpp
@@ -0,0 +1,180 @@
+// Sliding window of resource use per team.
+#include "planner/ShareLedger.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::planner {
+
+namespace {
+
+// What a team holds now is counted for this many more seconds, about the run
+// time of a short job, so that a team does not overshoot its share before its
+// use shows in the window.
+constexpr double kHorizonSeconds = 2.0;
+constexpr Duration kShortestBucket{ 1000 };
+
+double
+Seconds(Duration aDuration)
+{
+  return static_cast<double>(aDuration.count()) / 1e6;
+}
+
+double
+Fraction(std::int64_t aAmount, std::int64_t aTotal)
+{
+  return aTotal <= 0
+           ? 0.0
+           : static_cast<double>(aAmount) / static_cast<double>(aTotal);
+}
+
+double
+Largest(const Fractions& aFractions)
+{
+  return *std::max_element(aFractions.begin(), aFractions.end());
+}
+
+} // namespace
+
+void
+ShareLedger::Reset(Time aNow)
+{
+  this->accounts.clear();
+  this->bucketStart = aNow;
+  this->advancedTo = aNow;
+  this->bucket = 0;
+}
+
+void
+ShareLedger::SetWindow(Duration aWindow)
+{
+  this->bucketLength =
+    std::max(kShortestBucket, aWindow / static_cast<int>(kBuckets));
+}
+
+void
+ShareLedger::SetCapacity(const state::Resources& aCapacity)
+{
+  this->capacity = aCapacity;
+}
+
+void
+ShareLedger::SetShare(const TeamId& aTeam, std::uint32_t aShare)
+{
+  this->accounts[aTeam].share = std::max<std::uint32_t>(1, aShare);
+}
+
+void
+ShareLedger::RemoveTeam(const TeamId& aTeam)
+{
+  this->accounts.erase(aTeam);
+}
+
+void
+ShareLedger::Charge(const TeamId& aTeam, const state::Resources& aAmount)
+{
+  this->accounts[aTeam].held += aAmount;
+}
+
+void
+ShareLedger::SetRequests(const TeamId& aTeam, const state::Resources& aAmount)
+{
+  this->accounts[aTeam].requests = aAmount;
+}
+
+Fractions
+ShareLedger::RateOf(const Account& aAccount) const
+{
+  state::Resources total = aAccount.held;
+  total += aAccount.requests;
+  return { Fraction(total.milliCpus, this->capacity.milliCpus),
+           Fraction(total.memoryMb, this->capacity.memoryMb),
+           Fraction(total.accelerators, this->capacity.accelerators) };
+}
+
+void
+ShareLedger::CloseBucket()
+{
+  const std::size_t next = (this->bucket + 1) % kBuckets;
+  for (auto& [team, account] : this->accounts) {
+    for (std::size_t kind = 0; kind < account.open.size(); ++kind) {
+      account.buckets[this->bucket][kind] = account.open[kind];
+      account.sum[kind] += account.open[kind] - account.buckets[next][kind];
+    }
+    account.buckets[next] = {};
+    account.open = {};
+  }
+  this->bucket = next;
+  this->bucketStart += this->bucketLength;
+}
+
+void
+ShareLedger::Advance(Time aNow)
+{
+  const Duration window = this->bucketLength * static_cast<int>(kBuckets);
+  if (aNow - this->bucketStart > window + this->bucketLength) {
+    // A pause longer than the window leaves nothing to remember.
+    this->bucketStart = aNow - window;
+    this->advancedTo = std::max(this->advancedTo, this->bucketStart);
+  }
+  while (this->advancedTo < aNow) {
+    const Time bucketEnd = this->bucketStart + this->bucketLength;
+    const Time until = std::min(aNow, bucketEnd);
+    const double seconds = Seconds(until - this->advancedTo);
+    for (auto& [team, account] : this->accounts) {
+      const Fractions rate = this->RateOf(account);
+      for (std::size_t kind = 0; kind < rate.size(); ++kind) {
+        account.open[kind] += rate[kind] * seconds;
+      }
+    }
+    this->advancedTo = until;
+    if (until == bucketEnd) {
+      this->CloseBucket();
+    }
+  }
+}
+
+double
+ShareLedger::Key(const TeamId& aTeam) const
+{
+  const auto found = this->accounts.find(aTeam);
+  if (found == this->accounts.end()) {
+    return 0;
+  }
+  const Account& account = found->second;
+  const Fractions rate = this->RateOf(account);
+  Fractions total{};
+  for (std::size_t kind = 0; kind < total.size(); ++kind) {
+    total[kind] =
+      account.sum[kind] + account.open[kind] + rate[kind] * kHorizonSeconds;
+  }
+  return Largest(total) / account.share;
+}
+
+double
+ShareLedger::Held(const TeamId& aTeam) const
+{
+  const auto found = this->accounts.find(aTeam);
+  return found == this->accounts.end() ? 0
+                                       : Largest(this->RateOf(found->second));
+}
+
+double
+ShareLedger::Used(const TeamId& aTeam) const
+{
+  const auto found = this->accounts.find(aTeam);
+  if (found == this->accounts.end()) {
+    return 0;
+  }
+  const double window =
+    Seconds(this->bucketLength) * static_cast<double>(kBuckets);
+  return Largest(found->second.sum) / window;
+}
+
+std::uint32_t
+ShareLedger::ShareOf(const TeamId& aTeam) const
+{
+  const auto found = this->accounts.find(aTeam);
+  return found == this->accounts.end() ? 1 : found->second.share;
+}
+
+} // namespace hyssoppaddle::planner
--- /dev/null
+++ b/test/planner/PlacementTest.cpp
@@ -0,0 +1,277 @@
+// Placement, leases, cancellations and the verdicts about failing workers and
+// jobs, against fake upstreams.
+#include "planner/FleetDriver.h"
+#include "planner/Fleets.h"
+#include "support/Story.h"
+
+#include <string>
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+
+namespace {
+
+state::SubmitJob
+MakeJob(const std::string& aName, std::size_t aTeam = 0, std::size_t aPool = 0)
+{
+  state::SubmitJob job;
+  job.job = JobId(aName);
+  job.team = TeamName(aTeam);
+  job.service = ServiceName(aPool);
+  job.size = { 1000, 1000, 0 };
+  return job;
+}
+
+JobTruth
+Truth(Duration aRunTime)
+{
+  JobTruth truth;
+  truth.runTime = aRunTime;
+  truth.usage = { 1000, 1000, 0 };
+  return truth;
+}
+
+std::size_t
+CountState(const FleetDriver& aFleet, state::JobState aState)
+{
+  std::size_t count = 0;
+  for (const auto& [job, record] : aFleet.state.Jobs()) {
+    count += record.state == aState ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
+// Guards against waiting jobs that nobody places.
+Test(Placement, JobsRunAndSpreadOverRacks)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  story.Section("eight jobs of one team wait for a pool of nine", [&] {
+    std::set<RackId> racks;
+    fleet.onStart = [&](const JobId&, const InstanceId& aInstance) {
+      racks.insert(fleet.Instance(aInstance).rack);
+    };
+    for (int index = 0; index < 8; ++index) {
+      fleet.SubmitJob(MakeJob("job" + std::to_string(index)),
+                      Truth(10 * kSecond));
+    }
+    fleet.Run(kSecond);
+    story.Section("each runs in another rack", [&] {
+      EXPECT_EQUAL(story, racks.size(), 8U);
+      EXPECT_EQUAL(story, fleet.refusals.size(), 0U);
+    });
+    story.Section("and all end", [&] {
+      fleet.Run(15 * kSecond);
+      EXPECT_EQUAL(story, CountState(fleet, state::JobState::Done), 8U);
+    });
+  });
+}
+
+// Guards against a second run of a job whose first end is unknown.
+Test(Placement, LostNonIdempotentJobIsNotRunAgain)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  InstanceId first;
+  std::uint64_t starts = 0;
+  fleet.onStart = [&](const JobId&, const InstanceId& aInstance) {
+    first = aInstance;
+    ++starts;
+  };
+  story.Section(
+    "a non-idempotent job runs on an instance that is cut off", [&] {
+      state::SubmitJob job = MakeJob("once");
+      job.idempotent = false;
+      fleet.SubmitJob(job, Truth(5 * kMinute));
+      fleet.Run(5 * kSecond);
+      fleet.CutOff(first);
+      story.Section("before the lease ends nothing is decided", [&] {
+        fleet.Run(20 * kSecond);
+        EXPECT_THAT(story, fleet.Job("once").state == state::JobState::Placed);
+      });
+      story.Section("afterwards its outcome is unknown and it ran once", [&] {
+        fleet.Run(30 * kSecond);
+        EXPECT_THAT(story,
+                    fleet.Job("once").state == state::JobState::OutcomeUnknown);
+        EXPECT_EQUAL(story, starts, 1U);
+      });
+    });
+}
+
+// Guards against two live copies of a job when its worker only seems lost.
+Test(Placement, IdempotentJobRunsElsewhereOnlyAfterItsLease)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  std::vector<InstanceId> places;
+  fleet.onStart = [&](const JobId& aJob, const InstanceId& aInstance) {
+    places.push_back(aInstance);
+    EXPECT_EQUAL(story, fleet.RunningCopies(aJob), 1U);
+  };
+  story.Section("the worker of an idempotent job is cut off", [&] {
+    fleet.SubmitJob(MakeJob("again"), Truth(2 * kMinute));
+    fleet.Run(5 * kSecond);
+    fleet.CutOff(places.at(0));
+    fleet.Run(40 * kSecond);
+    story.Section("it starts on another one when the lease is over", [&] {
+      EXPECT_EQUAL(story, places.size(), 2U);
+      EXPECT_THAT(story, places[0] != places[1]);
+    });
+  });
+}
+
+// Guards against a new leader that ends tasks by the age of their stored lease
+// although it has not yet had time to hear the workers.
+Test(Placement, NewLeaderCountsLeasesFromItsElection)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  fleet.SubmitJob(MakeJob("long"), Truth(2 * kMinute));
+  fleet.Run(3 * kSecond);
+  story.Section("the leader changes 100 times within one lease", [&] {
+    for (int change = 0; change < 100; ++change) {
+      fleet.Lead();
+      fleet.Run(300 * kMillisecond);
+    }
+    fleet.Run(2 * kMinute);
+    EXPECT_THAT(story, fleet.Job("long").state == state::JobState::Done);
+    EXPECT_EQUAL(story, fleet.Job("long").epoch, 1U);
+  });
+}
+
+// Guards against a cancellation wave that blocks the planner or leaves tasks
+// running.
+Test(Placement, ThousandsOfCancellationsEndAtBoundedCost)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  story.Section("3000 jobs of one team are cancelled at once", [&] {
+    state::CancelJobs cancel{ TeamName(0), {} };
+    for (int index = 0; index < 3000; ++index) {
+      const std::string name = "job" + std::to_string(index);
+      cancel.jobs.emplace_back(name);
+      fleet.SubmitJob(MakeJob(name), Truth(10 * kMinute));
+    }
+    fleet.Run(5 * kSecond);
+    state::Changes changes;
+    state::Command command;
+    command.at = fleet.Wall();
+    command.body = cancel;
+    fleet.state.Apply(command, &changes);
+    const planner::Effects effects = fleet.planner->Step(
+      planner::StateChanged{ changes }, fleet.now, fleet.Wall());
+    story.Section("one step stays within its bound", [&] {
+      EXPECT_THAT(story,
+                  effects.size() <= 2 * fleet.options.maxDecisionsPerStep);
+    });
+    story.Section("all are cancelled within 20 s", [&] {
+      fleet.Run(20 * kSecond);
+      EXPECT_EQUAL(story, CountState(fleet, state::JobState::Cancelled), 3000U);
+    });
+  });
+}
+
+// Guards against work that keeps going to a worker that fails everything, and
+// against a worker that stays out after it recovered.
+Test(Placement, FailingWorkerIsTakenOutAndReadmittedByProbe)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  const InstanceId bad = InstanceName(0, 3);
+  fleet.upstreams[bad].failsAll = true;
+  story.Section("one worker of nine fails everything", [&] {
+    for (int index = 0; index < 300; ++index) {
+      fleet.SubmitJob(MakeJob("job" + std::to_string(index)),
+                      Truth(500 * kMillisecond));
+      fleet.Run(50 * kMillisecond);
+    }
+    story.Section("it is taken out after few failures", [&] {
+      EXPECT_THAT(story, fleet.upstreams[bad].starts <= 12);
+    });
+    story.Section("no job is blamed", [&] {
+      fleet.Run(20 * kSecond);
+      EXPECT_EQUAL(story, CountState(fleet, state::JobState::Done), 300U);
+    });
+  });
+  story.Section("it works again and more jobs come", [&] {
+    fleet.upstreams[bad].failsAll = false;
+    const std::uint64_t before = fleet.upstreams[bad].starts;
+    for (int index = 0; index < 1200; ++index) {
+      fleet.SubmitJob(MakeJob("later" + std::to_string(index)),
+                      Truth(500 * kMillisecond));
+      fleet.Run(50 * kMillisecond);
+    }
+    EXPECT_THAT(story, fleet.upstreams[bad].starts >= before + 20);
+  });
+}
+
+// Guards against jobs that fail everywhere and take every worker down.
+Test(Placement, JobThatFailsEverywhereEndsAndBlamesNoWorker)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  story.Section("five jobs fail on every worker", [&] {
+    for (int index = 0; index < 5; ++index) {
+      JobTruth truth = Truth(500 * kMillisecond);
+      truth.fails = true;
+      fleet.SubmitJob(MakeJob("bad" + std::to_string(index)), truth);
+    }
+    fleet.Run(20 * kSecond);
+    story.Section("each ends as failed after 3 instances", [&] {
+      EXPECT_EQUAL(story, CountState(fleet, state::JobState::Failed), 5U);
+      EXPECT_EQUAL(story, fleet.Job("bad0").failedOn.size(), 3U);
+    });
+    story.Section("no worker is taken out", [&] {
+      for (const planner::LogDecision& line : fleet.decisions) {
+        EXPECT_THAT(story, line.chosen != "taken out");
+      }
+    });
+  });
+}
+
+// Guards against jobs that wait for ever without anyone being told.
+Test(Placement, JobThatCanNeverRunIsNamed)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  story.Section("a job needs nine slots and every worker has eight", [&] {
+    state::SubmitJob job = MakeJob("wide");
+    job.slots = 9;
+    fleet.SubmitJob(job, Truth(kSecond));
+    fleet.Run(5 * kSecond);
+    EXPECT_THAT(story, fleet.Job("wide").state == state::JobState::CannotRun);
+    EXPECT_THAT(story,
+                fleet.Job("wide").reason.find("9 slots") != std::string::npos);
+  });
+}
+
+// Guards against small jobs that keep a large one from ever fitting.
+Test(Placement, LargeJobIsNotStarvedBySmallOnes)
+{
+  Story story;
+  FleetDriver fleet(MakeBundle(PayrollShape()));
+  fleet.Run(kSecond);
+  story.Section("small jobs fill the pool without a pause", [&] {
+    state::SubmitJob large = MakeJob("large", 1);
+    large.slots = 8;
+    for (int index = 0; index < 2500; ++index) {
+      if (index == 300) {
+        fleet.SubmitJob(large, Truth(kSecond));
+      }
+      fleet.SubmitJob(MakeJob("job" + std::to_string(index)),
+                      Truth(4 * kSecond));
+      fleet.Run(45 * kMillisecond);
+    }
+    EXPECT_THAT(story, fleet.Job("large").state == state::JobState::Done);
+  });
+}
