Test the life of a request against the real replicated state

Nothing showed that a request ends exactly once or that a byte that may have left stops retries. The fleet of the tests feeds commands to FleetState and follows it with one reducer in virtual time.

--- /dev/null
+++ b/test/request/Fleet.h
@@ -0,0 +1,115 @@
+// A small fleet for tests of the request path: a replicated state fed with
+// commands and one reducer that follows it, in virtual time.
+#ifndef hyssoppaddle_test_request_Fleet_h
+#define hyssoppaddle_test_request_Fleet_h
+
+#include "request/RequestReducer.h"
+#include "state/FleetState.h"
+#include "support/Story.h"
+
+#include <string>
+#include <vector>
+
+namespace hyssoppaddle::test {
+
+using namespace request;
+
+constexpr Duration
+Seconds(double aSeconds)
+{
+  return Duration(static_cast<Duration::rep>(aSeconds * 1e6));
+}
+
+// Effects of one type, in order.
+template<typename T>
+std::vector<T>
+Of(const Effects& aEffects)
+{
+  std::vector<T> found;
+  for (const Effect& effect : aEffects) {
+    if (const T* match = std::get_if<T>(&effect)) {
+      found.push_back(*match);
+    }
+  }
+  return found;
+}
+
+struct FleetOptions
+{
+  std::uint32_t upstreams = 9;
+  std::uint32_t slots = 8;
+  std::uint32_t limit = 100;  // of each team
+  std::uint32_t permits = 20; // of each team, granted here
+  std::uint32_t queueLimit = 1000;
+  std::uint64_t seed = 1;
+};
+
+// Services: `quotes` (preview), `ledger` (print), `board` (open, print,
+// charged to team-c); teams team-a, team-b and team-c with shares 1, 2 and 1.
+// Upstream u<n> serves quotes; the last third serves ledger when split.
+class Fleet
+{
+public:
+  explicit Fleet(FleetOptions aOptions = {});
+
+  // Applies a command and tells the reducer what changed.
+  state::Outcome Apply(state::CommandBody aBody);
+  Effects Step(Event aEvent);
+  void Pass(Duration aTime);
+  // Passes time in steps, with a tick and, while connected, a renewal after
+  // each.
+  Effects PassWithTicks(Duration aTime, Duration aStep);
+
+  Effects Renew(std::vector<std::pair<TeamId, std::uint32_t>> aRecalls = {});
+  // An announcement of an upstream; in the log and, when aHeard, made here.
+  state::Announcement Announcement(std::uint32_t aNumber,
+                                   const std::string& aService = "quotes");
+  Effects Announce(const state::Announcement& aAnnouncement);
+  void Serve(std::uint32_t aNumber, const std::string& aService = "quotes");
+
+  // A keyed request of the team for a service.
+  RequestArrived Request(const std::string& aTeam,
+                         const std::string& aService = "quotes");
+  // The same, not idempotent and with an idempotency key.
+  RequestArrived OnceOnly(const std::string& aTeam, const std::string& aKey);
+  // The log decides about a claim as the state machine does.
+  Effects Decide(const ClaimNeeded& aClaim);
+  Effects Finish(const StartAttempt& aStart,
+                 Duration aLatency = Seconds(0.01),
+                 std::uint32_t aStatus = 200);
+  Effects Fail(const StartAttempt& aStart, AttemptPhase aPhase);
+  void Grant(const std::string& aTeam, std::uint32_t aCount);
+  state::Bundle BundleOf(std::uint64_t aVersion) const;
+  void AcceptBundle(const state::Bundle& aBundle);
+
+  FleetOptions options;
+  Time now{ Seconds(1000) };
+  WallTime wall{ Seconds(1700000000) };
+  state::FleetState state;
+  RequestReducer reducer;
+  Effects viewEffects; // of the steps that Apply made
+  bool connected = true;
+  RequestNumber nextRequest = 1;
+  std::uint64_t nextSequence = 1;
+};
+
+inline RequestOptions
+ReducerOptions(std::uint64_t aSeed, const std::string& aBoot = "boot-1")
+{
+  RequestOptions options;
+  options.self = InstanceId("entry-1");
+  options.dataCentre = DataCentreId("dc-0");
+  options.boot = aBoot;
+  options.seed = aSeed;
+  return options;
+}
+
+inline std::string
+DigestOf(const std::string& aTeam)
+{
+  return (aTeam + std::string(32, 'x')).substr(0, 32);
+}
+
+} // namespace hyssoppaddle::test
+
+#endif
