Add the HTTP listeners and the relay

Requests under /services/ have to reach an upstream under the reducer's decisions without a cut answer that looks whole or a second run. HttpServer reads requests with limits and one clear error each; Relay, Exchange and Attempt carry out the reducer's effects with bounded buffers, kept bodies up to replayBytes and idle connections per upstream.

--- /dev/null
+++ b/src/shell/Attempt.cpp
@@ -0,0 +1,320 @@
+// Connecting to the upstream and sending the request.
+#include "shell/Attempt.h"
+
+#include "shell/Endpoint.h"
+#include "shell/Exchange.h"
+#include "shell/Relay.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace hyssoppaddle::shell {
+
+namespace {
+
+// A request that must not run twice uses only a connection that was in use
+// just now: an upstream that closes it at the same time would leave the outcome
+// unknown.
+constexpr Duration kMaxIdleForNonIdempotent{ 1000000 };
+
+} // namespace
+
+Attempt::Attempt(Exchange& aExchange, request::StartAttempt aStart)
+  : exchange(aExchange)
+  , relay(*aExchange.relay)
+  , caller(aExchange.caller)
+  , start(std::move(aStart))
+  , startedAt(SteadyClock::now())
+  , deadline(*this->relay.deadlines,
+             [this] { this->Interrupt(Interruption::Deadline); })
+  , pumpDone(this->relay.io.get_executor())
+{
+}
+
+Attempt::~Attempt() = default;
+
+request::AttemptNumber
+Attempt::Number() const
+{
+  return this->start.attempt;
+}
+
+Duration
+Attempt::TimeLeft() const
+{
+  return this->start.timeLeft - std::chrono::duration_cast<Duration>(
+                                  SteadyClock::now() - this->startedAt);
+}
+
+void
+Attempt::Advance(request::AttemptPhase aPhase)
+{
+  if (aPhase > this->phase) {
+    this->phase = aPhase;
+    this->relay.hooks.submit(request::AttemptAdvanced{
+      this->start.request, this->start.attempt, aPhase });
+  }
+}
+
+void
+Attempt::Interrupt(Interruption aCause)
+{
+  if (this->interruption == Interruption::None) {
+    this->interruption = aCause;
+  }
+  if (this->connection) {
+    ErrorValue ignored;
+    this->connection->socket.close(ignored);
+  }
+  if (this->phase == request::AttemptPhase::Relaying) {
+    // The answer has begun, so nothing but a closed connection can tell the
+    // caller that it is not whole.
+    this->caller.Close();
+  } else if (this->readingCaller) {
+    this->caller.Cancel();
+  }
+}
+
+AttemptEnd
+Attempt::End(AttemptResult aResult) const
+{
+  AttemptEnd end;
+  end.result = aResult;
+  end.attempt = this->start.attempt;
+  end.phase = this->phase;
+  end.latency = this->latency;
+  return end;
+}
+
+AttemptEnd
+Attempt::Failure(std::string aReason) const
+{
+  if (this->interruption == Interruption::Abandoned) {
+    return this->End(AttemptResult::Abandoned);
+  }
+  if (this->interruption == Interruption::CallerLost) {
+    return this->End(AttemptResult::CallerLost);
+  }
+  AttemptEnd end = this->End(this->phase == request::AttemptPhase::Relaying
+                               ? AttemptResult::AnswerCut
+                               : AttemptResult::Failed);
+  end.reason = this->interruption == Interruption::Deadline
+                 ? "the deadline has passed"
+                 : std::move(aReason);
+  return end;
+}
+
+AttemptEnd
+Attempt::CallerFailure(ErrorValue aError) const
+{
+  if (this->interruption != Interruption::None) {
+    return this->Failure("");
+  }
+  AttemptEnd end = this->End(AttemptResult::CallerLost);
+  end.callerError = aError;
+  return end;
+}
+
+Awaitable<AttemptEnd>
+Attempt::Run()
+{
+  this->deadline.Set(this->start.timeLeft);
+  if (!co_await this->ReadKeptBody()) {
+    co_return this->CallerFailure(this->callerError);
+  }
+  Sent sent = Sent::Stale;
+  while (sent == Sent::Stale) {
+    if (!co_await this->Connect()) {
+      co_return this->Failure(this->failure);
+    }
+    sent = co_await this->SendRequest();
+  }
+  AttemptEnd end;
+  if (this->callerError) {
+    end = this->CallerFailure(this->callerError);
+  } else if (sent == Sent::Failed) {
+    end = this->Failure(this->failure);
+  } else {
+    end = co_await this->Answer();
+  }
+  co_await this->StopPump();
+  if (end.result == AttemptResult::Finished ||
+      end.result == AttemptResult::Refused) {
+    this->KeepConnection();
+  }
+  co_return end;
+}
+
+Awaitable<bool>
+Attempt::ReadKeptBody()
+{
+  this->readingCaller = true;
+  this->callerError = co_await this->caller.Continue();
+  if (!this->callerError && this->exchange.head.arrived.replayable) {
+    this->callerError = co_await this->caller.ReadWholeBody(
+      this->exchange.body, this->relay.limits.replayBytes);
+  }
+  this->readingCaller = false;
+  co_return !this->callerError && this->interruption == Interruption::None;
+}
+
+Awaitable<bool>
+Attempt::Connect()
+{
+  const auto& limits = this->relay.limits;
+  // A connection that proved stale is replaced by a fresh one.
+  const bool mayReuse = !this->connection;
+  this->connection =
+    mayReuse ? this->relay.pool.Take(this->start.address,
+                                     this->exchange.head.arrived.idempotent
+                                       ? limits.idleTimeout
+                                       : kMaxIdleForNonIdempotent)
+             : nullptr;
+  if (this->connection) {
+    co_return true;
+  }
+  const auto endpoint = ParseEndpoint(this->start.address);
+  if (!endpoint) {
+    this->failure = endpoint.error().message;
+    co_return false;
+  }
+  this->connection = std::make_unique<UpstreamConnection>(this->relay.io);
+  auto& socket = this->connection->socket;
+  ErrorValue error;
+  co_await socket.async_connect(*endpoint, Into(error));
+  if (error || this->interruption != Interruption::None) {
+    this->failure = "connect: " + error.message();
+    co_return false;
+  }
+  socket.set_option(Tcp::no_delay(true), error);
+  co_return true;
+}
+
+Awaitable<Attempt::Sent>
+Attempt::SendRequest()
+{
+  std::string header = UpstreamHeader(this->caller.Request(),
+                                      this->exchange.head,
+                                      this->caller.RemoteAddress(),
+                                      this->TimeLeft());
+  this->Advance(request::AttemptPhase::Sending);
+  if (this->exchange.head.arrived.replayable) {
+    co_return co_await this->SendKept(std::move(header));
+  }
+  co_return co_await this->SendStreamed(std::move(header));
+}
+
+bool
+Attempt::IsStale(const ErrorValue& aError) const
+{
+  return this->connection->reused && this->interruption == Interruption::None &&
+         this->connection->buffer.size() == 0 &&
+         (aError == http::error::end_of_stream ||
+          aError == asio::error::connection_reset ||
+          aError == asio::error::broken_pipe);
+}
+
+Awaitable<Attempt::Sent>
+Attempt::SendKept(std::string aHeader)
+{
+  const std::array<asio::const_buffer, 2> buffers{
+    asio::buffer(aHeader), asio::buffer(this->exchange.body)
+  };
+  ErrorValue error;
+  const std::size_t written =
+    co_await asio::async_write(this->connection->socket, buffers, Into(error));
+  if (error) {
+    this->failure = "write: " + error.message();
+    const bool safe = written == 0 || this->exchange.head.arrived.idempotent;
+    co_return safe&& this->IsStale(error) ? Sent::Stale : Sent::Failed;
+  }
+  error = co_await this->ReadAnswerHeader();
+  if (error) {
+    this->failure = "read: " + error.message();
+    const bool safe = this->exchange.head.arrived.idempotent;
+    co_return safe&& this->IsStale(error) ? Sent::Stale : Sent::Failed;
+  }
+  co_return Sent::Answered;
+}
+
+Awaitable<Attempt::Sent>
+Attempt::SendStreamed(std::string aHeader)
+{
+  ErrorValue error;
+  const std::size_t written = co_await asio::async_write(
+    this->connection->socket, asio::buffer(aHeader), Into(error));
+  if (error) {
+    this->failure = "write: " + error.message();
+    co_return written == 0 && this->IsStale(error) ? Sent::Stale : Sent::Failed;
+  }
+  this->pumping = true;
+  asio::co_spawn(this->relay.io, this->PumpBody(), asio::detached);
+  error = co_await this->ReadAnswerHeader();
+  if (error) {
+    this->failure = "read: " + error.message();
+    co_return Sent::Failed;
+  }
+  co_return Sent::Answered;
+}
+
+Awaitable<void>
+Attempt::PumpBody()
+{
+  const std::size_t size = this->relay.limits.relayBufferBytes;
+  const auto storage = std::make_unique_for_overwrite<char[]>(size);
+  const bool chunked = this->caller.Request().chunked();
+  std::array<char, 24> sizeLine{};
+  ErrorValue error;
+  while (!error && !this->pumpMustStop && !this->caller.BodyDone()) {
+    std::size_t got = 0;
+    this->readingCaller = true;
+    this->callerError = co_await this->caller.ReadPieceOfBody(
+      asio::buffer(storage.get(), size), got);
+    this->readingCaller = false;
+    if (this->callerError) {
+      break;
+    }
+    const int digits =
+      std::snprintf(sizeLine.data(), sizeLine.size(), "%zx\r\n", got);
+    const bool framed = chunked && got > 0;
+    const bool last = chunked && this->caller.BodyDone();
+    const std::string_view end = framed ? "\r\n" : "";
+    const std::string_view terminator = last ? "0\r\n\r\n" : "";
+    const std::array<asio::const_buffer, 4> buffers{
+      asio::buffer(sizeLine.data(),
+                   framed ? static_cast<std::size_t>(digits) : 0),
+      asio::buffer(storage.get(), got),
+      asio::buffer(end),
+      asio::buffer(terminator),
+    };
+    co_await asio::async_write(this->connection->socket, buffers, Into(error));
+  }
+  if (this->callerError && !this->pumpMustStop) {
+    // Ends the wait for an answer to a request that will never be whole.
+    ErrorValue ignored;
+    this->connection->socket.close(ignored);
+  }
+  this->pumping = false;
+  this->pumpDone.Notify();
+}
+
+Awaitable<void>
+Attempt::StopPump()
+{
+  if (!this->pumping) {
+    co_return;
+  }
+  this->pumpMustStop = true;
+  if (!this->caller.BodyDone()) {
+    ErrorValue ignored;
+    this->connection->socket.close(ignored);
+    if (this->readingCaller) {
+      this->caller.Cancel();
+    }
+  }
+  while (this->pumping) {
+    co_await this->pumpDone.Wait();
+  }
+}
+
+} // namespace hyssoppaddle::shell
--- /dev/null
+++ b/src/shell/CallerLink.cpp
@@ -0,0 +1,146 @@
+// Body reading and whole replies on a caller's connection.
+#include "shell/CallerLink.h"
+
+#include "shell/HttpText.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace hyssoppaddle::shell {
+
+namespace {
+
+// A longer rest of a refused body costs more than a new connection.
+constexpr std::size_t kMaxDiscardedBytes = 64UL * 1024;
+constexpr std::size_t kPieceBytes = 16UL * 1024;
+
+} // namespace
+
+CallerLink::CallerLink(Stream& aStream,
+                       beast::flat_buffer& aBuffer,
+                       RequestParser& aParser,
+                       std::string aRemoteAddress)
+  : stream(aStream)
+  , buffer(aBuffer)
+  , parser(aParser)
+  , remoteAddress(std::move(aRemoteAddress))
+{
+  const auto expect = this->parser.get()[http::field::expect];
+  this->expectsContinue =
+    EqualIgnoringCase({ expect.data(), expect.size() }, "100-continue");
+}
+
+bool
+CallerLink::IsHead() const
+{
+  return this->parser.get().method() == http::verb::head;
+}
+
+const std::string&
+CallerLink::RemoteAddress() const
+{
+  return this->remoteAddress;
+}
+
+bool
+CallerLink::IsConnected() const
+{
+  // Unread bytes of the caller hide an end of stream from a peeking read, so
+  // the state of the connection is asked instead.
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  auto& socket = this->stream.Lowest();
+  if (!socket.is_open() ||
+      ::getsockopt(
+        socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) != 0) {
+    return false;
+  }
+  return info.tcpi_state == TCP_ESTABLISHED;
+}
+
+Awaitable<ErrorValue>
+CallerLink::Continue()
+{
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  ErrorValue error;
+  if (this->expectsContinue && !this->BodyDone()) {
+    this->expectsContinue = false;
+    error = co_await this->Write(asio::buffer(kContinue));
+  }
+  co_return error;
+}
+
+Awaitable<ErrorValue>
+CallerLink::ReadPieceOfBody(asio::mutable_buffer aTarget, std::size_t& aGot)
+{
+  co_return co_await ReadPiece(
+    this->stream, this->buffer, this->parser, aTarget, aGot);
+}
+
+Awaitable<ErrorValue>
+CallerLink::ReadWholeBody(std::string& aBody, std::uint64_t aLimit)
+{
+  ErrorValue error;
+  std::string piece;
+  while (!error && !this->BodyDone()) {
+    piece.resize(kPieceBytes);
+    std::size_t got = 0;
+    error = co_await this->ReadPieceOfBody(asio::buffer(piece), got);
+    aBody.append(piece, 0, got);
+    if (!error && aBody.size() > aLimit) {
+      error = http::error::body_limit;
+    }
+  }
+  co_return error;
+}
+
+bool
+CallerLink::MayDiscardBody() const
+{
+  if (this->BodyDone()) {
+    return true;
+  }
+  const auto length = this->parser.content_length_remaining();
+  return !this->expectsContinue && length && *length <= kMaxDiscardedBytes;
+}
+
+Awaitable<bool>
+CallerLink::DiscardBody()
+{
+  if (!this->MayDiscardBody()) {
+    co_return false;
+  }
+  ErrorValue error;
+  std::string piece(this->BodyDone() ? 0 : kPieceBytes, '\0');
+  while (!error && !this->BodyDone()) {
+    std::size_t got = 0;
+    error = co_await this->ReadPieceOfBody(asio::buffer(piece), got);
+  }
+  co_return !error;
+}
+
+Awaitable<bool>
+CallerLink::Reply(const api::HttpReply& aReply, bool aKeep)
+{
+  const bool keep = aKeep && this->MayDiscardBody();
+  const std::string text = ReplyText(aReply, keep, this->IsHead());
+  const ErrorValue error = co_await this->Write(asio::buffer(text));
+  co_return !error && keep;
+}
+
+std::string
+ReplyText(const api::HttpReply& aReply, bool aKeep, bool aHeadOnly)
+{
+  const auto reason = http::obsolete_reason(http::int_to_status(aReply.status));
+  std::string text = "HTTP/1.1 " + std::to_string(aReply.status) + " " +
+                     std::string(reason.data(), reason.size()) + "\r\n";
+  text += "Content-Type: " + aReply.contentType + "\r\n";
+  for (const api::HttpHeader& header : aReply.headers) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  text += "Content-Length: " + std::to_string(aReply.body.size()) + "\r\n";
+  text += aKeep ? "\r\n" : "Connection: close\r\n\r\n";
+  return aHeadOnly ? text : text + aReply.body;
+}
+
+} // namespace hyssoppaddle::shell
--- /dev/null
+++ b/src/shell/Exchange.cpp
@@ -0,0 +1,240 @@
+// The reducer's decisions arrive as directives, in order; the coroutine carries
+// them out one at a time.
+#include "shell/Exchange.h"
+
+#include "shell/Attempt.h"
+#include "shell/Problems.h"
+#include "shell/Relay.h"
+
+namespace hyssoppaddle::shell {
+
+namespace {
+
+// A caller is checked only after this time: most requests end sooner.
+constexpr std::chrono::milliseconds kUncheckedFor{ 200 };
+
+Duration
+Since(SteadyClock::time_point aStart)
+{
+  return std::chrono::duration_cast<Duration>(SteadyClock::now() - aStart);
+}
+
+ProblemDetail
+BodyProblem(const ErrorValue& aError, bool aNotRun)
+{
+  if (aError == http::error::body_limit) {
+    return { 413, "body_too_large", aNotRun, "the body is over the limit", {} };
+  }
+  return { 400, "bad_request", aNotRun, "malformed body", {} };
+}
+
+// True for errors of the caller's bytes, false for those of its connection.
+bool
+IsMalformed(const ErrorValue& aError)
+{
+  return aError.category() ==
+           http::make_error_code(http::error::bad_chunk).category() &&
+         aError != http::error::partial_message &&
+         aError != http::error::end_of_stream;
+}
+
+} // namespace
+
+Exchange::Exchange(std::shared_ptr<Relay> aRelay,
+                   CallerLink& aCaller,
+                   RelayHead aHead,
+                   bool aKeep)
+  : relay(std::move(aRelay))
+  , caller(aCaller)
+  , head(std::move(aHead))
+  , keep(aKeep)
+  , arrivedAt(SteadyClock::now())
+  , signal(this->relay->io.get_executor())
+{
+}
+
+Exchange::~Exchange()
+{
+  if (this->registered) {
+    this->relay->Remove(this->head.arrived.request);
+  }
+}
+
+void
+Exchange::Push(Directive aDirective)
+{
+  this->directives.push_back(std::move(aDirective));
+  this->signal.Notify();
+}
+
+void
+Exchange::Start(request::StartAttempt aStart)
+{
+  this->Push(std::move(aStart));
+}
+
+void
+Exchange::Abandon(request::AttemptNumber aAttempt)
+{
+  if (this->attempt != nullptr && this->attempt->Number() == aAttempt) {
+    this->attempt->Interrupt(Interruption::Abandoned);
+    return;
+  }
+  std::erase_if(this->directives, [&](const Directive& aDirective) {
+    const auto* start = std::get_if<request::StartAttempt>(&aDirective);
+    return start != nullptr && start->attempt == aAttempt;
+  });
+}
+
+void
+Exchange::Refuse(request::Refuse aRefuse)
+{
+  if (this->attempt != nullptr) {
+    this->attempt->Interrupt(Interruption::Abandoned);
+  }
+  this->Push(std::move(aRefuse));
+}
+
+void
+Exchange::Abort()
+{
+  if (this->attempt != nullptr) {
+    this->attempt->Interrupt(Interruption::Abandoned);
+  }
+  this->Push(request::AbortCaller{ this->head.arrived.request });
+}
+
+void
+Exchange::CheckCaller(SteadyClock::time_point aNow)
+{
+  if (aNow - this->arrivedAt < kUncheckedFor || this->caller.IsConnected()) {
+    return;
+  }
+  if (this->attempt != nullptr) {
+    this->attempt->Interrupt(Interruption::CallerLost);
+  }
+  this->Push(CallerLost{});
+}
+
+Awaitable<Exchange::Directive>
+Exchange::NextDirective()
+{
+  while (this->directives.empty()) {
+    co_await this->signal.Wait();
+  }
+  Directive directive = std::move(this->directives.front());
+  this->directives.pop_front();
+  co_return directive;
+}
+
+Awaitable<bool>
+Exchange::Run()
+{
+  this->relay->Add(*this);
+  this->registered = true;
+  this->relay->hooks.submit(this->head.arrived);
+  bool ended = false;
+  while (!ended) {
+    Directive directive = co_await this->NextDirective();
+    if (auto* start = std::get_if<request::StartAttempt>(&directive)) {
+      ended = co_await this->RunAttempt(std::move(*start));
+      continue;
+    }
+    if (auto* refuse = std::get_if<request::Refuse>(&directive)) {
+      co_await this->WriteRefusal(std::move(*refuse));
+    } else {
+      if (std::holds_alternative<CallerLost>(directive)) {
+        this->ReportGone();
+      }
+      this->keep = false;
+    }
+    ended = true;
+  }
+  co_return this->keep;
+}
+
+Awaitable<void>
+Exchange::WriteRefusal(request::Refuse aRefuse)
+{
+  const api::HttpReply reply = ProblemReply(DescribeRefusal(aRefuse));
+  this->keep = co_await this->caller.Reply(reply, this->keep);
+}
+
+Awaitable<bool>
+Exchange::RunAttempt(request::StartAttempt aStart)
+{
+  if (aStart.attempt == 1) {
+    this->relay->metrics->Observe(Timing::QueueWait, Since(this->arrivedAt));
+  }
+  Attempt current(*this, std::move(aStart));
+  this->attempt = &current;
+  AttemptEnd end = co_await current.Run();
+  this->attempt = nullptr;
+  co_return co_await this->HandleEnd(std::move(end));
+}
+
+Awaitable<bool>
+Exchange::HandleEnd(AttemptEnd aEnd)
+{
+  const auto number = this->head.arrived.request;
+  const auto& submit = this->relay->hooks.submit;
+  const auto attemptNumber = aEnd.attempt;
+  switch (aEnd.result) {
+    case AttemptResult::Finished:
+      this->ReportFinished(aEnd);
+      co_return true;
+    case AttemptResult::Refused:
+      submit(request::AttemptRefused{ number, attemptNumber });
+      co_return false;
+    case AttemptResult::Failed:
+      submit(request::AttemptFailed{
+        number, attemptNumber, aEnd.phase, std::move(aEnd.reason) });
+      co_return false;
+    case AttemptResult::AnswerCut:
+      submit(request::AttemptFailed{
+        number, attemptNumber, aEnd.phase, std::move(aEnd.reason) });
+      this->keep = false;
+      co_return true;
+    case AttemptResult::CallerLost:
+      this->ReportGone();
+      co_await this->RefuseBody(std::move(aEnd));
+      co_return true;
+    case AttemptResult::Abandoned:
+      co_return false;
+  }
+  co_return true;
+}
+
+void
+Exchange::ReportGone()
+{
+  this->relay->hooks.submit(request::CallerGone{ this->head.arrived.request });
+}
+
+Awaitable<void>
+Exchange::RefuseBody(AttemptEnd aEnd)
+{
+  this->keep = false;
+  if (!IsMalformed(aEnd.callerError) ||
+      aEnd.phase == request::AttemptPhase::Relaying) {
+    co_return;
+  }
+  const bool notRun = aEnd.phase == request::AttemptPhase::Connecting;
+  const ProblemDetail problem = BodyProblem(aEnd.callerError, notRun);
+  this->relay->metrics->CountRefusal(problem.code);
+  const api::HttpReply reply = ProblemReply(problem);
+  co_await this->caller.Reply(reply, false);
+}
+
+void
+Exchange::ReportFinished(const AttemptEnd& aEnd)
+{
+  const ServiceId& service = this->head.arrived.service;
+  this->relay->metrics->ObserveRequest(
+    service, this->relay->hooks.classOf(service), Since(this->arrivedAt));
+  this->relay->hooks.submit(request::AttemptFinished{
+    this->head.arrived.request, aEnd.attempt, aEnd.status, aEnd.latency });
+  this->keep = this->keep && this->caller.BodyDone();
+}
+
+} // namespace hyssoppaddle::shell
--- /dev/null
+++ b/src/shell/HttpServer.cpp
@@ -0,0 +1,141 @@
+// Accepting connections.
+#include "shell/HttpServer.h"
+
+#include "shell/Endpoint.h"
+#include "shell/HttpSession.h"
+#include "shell/JsonLog.h"
+#include "shell/TlsContext.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssoppaddle::shell {
+
+namespace {
+
+// Out of file descriptors: accepting again at once would only spin.
+constexpr std::chrono::milliseconds kAcceptRetry{ 100 };
+// Connections over the limit that are answered at the same time; further ones
+// are closed without an answer.
+constexpr std::size_t kRefusedAtOnce = 256;
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context& aIo,
+                       HttpServerOptions aOptions,
+                       std::shared_ptr<DeadlineQueue> aDeadlines,
+                       std::shared_ptr<Metrics> aMetrics,
+                       std::shared_ptr<Relay> aRelay,
+                       LocalHandler aHandler)
+  : io(aIo)
+  , options(std::move(aOptions))
+  , deadlines(std::move(aDeadlines))
+  , metrics(std::move(aMetrics))
+  , relay(std::move(aRelay))
+  , handler(std::move(aHandler))
+  , acceptor(aIo)
+  , retryTimer(aIo)
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<void>
+HttpServer::Start()
+{
+  const auto endpoint = ParseEndpoint(this->options.address);
+  if (!endpoint) {
+    return tl::unexpected<Error>(endpoint.error());
+  }
+  if (this->options.tls) {
+    auto context = MakeTlsContext(*this->options.tls);
+    if (!context) {
+      return tl::unexpected<Error>(context.error());
+    }
+    this->tls = *context;
+  }
+  ErrorValue error;
+  this->acceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    this->acceptor.set_option(Acceptor::reuse_address(true), error);
+    this->acceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail(ErrorCode::IoFailure,
+                "cannot listen on " + this->options.address + ": " +
+                  error.message());
+  }
+  this->Accept();
+  return {};
+}
+
+std::uint16_t
+HttpServer::Port() const
+{
+  ErrorValue ignored;
+  return this->acceptor.local_endpoint(ignored).port();
+}
+
+std::size_t
+HttpServer::Connections() const
+{
+  return this->sessions.size();
+}
+
+void
+HttpServer::Stop()
+{
+  this->stopping = true;
+  ErrorValue ignored;
+  this->acceptor.close(ignored);
+  this->retryTimer.cancel();
+  for (HttpSession* session : this->sessions) {
+    session->CloseWhenIdle();
+  }
+}
+
+void
+HttpServer::Accept()
+{
+  this->acceptor.async_accept([self = this->shared_from_this()](
+                                ErrorValue aError, Socket aSocket) {
+    if (aError == asio::error::operation_aborted || self->stopping) {
+      return;
+    }
+    if (!aError) {
+      self->Accepted(std::move(aSocket));
+      self->Accept();
+      return;
+    }
+    Log(LogLevel::Warning, "accept_failed", { { "reason", aError.message() } });
+    self->retryTimer.expires_after(kAcceptRetry);
+    self->retryTimer.async_wait([self](ErrorValue aTimerError) {
+      if (!aTimerError) {
+        self->Accept();
+      }
+    });
+  });
+}
+
+void
+HttpServer::Accepted(Socket aSocket)
+{
+  const std::size_t limit = this->options.limits.callerConnections;
+  const bool overLimit = this->sessions.size() >= limit;
+  this->metrics->Add(overLimit ? Counter::ConnectionsRefused
+                               : Counter::ConnectionsAccepted);
+  if (this->sessions.size() >= limit + kRefusedAtOnce) {
+    return;
+  }
+  ErrorValue error;
+  const auto remote = aSocket.remote_endpoint(error);
+  aSocket.set_option(Tcp::no_delay(true), error);
+  HttpSession::Spawn(std::make_shared<HttpSession>(this->shared_from_this(),
+                                                   std::move(aSocket),
+                                                   FormatEndpoint(remote)),
+                     overLimit);
+}
+
+} // namespace hyssoppaddle::shell
--- /dev/null
+++ b/src/shell/HttpServer.h
@@ -0,0 +1,77 @@
+// An HTTP/1.1 listener with keep-alive, limits on what a caller may send, and
+// one clear error for bad input.
+#ifndef hyssoppaddle_shell_HttpServer_h
+#define hyssoppaddle_shell_HttpServer_h
+
+#include "api/ControlHandler.h"
+#include "base/Result.h"
+#include "config/Settings.h"
+#include "shell/Asio.h"
+#include "shell/Deadlines.h"
+#include "shell/Metrics.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+
+namespace hyssoppaddle::shell {
+
+class HttpSession;
+class Relay;
+
+using LocalHandler = std::function<void(api::HttpRequest, api::ReplyCallback)>;
+
+// Largest body of a request that is answered here and not relayed.
+inline constexpr std::uint64_t kMaxLocalBodyBytes = 4ULL * 1024 * 1024;
+
+struct HttpServerOptions
+{
+  std::string address; // port 0: any free one
+  std::optional<config::TlsSettings> tls;
+  config::LimitSettings limits;
+  api::Listener listener = api::Listener::Callers;
+};
+
+class HttpServer : public std::enable_shared_from_this<HttpServer>
+{
+public:
+  // aRelay serves /services/ and is null on the control listener.
+  HttpServer(asio::io_context& aIo,
+             HttpServerOptions aOptions,
+             std::shared_ptr<DeadlineQueue> aDeadlines,
+             std::shared_ptr<Metrics> aMetrics,
+             std::shared_ptr<Relay> aRelay,
+             LocalHandler aHandler);
+  ~HttpServer();
+
+  Result<void> Start();
+  [[nodiscard]] std::uint16_t Port() const;
+  // Accepts no more connections and closes those without a request under way;
+  // the others close after their answer.
+  void Stop();
+  [[nodiscard]] std::size_t Connections() const;
+
+private:
+  friend class HttpSession;
+
+  void Accept();
+  void Accepted(Socket aSocket);
+
+  asio::io_context& io;
+  HttpServerOptions options;
+  std::shared_ptr<DeadlineQueue> deadlines;
+  std::shared_ptr<Metrics> metrics;
+  std::shared_ptr<Relay> relay;
+  LocalHandler handler;
+  std::shared_ptr<asio::ssl::context> tls;
+  Acceptor acceptor;
+  Timer retryTimer;
+  std::unordered_set<HttpSession*> sessions;
+  bool stopping = false;
+};
+
+} // namespace hyssoppaddle::shell
+
+#endif
--- /dev/null
+++ b/src/shell/HttpSession.h
@@ -0,0 +1,50 @@
+// One connection of a listener.
+#ifndef hyssoppaddle_shell_HttpSession_h
+#define hyssoppaddle_shell_HttpSession_h
+
+#include "shell/CallerLink.h"
+#include "shell/Deadlines.h"
+#include "shell/HttpServer.h"
+#include "shell/Stream.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hyssoppaddle::shell {
+
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+  HttpSession(std::shared_ptr<HttpServer> aServer,
+              Socket aSocket,
+              std::string aRemoteAddress);
+  ~HttpSession();
+
+  // aOverLimit: answers 503 at once and closes.
+  static void Spawn(std::shared_ptr<HttpSession> aSession, bool aOverLimit);
+  void CloseWhenIdle();
+
+private:
+  Awaitable<void> Run(bool aOverLimit);
+  Awaitable<bool> ServeOne();
+  Awaitable<bool> AwaitFirstByte();
+  Awaitable<bool> Dispatch();
+  Awaitable<bool> ServeLocal(CallerLink& aCaller, bool aKeep);
+  Awaitable<void> AnswerBadHeader(ErrorValue aError);
+  Awaitable<void> Linger();
+  void OnDeadline();
+
+  std::shared_ptr<HttpServer> server;
+  Stream stream;
+  std::string remoteAddress;
+  beast::flat_buffer buffer;
+  std::optional<RequestParser> parser;
+  Deadline deadline;
+  bool idle = false;     // no byte of a request has been read
+  bool timedOut = false; // by `deadline`
+};
+
+} // namespace hyssoppaddle::shell
+
+#endif
--- /dev/null
+++ b/src/shell/KeyToken.cpp
@@ -0,0 +1,162 @@
+// libsodium behind the few operations that the shell needs.
+#include "shell/KeyToken.h"
+
+#include "shell/HttpText.h"
+
+#include <sodium.h>
+
+#include <array>
+#include <fstream>
+#include <iterator>
+
+namespace hyssoppaddle::shell {
+
+namespace {
+
+constexpr std::size_t kDigestBytes = 32;
+using Personal =
+  std::array<unsigned char, crypto_generichash_blake2b_PERSONALBYTES>;
+
+// Different personalisations keep a key digest from being used as a proof.
+constexpr Personal kKeyPersonal{ 'h', 'y', 's', 's', 'o', 'p', '-', 'k',
+                                 'e', 'y', 0,   0,   0,   0,   0,   0 };
+constexpr Personal kPeerPersonal{ 'h', 'y', 's', 's', 'o', 'p', '-', 'p',
+                                  'e', 'e', 'r', 0,   0,   0,   0,   0 };
+
+const unsigned char*
+Bytes(std::string_view aText)
+{
+  return reinterpret_cast<const unsigned char*>(aText.data());
+}
+
+std::string
+KeyedDigest(std::string_view aText,
+            std::string_view aKey,
+            const Personal& aPersonal)
+{
+  std::string digest(kDigestBytes, '\0');
+  crypto_generichash_blake2b_salt_personal(
+    reinterpret_cast<unsigned char*>(digest.data()),
+    digest.size(),
+    Bytes(aText),
+    aText.size(),
+    Bytes(aKey),
+    aKey.size(),
+    nullptr,
+    aPersonal.data());
+  return digest;
+}
+
+std::string
+ToHex(std::string_view aBytes)
+{
+  std::string text(aBytes.size() * 2 + 1, '\0');
+  sodium_bin2hex(text.data(), text.size(), Bytes(aBytes), aBytes.size());
+  text.pop_back();
+  return text;
+}
+
+} // namespace
+
+std::optional<KeyToken>
+ParseBearer(std::string_view aAuthorization)
+{
+  constexpr std::string_view kScheme = "Bearer ";
+  constexpr std::string_view kPrefix = "hp_";
+  if (!EqualIgnoringCase(aAuthorization.substr(0, kScheme.size()), kScheme)) {
+    return std::nullopt;
+  }
+  std::string_view token = Trim(aAuthorization.substr(kScheme.size()));
+  if (token.substr(0, kPrefix.size()) != kPrefix) {
+    return std::nullopt;
+  }
+  token.remove_prefix(kPrefix.size());
+  const auto roleEnd = token.find('_');
+  const auto keyEnd = token.rfind('_');
+  if (roleEnd == std::string_view::npos || keyEnd <= roleEnd + 1 ||
+      keyEnd + 1 == token.size()) {
+    return std::nullopt;
+  }
+  return KeyToken{ std::string(token.substr(0, roleEnd)),
+                   std::string(token.substr(roleEnd + 1, keyEnd - roleEnd - 1)),
+                   std::string(token.substr(keyEnd + 1)) };
+}
+
+std::string
+RandomBytes(std::size_t aCount)
+{
+  std::string bytes(aCount, '\0');
+  randombytes_buf(bytes.data(), bytes.size());
+  return bytes;
+}
+
+std::string
+RandomHex(std::size_t aCount)
+{
+  return ToHex(RandomBytes(aCount));
+}
+
+Result<ClusterSecret>
+ClusterSecret::Load(const std::string& aFile)
+{
+  std::ifstream file(aFile, std::ios::binary);
+  if (!file) {
+    return Fail(ErrorCode::IoFailure, "cannot read the file " + aFile);
+  }
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  std::string bytes(kBytes, '\0');
+  std::size_t length = 0;
+  const char* end = nullptr;
+  const int failed =
+    sodium_hex2bin(reinterpret_cast<unsigned char*>(bytes.data()),
+                   bytes.size(),
+                   text.data(),
+                   text.size(),
+                   " \t\r\n",
+                   &length,
+                   &end);
+  if (failed != 0 || length != kBytes || end != text.data() + text.size()) {
+    return Fail(ErrorCode::Malformed,
+                "the file " + aFile + " must hold 64 hexadecimal digits");
+  }
+  return ClusterSecret(std::move(bytes));
+}
+
+ClusterSecret::ClusterSecret(std::string aBytes)
+  : bytes(std::move(aBytes))
+{
+}
+
+std::string
+ClusterSecret::KeyDigest(std::string_view aSecret) const
+{
+  return KeyedDigest(aSecret, this->bytes, kKeyPersonal);
+}
+
+std::string
+ClusterSecret::PeerProof(std::string_view aText) const
+{
+  return KeyedDigest(aText, this->bytes, kPeerPersonal);
+}
+
+std::string
+PlainDigest(std::string_view aText)
+{
+  std::string digest(kDigestBytes, '\0');
+  crypto_generichash(reinterpret_cast<unsigned char*>(digest.data()),
+                     digest.size(),
+                     Bytes(aText),
+                     aText.size(),
+                     nullptr,
+                     0);
+  return digest;
+}
+
+bool
+EqualSecrets(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         sodium_memcmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+} // namespace hyssoppaddle::shell
--- /dev/null
+++ b/src/shell/KeyToken.h
@@ -0,0 +1,61 @@
+// Bearer tokens `hp_<role>_<key id>_<secret>` and the keyed digests made with
+// the cluster secret.
+#ifndef hyssoppaddle_shell_KeyToken_h
+#define hyssoppaddle_shell_KeyToken_h
+
+#include "base/Result.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hyssoppaddle::shell {
+
+struct KeyToken
+{
+  std::string role; // "operator", "member", "upstream" or "team"
+  std::string key;
+  std::string secret; // without '_'
+};
+
+// The token of an `Authorization: Bearer ...` value; nothing when the value is
+// of another form.
+std::optional<KeyToken>
+ParseBearer(std::string_view aAuthorization);
+
+// Random bytes of libsodium.
+std::string
+RandomBytes(std::size_t aCount);
+std::string
+RandomHex(std::size_t aCount);
+
+class ClusterSecret
+{
+public:
+  static constexpr std::size_t kBytes = 32;
+
+  // The file holds 64 hexadecimal digits and optional white space.
+  static Result<ClusterSecret> Load(const std::string& aFile);
+  // aBytes has kBytes bytes.
+  explicit ClusterSecret(std::string aBytes);
+
+  // 32 bytes, as state::KeyRecord stores them.
+  [[nodiscard]] std::string KeyDigest(std::string_view aSecret) const;
+  // 32 bytes over aText, for the greeting between entry instances.
+  [[nodiscard]] std::string PeerProof(std::string_view aText) const;
+
+private:
+  std::string bytes;
+};
+
+// 32 bytes of BLAKE2b without a key.
+std::string
+PlainDigest(std::string_view aText);
+
+// Compares in constant time.
+bool
+EqualSecrets(std::string_view aLeft, std::string_view aRight);
+
+} // namespace hyssoppaddle::shell
+
+#endif
--- /dev/null
+++ b/src/shell/Signal.h
@@ -0,0 +1,40 @@
+// Wakes one waiting coroutine from ordinary code on the same thread.
+#ifndef hyssoppaddle_shell_Signal_h
+#define hyssoppaddle_shell_Signal_h
+
+#include "shell/Asio.h"
+
+namespace hyssoppaddle::shell {
+
+class Signal
+{
+public:
+  explicit Signal(const Executor& aExecutor)
+    : timer(aExecutor, SteadyClock::time_point::max())
+  {
+  }
+
+  void Notify()
+  {
+    this->raised = true;
+    this->timer.cancel();
+  }
+
+  // Returns once Notify has been called since the last return.
+  Awaitable<void> Wait()
+  {
+    while (!this->raised) {
+      ErrorValue ignored;
+      co_await this->timer.async_wait(Into(ignored));
+    }
+    this->raised = false;
+  }
+
+private:
+  Timer timer;
+  bool raised = false;
+};
+
+} // namespace hyssoppaddle::shell
+
+#endif
