--- a/src/state/Commands.h
+++ b/src/state/Commands.h
@@ -115,6 +115,9 @@
   std::string idempotencyKey;
   ClaimState state = ClaimState::Unknown;
   std::uint32_t status = 0; // HTTP status when Done
+  // As in the ClaimOutcome that granted it. A delayed end of an earlier attempt
+  // must not end a later one, which would then be granted a third time.
+  std::uint32_t attempt = 1;
   bool operator==(const FinishClaim&) const = default;
 };
 
@@ -365,6 +368,9 @@
   std::string boot;
   TeamId team;
   std::uint32_t count = 0;
+  // Counts up over the returns of one boot. An equal or lower one is a resend
+  // and changes nothing, so that a lost answer cannot return permits twice.
+  std::uint64_t sequence = 0;
   bool operator==(const ReturnPermits&) const = default;
 };
 
