End claims reliably and probe ejected upstreams; test the request path

The tracker now stays the owner until the view shows the end, and repeats lost ends. An ejected upstream that waited for its probe lost every load comparison; a request that may be retried now probes it.

--- a/src/request/ClaimTracker.cpp
+++ b/src/request/ClaimTracker.cpp
@@ -85,27 +85,67 @@
   }
   const Held claim = std::move(found->second);
   this->held.erase(found);
-  this->RemoveOwner(claim.key);
-  return state::FinishClaim{
+  const state::FinishClaim finish{
     claim.key.team, claim.key.idempotencyKey, aState, aStatus, claim.attempt
   };
+  this->endings.push_back({ finish, std::nullopt });
+  return finish;
 }
 
 std::vector<state::FinishClaim>
-ClaimTracker::ReleaseOrphans(Time aNow)
+ClaimTracker::Sweep(Time aNow)
 {
   std::vector<state::FinishClaim> ends;
-  const std::size_t count = std::min(this->orphans.size(), kOrphansPerCall);
+  this->SweepEndings(aNow, ends);
+  this->SweepOrphans(aNow, ends);
+  return ends;
+}
+
+void
+ClaimTracker::SweepOrphans(Time aNow, std::vector<state::FinishClaim>& aEnds)
+{
+  const std::size_t count = std::min(this->orphans.size(), kPerSweep);
   for (std::size_t done = 0; done < count; ++done) {
     const Orphan orphan = std::move(this->orphans.front());
     this->orphans.pop_front();
     if (auto end = this->OrphanEnd(orphan.key)) {
-      ends.push_back(std::move(*end));
+      this->AddOwner(orphan.key);
+      this->endings.push_back({ *end, aNow });
+      aEnds.push_back(std::move(*end));
     } else if (aNow < orphan.until) {
       this->orphans.push_back(orphan);
     }
   }
-  return ends;
+}
+
+void
+ClaimTracker::SweepEndings(Time aNow, std::vector<state::FinishClaim>& aEnds)
+{
+  const std::size_t count = std::min(this->endings.size(), kPerSweep);
+  for (std::size_t done = 0; done < count; ++done) {
+    Ending ending = std::move(this->endings.front());
+    this->endings.pop_front();
+    if (this->IsSettled(ending.finish)) {
+      this->RemoveOwner({ ending.finish.team, ending.finish.idempotencyKey });
+      continue;
+    }
+    ending.sentAt = ending.sentAt.value_or(aNow);
+    if (aNow - *ending.sentAt >= kRepeatEnd) {
+      ending.sentAt = aNow;
+      aEnds.push_back(ending.finish);
+    }
+    this->endings.push_back(std::move(ending));
+  }
+}
+
+bool
+ClaimTracker::IsSettled(const state::FinishClaim& aFinish) const
+{
+  const auto record =
+    this->view->Claims().find({ aFinish.team, aFinish.idempotencyKey });
+  return record == this->view->Claims().end() ||
+         record->second.attempt != aFinish.attempt ||
+         record->second.state != state::ClaimState::Running;
 }
 
 std::optional<state::FinishClaim>
--- a/src/request/ClaimTracker.h
+++ b/src/request/ClaimTracker.h
@@ -41,19 +41,23 @@
   };
   Answer OnDecided(const ClaimDecided& aEvent, Time aNow);
 
-  // Ends a granted claim; empty when the request holds none.
+  // Ends a granted claim; empty when the request holds none. The end is
+  // repeated by Sweep until the view shows it: a lost one would leave the claim
+  // running for as long as claims are kept.
   std::optional<state::FinishClaim> Finish(RequestNumber aRequest,
                                            state::ClaimState aState,
                                            std::uint32_t aStatus);
 
-  // Frees claims whose decision was lost and that turn out to exist. Looks at a
-  // bounded number per call.
-  std::vector<state::FinishClaim> ReleaseOrphans(Time aNow);
+  // Ends to send: claims whose decision was lost and that turn out to exist,
+  // and ends that the view has not shown for some time. Looks at a bounded
+  // number per call.
+  std::vector<state::FinishClaim> Sweep(Time aNow);
 
 private:
   // A forwarded command can be committed late, after an election.
   static constexpr Duration kOrphanTime{ 60000000 };
-  static constexpr std::size_t kOrphansPerCall = 64;
+  static constexpr Duration kRepeatEnd{ 3000000 };
+  static constexpr std::size_t kPerSweep = 64;
 
   struct Pending
   {
@@ -71,6 +75,15 @@
     Time until;
   };
 
+  struct Ending
+  {
+    state::FinishClaim finish;
+    std::optional<Time> sentAt; // empty: in the step that created it
+  };
+
+  void SweepOrphans(Time aNow, std::vector<state::FinishClaim>& aEnds);
+  void SweepEndings(Time aNow, std::vector<state::FinishClaim>& aEnds);
+  [[nodiscard]] bool IsSettled(const state::FinishClaim& aFinish) const;
   void AddOwner(const state::ClaimKey& aKey);
   void RemoveOwner(const state::ClaimKey& aKey);
   [[nodiscard]] std::optional<state::FinishClaim> OrphanEnd(
@@ -80,10 +93,12 @@
   InstanceId self;
   std::unordered_map<RequestNumber, Pending> pending;
   std::unordered_map<RequestNumber, Held> held;
-  // Requests here that await or hold the claim; an orphan with an owner is not
-  // released, because the claim in the view may be the owner's.
+  // Requests here that await or hold the claim or whose end the view has not
+  // shown. An orphan with an owner is not released, because the claim in the
+  // view may be the owner's, which may have run.
   std::map<state::ClaimKey, std::uint32_t> owners;
   std::deque<Orphan> orphans;
+  std::deque<Ending> endings;
 };
 
 } // namespace hyssoppaddle::request
--- a/src/request/Engine.h
+++ b/src/request/Engine.h
@@ -108,7 +108,6 @@
 
   // Attempts (EngineAttempts.cpp).
   bool Reserve(Request& aRequest, ServiceGroup& aGroup);
-  [[nodiscard]] bool IsListed(const Upstream& aUpstream) const;
   void FreeUpstream(Request& aRequest);
   void FreePermit(const TeamId& aTeam);
   void StartAttempt(Request& aRequest);
--- a/src/request/EngineAttempts.cpp
+++ b/src/request/EngineAttempts.cpp
@@ -11,12 +11,16 @@
 Engine::Reserve(Request& aRequest, ServiceGroup& aGroup)
 {
   const bool heardOnly = !this->leases.DirectoryFresh(this->now);
-  Router::Choice choice = this->router.Pick(aGroup, heardOnly, aRequest.avoid);
-  while (choice.upstream != nullptr && !this->IsListed(*choice.upstream)) {
+  const bool mayProbe = aRequest.arrival.idempotent &&
+                        aRequest.arrival.replayable && aRequest.attempt == 0;
+  Router::Choice choice =
+    this->router.Pick(aGroup, heardOnly, mayProbe, aRequest.avoid);
+  while (choice.upstream != nullptr &&
+         !this->view->Upstreams().contains(choice.upstream->id)) {
     // A restored snapshot can miss records without naming them as changed.
     this->OnDirectory(
       this->directory.OnRecordChanged(choice.upstream->id, this->now));
-    choice = this->router.Pick(aGroup, heardOnly, aRequest.avoid);
+    choice = this->router.Pick(aGroup, heardOnly, mayProbe, aRequest.avoid);
   }
   if (choice.upstream == nullptr || !this->permits.Acquire(aRequest.team)) {
     return false;
@@ -31,14 +35,6 @@
   return true;
 }
 
-bool
-Engine::IsListed(const Upstream& aUpstream) const
-{
-  const auto record = this->view->Upstreams().find(aUpstream.id);
-  return record != this->view->Upstreams().end() &&
-         record->second.state != state::UpstreamState::Departing;
-}
-
 void
 Engine::StartAttempt(Request& aRequest)
 {
--- a/src/request/EngineView.cpp
+++ b/src/request/EngineView.cpp
@@ -114,7 +114,7 @@
 void
 Engine::On(const Tick& /*aEvent*/)
 {
-  for (state::FinishClaim& finish : this->claims.ReleaseOrphans(this->now)) {
+  for (state::FinishClaim& finish : this->claims.Sweep(this->now)) {
     this->effects.emplace_back(ClaimEnded{ std::move(finish) });
   }
   for (const TeamId& team : this->backlog.Teams()) {
--- a/src/request/Router.cpp
+++ b/src/request/Router.cpp
@@ -75,9 +75,15 @@
 Router::Choice
 Router::Pick(const ServiceGroup& aGroup,
              bool aHeardOnly,
+             bool aMayProbe,
              const InstanceId& aAvoid)
 {
   Choice choice;
+  if (aMayProbe && !aHeardOnly && !aGroup.toProbe.empty()) {
+    choice.rule = "probe of an ejected upstream";
+    choice.upstream = aGroup.toProbe.back();
+    return choice;
+  }
   if (aHeardOnly) {
     choice.rule = "least loaded of those heard here";
     this->Sample(aGroup.readyHeard, aAvoid, choice);
@@ -90,7 +96,7 @@
     }
   }
   if (choice.upstream == nullptr && !aAvoid.empty()) {
-    return this->Pick(aGroup, aHeardOnly, InstanceId());
+    return this->Pick(aGroup, aHeardOnly, aMayProbe, InstanceId());
   }
   return choice;
 }
@@ -180,6 +186,9 @@
     ReadyList(group, aUpstream), aUpstream, &Upstream::readyPlace, ready);
   SetListed(
     group.readyHeard, aUpstream, &Upstream::heardPlace, ready && aHeard);
+  const bool toProbe =
+    aUpstream.health == Health::Probing && aUpstream.inFlight == 0;
+  SetListed(group.toProbe, aUpstream, &Upstream::probePlace, toProbe);
 }
 
 void
@@ -187,6 +196,7 @@
 {
   Remove(ReadyList(aGroup, aUpstream), aUpstream, &Upstream::readyPlace);
   Remove(aGroup.readyHeard, aUpstream, &Upstream::heardPlace);
+  Remove(aGroup.toProbe, aUpstream, &Upstream::probePlace);
 }
 
 } // namespace hyssoppaddle::request
--- a/src/request/Router.h
+++ b/src/request/Router.h
@@ -27,9 +27,12 @@
   };
 
   // aHeardOnly: consider only upstreams heard here. aAvoid was tried before and
-  // is chosen only when there is no other.
+  // is chosen only when there is no other. aMayProbe: a failed probe costs the
+  // request nothing but a retry, so that it may be the one that probes. Without
+  // this, an upstream that waits for its probe loses every comparison of load.
   Choice Pick(const ServiceGroup& aGroup,
               bool aHeardOnly,
+              bool aMayProbe,
               const InstanceId& aAvoid);
   [[nodiscard]] static bool CanPick(const ServiceGroup& aGroup,
                                     bool aHeardOnly);
--- a/src/request/Upstream.h
+++ b/src/request/Upstream.h
@@ -51,6 +51,7 @@
   bool sameDataCentre = false;
   std::size_t readyPlace = kNowhere; // in ready or readyRemote of the group
   std::size_t heardPlace = kNowhere; // in readyHeard of the group
+  std::size_t probePlace = kNowhere; // in toProbe of the group
 
   // Ejector.
   Health health = Health::Healthy;
@@ -73,6 +74,7 @@
   std::vector<Upstream*> ready;       // own data centre
   std::vector<Upstream*> readyRemote; // other data centres
   std::vector<Upstream*> readyHeard;  // any data centre, heard here
+  std::vector<Upstream*> toProbe;     // probing, and nothing under way
   LatencyBaseline baseline;
   // Ejector. Oldest first.
   std::vector<Upstream*> ejected;
--- /dev/null
+++ b/test/request/AdmissionQueueTest.cpp
@@ -0,0 +1,212 @@
+// Tests of the admission queue: order, fairness, starvation, early refusal.
+#include "request/AdmissionQueue.h"
+#include "request/Fleet.h"
+#include "request/TeamBacklog.h"
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+using state::WorkClass;
+
+namespace {
+
+const FairQueue::Eligible kAll = [](const TeamId&) { return true; };
+
+class Queue
+{
+public:
+  void Push(const std::string& aTeam,
+            std::uint32_t aShare,
+            WorkClass aClass,
+            Time aDeadline)
+  {
+    Offer offer;
+    offer.item = { ++this->number, TeamId(aTeam), aDeadline };
+    offer.workClass = aClass;
+    offer.share = aShare;
+    offer.queueLimit = 1000;
+    this->queue.Push(offer, this->now);
+  }
+
+  AdmissionQueue queue;
+  Time now{ Seconds(100) };
+  std::uint64_t number = 0;
+};
+
+} // namespace
+
+// Guards against a team that gets more slot time than its share, by many
+// requests or by long ones.
+Test(AdmissionQueue, SharesSlotTimeByWeight)
+{
+  Story story;
+  Queue test;
+  std::map<TeamId, Duration> used;
+  const auto runTime = [](const TeamId& aTeam) {
+    return aTeam == TeamId("long") ? Seconds(0.4) : Seconds(0.1);
+  };
+  story.Section("three teams always wait, one slot serves them", [&] {
+    for (int serve = 0; serve < 3000; ++serve) {
+      while (test.queue.SizeOf(TeamId("long")) < 3) {
+        test.Push("long", 1, WorkClass::Print, test.now + Seconds(30));
+      }
+      while (test.queue.SizeOf(TeamId("short")) < 20) {
+        test.Push("short", 1, WorkClass::Print, test.now + Seconds(30));
+      }
+      while (test.queue.SizeOf(TeamId("heavy")) < 20) {
+        test.Push("heavy", 3, WorkClass::Print, test.now + Seconds(30));
+      }
+      const auto next = test.queue.Pop(kAll, test.now);
+      const Duration time = runTime(next->item.team);
+      used[next->item.team] += time;
+      test.now += time;
+      test.queue.OnEnded(next->item.team, next->workClass, next->charged, time);
+    }
+    const auto share = [&](const char* aTeam) {
+      return static_cast<double>(used[TeamId(aTeam)].count()) /
+             static_cast<double>((test.now - Time(Seconds(100))).count());
+    };
+    story.Section("slot time is 1 : 1 : 3 within 2%", [&] {
+      EXPECT_THAT(story, std::abs(share("long") - 0.2) < 0.02);
+      EXPECT_THAT(story, std::abs(share("short") - 0.2) < 0.02);
+      EXPECT_THAT(story, std::abs(share("heavy") - 0.6) < 0.02);
+    });
+  });
+}
+
+// Guards against a late deadline that goes before an early one of its team, and
+// against a team without permits that holds up the others.
+Test(AdmissionQueue, EarliestDeadlineFirstOfEligibleTeams)
+{
+  Story story;
+  Queue test;
+  test.Push("a", 1, WorkClass::Print, test.now + Seconds(9));
+  test.Push("a", 1, WorkClass::Print, test.now + Seconds(2));
+  test.Push("b", 1, WorkClass::Print, test.now + Seconds(1));
+  const auto onlyA = [](const TeamId& aTeam) { return aTeam == TeamId("a"); };
+  const auto pop = [&] {
+    const auto next = test.queue.Pop(onlyA, test.now);
+    return next ? next->item.request : 0;
+  };
+  EXPECT_EQUAL(story, pop(), 2U);
+  EXPECT_EQUAL(story, pop(), 1U);
+  EXPECT_EQUAL(story, pop(), 0U);
+  EXPECT_EQUAL(story, test.queue.Size(), 1U);
+}
+
+// Guards against a team that saved up credit while it had no permits and then
+// holds up the others for long.
+Test(AdmissionQueue, TimeWithoutPermitsGivesNoCredit)
+{
+  Story story;
+  Queue test;
+  for (int item = 0; item < 400; ++item) {
+    test.Push("a", 1, WorkClass::Print, test.now + Seconds(50));
+    test.Push("b", 1, WorkClass::Print, test.now + Seconds(50));
+  }
+  const auto serve = [&](const FairQueue::Eligible& aEligible) {
+    const auto next = test.queue.Pop(aEligible, test.now);
+    test.queue.OnEnded(
+      next->item.team, next->workClass, next->charged, Seconds(0.1));
+    return next->item.team;
+  };
+  for (int turn = 0; turn < 200; ++turn) {
+    serve([](const TeamId& aTeam) { return aTeam == TeamId("a"); });
+  }
+  int ofB = 0;
+  for (int turn = 0; turn < 100; ++turn) {
+    ofB += serve(kAll) == TeamId("b") ? 1 : 0;
+  }
+  EXPECT_THAT(story, ofB >= 45 && ofB <= 60);
+}
+
+// Guards against archive work that never runs while urgent work keeps coming.
+Test(AdmissionQueue, NoClassStarvesLongerThan30Seconds)
+{
+  Story story;
+  Queue test;
+  test.Push("a", 1, WorkClass::Archive, test.now + Seconds(600));
+  test.Push("a", 1, WorkClass::Archive, test.now + Seconds(600));
+  Time last = test.now;
+  int served = 0;
+  for (int step = 0; step < 600; ++step) {
+    test.now += Seconds(0.1);
+    test.Push("a", 1, WorkClass::Preview, test.now + Seconds(5));
+    test.Push("b", 1, WorkClass::Print, test.now + Seconds(5));
+    const auto next = test.queue.Pop(kAll, test.now);
+    if (next->workClass == WorkClass::Archive) {
+      EXPECT_THAT(story, test.now - last <= Seconds(30));
+      last = test.now;
+      ++served;
+    }
+  }
+  EXPECT_EQUAL(story, served, 2);
+}
+
+// Guards against requests that wait for a deadline they cannot meet, and
+// against a refusal without a measured rate to justify it.
+Test(AdmissionQueue, RefusesEarlyByTheMeasuredRate)
+{
+  Story story;
+  Queue test;
+  const auto judge = [&](Duration aLeft) {
+    Offer offer;
+    offer.item = { 9999, TeamId("a"), test.now + aLeft };
+    offer.queueLimit = 1000;
+    return test.queue.Judge(offer, test.now);
+  };
+  for (int item = 0; item < 200; ++item) {
+    test.Push("a", 1, WorkClass::Print, test.now + Seconds(40));
+  }
+  story.Section("nothing was measured: accepted", [&] {
+    EXPECT_EQUAL(
+      story, judge(Seconds(41)).answer, AdmissionQueue::Answer::Accepted);
+  });
+  for (int serve = 0; serve < 40; ++serve) {
+    test.now += Seconds(0.1);
+    const auto next = test.queue.Pop(kAll, test.now);
+    test.queue.OnEnded(
+      next->item.team, next->workClass, next->charged, Seconds(0.1));
+  }
+  story.Section("160 wait and 10 start in a second", [&] {
+    const auto late = judge(Seconds(41));
+    EXPECT_EQUAL(story, late.answer, AdmissionQueue::Answer::Accepted);
+    story.Section("one that goes behind them in 10 s is refused", [&] {
+      for (int item = 0; item < 200; ++item) {
+        test.Push("a", 1, WorkClass::Print, test.now + Seconds(5));
+      }
+      const auto verdict = judge(Seconds(10));
+      EXPECT_EQUAL(story, verdict.answer, AdmissionQueue::Answer::TooLate);
+      EXPECT_THAT(story, verdict.retryAfter > Seconds(8));
+      EXPECT_THAT(story, verdict.retryAfter < Seconds(14));
+    });
+    story.Section("one with an earlier deadline than all is not", [&] {
+      EXPECT_EQUAL(
+        story, judge(Seconds(2)).answer, AdmissionQueue::Answer::Accepted);
+    });
+  });
+}
+
+// Guards against a permit of a team that goes to its archive work while its
+// urgent work in another service waits, and against starving the former.
+Test(TeamBacklog, OffersPermitsToTheUrgentClassFirst)
+{
+  Story story;
+  TeamBacklog backlog;
+  const TeamId team("a");
+  Time now{ Seconds(100) };
+  backlog.OnWaiting(team, ServiceId("archive"), WorkClass::Archive, now);
+  backlog.OnWaiting(team, ServiceId("quotes"), WorkClass::Preview, now);
+  backlog.OnWaiting(team, ServiceId("quotes"), WorkClass::Preview, now);
+  const auto first = [&] {
+    const std::vector<ServiceId> order = backlog.Services(team, now);
+    return order.at(0);
+  };
+  EXPECT_EQUAL(story, first(), ServiceId("quotes"));
+  now += Seconds(19);
+  backlog.OnLeft(team, ServiceId("quotes"), WorkClass::Preview, true, now);
+  EXPECT_EQUAL(story, first(), ServiceId("quotes"));
+  now += Seconds(1);
+  EXPECT_EQUAL(story, first(), ServiceId("archive"));
+  backlog.OnLeft(team, ServiceId("archive"), WorkClass::Archive, true, now);
+  EXPECT_EQUAL(story, first(), ServiceId("quotes"));
+}
--- /dev/null
+++ b/test/request/ClaimTest.cpp
@@ -0,0 +1,170 @@
+// Tests of claims of non-idempotent requests.
+#include "request/Fleet.h"
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+
+namespace {
+
+ClaimNeeded
+Ask(Fleet& aFleet, const std::string& aKey)
+{
+  const Effects effects = aFleet.Step(aFleet.OnceOnly("team-a", aKey));
+  cr_assert(Of<StartAttempt>(effects).empty(),
+            "expected no attempt before the claim is decided");
+  return First<ClaimNeeded>(effects);
+}
+
+Refuse
+Refusal(const Effects& aEffects)
+{
+  return First<Refuse>(aEffects);
+}
+
+state::ClaimState
+StateOf(const Fleet& aFleet, const std::string& aKey)
+{
+  return aFleet.state.Claims().at({ TeamId("team-a"), aKey }).state;
+}
+
+void
+ApplyEnds(Fleet& aFleet, const Effects& aEffects)
+{
+  for (const ClaimEnded& ended : Of<ClaimEnded>(aEffects)) {
+    aFleet.Apply(ended.finish);
+  }
+}
+
+} // namespace
+
+// Guards against a second run of a request that was sent twice.
+Test(Claims, ASecondRequestLearnsTheStateOfTheFirst)
+{
+  Story story;
+  Fleet fleet;
+  const auto start = First<StartAttempt>(fleet.Decide(Ask(fleet, "payslip")));
+  story.Section("while it runs", [&] {
+    const Refuse refuse = Refusal(fleet.Decide(Ask(fleet, "payslip")));
+    EXPECT_EQUAL(story, refuse.problem, Problem::AlreadyRunning);
+    EXPECT_THAT(story, !refuse.notRun);
+  });
+  story.Section("after it is done", [&] {
+    ApplyEnds(fleet, fleet.Finish(start, Seconds(0.1), 201));
+    const Refuse refuse = Refusal(fleet.Decide(Ask(fleet, "payslip")));
+    EXPECT_EQUAL(story, refuse.problem, Problem::AlreadyDone);
+    EXPECT_EQUAL(story, refuse.detail, "status 201");
+  });
+  story.Section("the key is used for another request", [&] {
+    RequestArrived other = fleet.OnceOnly("team-a", "payslip");
+    other.requestDigest = "another";
+    const auto claim = First<ClaimNeeded>(fleet.Step(other));
+    const Refuse refuse = Refusal(fleet.Decide(claim));
+    EXPECT_EQUAL(story, refuse.problem, Problem::KeyReused);
+  });
+}
+
+// Guards against a claim that ends as "not run" after a byte may have left, and
+// against one that blocks resends although nothing was sent.
+Test(Claims, EndAsWhatIsKnown)
+{
+  Story story;
+  Fleet fleet;
+  const auto startOf = [&](const std::string& aKey) {
+    return First<StartAttempt>(fleet.Decide(Ask(fleet, aKey)));
+  };
+  story.Section("reset after a byte left: unknown", [&] {
+    ApplyEnds(fleet, fleet.Fail(startOf("a"), AttemptPhase::Sending));
+    EXPECT_EQUAL(story, StateOf(fleet, "a"), state::ClaimState::Unknown);
+    const Refuse refuse = Refusal(fleet.Decide(Ask(fleet, "a")));
+    EXPECT_EQUAL(story, refuse.problem, Problem::OutcomeUnknown);
+    EXPECT_THAT(story, !refuse.notRun);
+  });
+  story.Section("the caller left while it ran: unknown", [&] {
+    ApplyEnds(fleet, fleet.Step(CallerGone{ startOf("b").request }));
+    EXPECT_EQUAL(story, StateOf(fleet, "b"), state::ClaimState::Unknown);
+  });
+  story.Section("the caller left during the claim: free again", [&] {
+    const ClaimNeeded claim = Ask(fleet, "c");
+    fleet.Step(CallerGone{ claim.request });
+    ApplyEnds(fleet, fleet.Decide(claim));
+    EXPECT_EQUAL(story, StateOf(fleet, "c"), state::ClaimState::NotRun);
+    EXPECT_EQUAL(story, startOf("c").attempt, 1U);
+  });
+  story.Section("the deadline passed while it ran", [&] {
+    startOf("d");
+    const Effects effects = fleet.PassWithTicks(Seconds(10), Seconds(1));
+    ApplyEnds(fleet, effects);
+    EXPECT_EQUAL(story, StateOf(fleet, "d"), state::ClaimState::Unknown);
+    EXPECT_EQUAL(story, Refusal(effects).problem, Problem::DeadlinePassed);
+    EXPECT_THAT(story, !Refusal(effects).notRun);
+  });
+}
+
+// Guards against a run without a durable claim, and against a claim whose
+// decision was lost blocking resends for 24 h.
+Test(Claims, LostDecisionsSendNothing)
+{
+  Story story;
+  Fleet fleet;
+  story.Section("surely not claimed", [&] {
+    const ClaimNeeded claim = Ask(fleet, "a");
+    const Effects effects =
+      fleet.Step(ClaimDecided{ claim.request, false, false, {} });
+    EXPECT_EQUAL(story, Refusal(effects).problem, Problem::NoQuorum);
+    EXPECT_THAT(story, Refusal(effects).notRun);
+    EXPECT_THAT(story, Of<StartAttempt>(effects).empty());
+  });
+  story.Section("perhaps claimed: freed once it is seen", [&] {
+    const ClaimNeeded claim = Ask(fleet, "b");
+    const Effects effects =
+      fleet.Step(ClaimDecided{ claim.request, false, true, {} });
+    EXPECT_THAT(story, Refusal(effects).notRun);
+    EXPECT_THAT(story, Of<StartAttempt>(effects).empty());
+    EXPECT_THAT(story, Of<ClaimEnded>(fleet.Step(Tick{})).empty());
+    fleet.Apply(claim.claim);
+    ApplyEnds(fleet, fleet.Step(Tick{}));
+    EXPECT_EQUAL(story, StateOf(fleet, "b"), state::ClaimState::NotRun);
+  });
+  story.Section("but not when a resend here holds the claim", [&] {
+    const ClaimNeeded lost = Ask(fleet, "c");
+    fleet.Step(ClaimDecided{ lost.request, false, true, {} });
+    const ClaimNeeded resend = Ask(fleet, "c");
+    EXPECT_EQUAL(story, Of<StartAttempt>(fleet.Decide(resend)).size(), 1U);
+    EXPECT_THAT(story, Of<ClaimEnded>(fleet.Step(Tick{})).empty());
+    EXPECT_EQUAL(story, StateOf(fleet, "c"), state::ClaimState::Running);
+  });
+  story.Section("nor when the end of its run is not yet in the log", [&] {
+    const ClaimNeeded lost = Ask(fleet, "e");
+    const auto start = First<StartAttempt>(fleet.Decide(Ask(fleet, "e")));
+    const Effects ended = fleet.Finish(start);
+    fleet.Step(ClaimDecided{ lost.request, false, true, {} });
+    EXPECT_THAT(story, Of<ClaimEnded>(fleet.Step(Tick{})).empty());
+    story.Section("which is sent again", [&] {
+      fleet.Pass(Seconds(3));
+      const auto again = First<ClaimEnded>(fleet.Step(Tick{}));
+      EXPECT_EQUAL(story, again.finish.state, state::ClaimState::Done);
+      ApplyEnds(fleet, ended);
+      fleet.Pass(Seconds(3));
+      EXPECT_THAT(story, Of<ClaimEnded>(fleet.Step(Tick{})).empty());
+    });
+  });
+  story.Section("a repeated decision is ignored", [&] {
+    fleet.Renew();
+    const ClaimNeeded claim = Ask(fleet, "d");
+    EXPECT_EQUAL(story, Of<StartAttempt>(fleet.Decide(claim)).size(), 1U);
+    EXPECT_THAT(story, Of<StartAttempt>(fleet.Decide(claim)).empty());
+    EXPECT_EQUAL(story, StateOf(fleet, "d"), state::ClaimState::Running);
+  });
+}
+
+// Guards against a request that an old claim, already forgotten, may have run.
+Test(Claims, RequestsOlderThanTheRetentionAreRefused)
+{
+  Story story;
+  Fleet fleet;
+  RequestArrived old = fleet.OnceOnly("team-a", "old");
+  old.createdAt = fleet.wall - Seconds(24 * 3600);
+  const Refuse refuse = Refusal(fleet.Step(old));
+  EXPECT_EQUAL(story, refuse.problem, Problem::ClaimExpired);
+  EXPECT_THAT(story, !refuse.notRun);
+}
--- a/test/request/Fleet.h
+++ b/test/request/Fleet.h
@@ -34,6 +34,16 @@
   return found;
 }
 
+// The first effect of one type, as a copy; fails the test when there is none.
+template<typename T>
+T
+First(const Effects& aEffects)
+{
+  const std::vector<T> found = Of<T>(aEffects);
+  cr_assert(!found.empty(), "expected an effect of the type, actual none");
+  return found.front();
+}
+
 struct FleetOptions
 {
   std::uint32_t upstreams = 9;
--- a/test/request/RequestReducerTest.cpp
+++ b/test/request/RequestReducerTest.cpp
@@ -79,7 +79,7 @@
   story.Section("an attempt is reset after its first byte", [&] {
     RequestArrived request = fleet.Request("team-a");
     request.idempotent = false;
-    const auto start = Of<StartAttempt>(fleet.Step(request)).at(0);
+    const auto start = First<StartAttempt>(fleet.Step(request));
     fleet.Step(AttemptAdvanced{ request.request, 1, AttemptPhase::Sending });
     story.Section("even if the failure names an earlier phase", [&] {
       const Effects effects = fleet.Fail(start, AttemptPhase::Connecting);
@@ -94,7 +94,7 @@
   story.Section("a connect failure is retried elsewhere", [&] {
     RequestArrived request = fleet.Request("team-a");
     request.idempotent = false;
-    const auto first = Of<StartAttempt>(fleet.Step(request)).at(0);
+    const auto first = First<StartAttempt>(fleet.Step(request));
     fleet.Fail(first, AttemptPhase::Connecting);
     const auto again =
       Of<StartAttempt>(fleet.PassWithTicks(Seconds(1), Seconds(0.01)));
@@ -116,7 +116,7 @@
     for (const ClaimNeeded& claim : Of<ClaimNeeded>(effects)) {
       effects = fleet.Decide(claim);
     }
-    const auto start = Of<StartAttempt>(effects).at(0);
+    const auto start = First<StartAttempt>(effects);
     fleet.Step(AttemptAdvanced{ start.request, 1, AttemptPhase::Answering });
     Effects after = fleet.Step(AttemptRefused{ start.request, 1 });
     const Effects later = fleet.PassWithTicks(Seconds(1), Seconds(0.01));
@@ -147,11 +147,10 @@
 {
   Story story;
   Fleet fleet;
-  const auto first =
-    Of<StartAttempt>(fleet.Step(fleet.Request("team-a"))).at(0);
+  const auto first = First<StartAttempt>(fleet.Step(fleet.Request("team-a")));
   fleet.Fail(first, AttemptPhase::Sending);
   const auto second =
-    Of<StartAttempt>(fleet.PassWithTicks(Seconds(1), Seconds(0.01))).at(0);
+    First<StartAttempt>(fleet.PassWithTicks(Seconds(1), Seconds(0.01)));
   story.Section("events of the first attempt arrive during the second", [&] {
     fleet.Finish(first);
     fleet.Fail(first, AttemptPhase::Relaying);
@@ -173,8 +172,7 @@
 {
   Story story;
   Fleet fleet;
-  const auto start =
-    Of<StartAttempt>(fleet.Step(fleet.Request("team-a"))).at(0);
+  const auto start = First<StartAttempt>(fleet.Step(fleet.Request("team-a")));
   fleet.Step(AttemptAdvanced{ start.request, 1, AttemptPhase::Relaying });
   const Effects effects = fleet.Fail(start, AttemptPhase::Relaying);
   EXPECT_EQUAL(story, Of<AbortCaller>(effects).size(), 1U);
--- /dev/null
+++ b/test/request/RoutingTest.cpp
@@ -0,0 +1,233 @@
+// Tests of ejection, slow start, adaptive concurrency and the retry budget.
+#include "request/Ejector.h"
+#include "request/Fleet.h"
+#include "request/RetryBudget.h"
+
+#include <set>
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+
+namespace {
+
+// Sends requests; attempts at an upstream in aBad fail to connect, all others
+// are answered. Returns the upstreams ejected so far.
+std::set<std::string>
+Drive(Fleet& aFleet,
+      const std::set<std::string>& aBad,
+      int aCount,
+      std::set<std::string> aEjected = {})
+{
+  for (int number = 0; number < aCount; ++number) {
+    Effects effects = aFleet.Step(aFleet.Request("team-a"));
+    for (std::size_t at = 0; at < effects.size(); ++at) {
+      Effects more;
+      if (const auto* start = std::get_if<StartAttempt>(&effects[at])) {
+        const StartAttempt attempt = *start;
+        more = aBad.contains(attempt.upstream.value)
+                 ? aFleet.Fail(attempt, AttemptPhase::Connecting)
+                 : aFleet.Finish(attempt);
+      }
+      if (const auto* line = std::get_if<LogDecision>(&effects[at])) {
+        if (line->kind == "eject") {
+          aEjected.insert(line->subject);
+        } else if (line->kind == "readmit") {
+          aEjected.erase(line->subject);
+        }
+      }
+      effects.insert(effects.end(), more.begin(), more.end());
+    }
+    aFleet.Pass(Seconds(0.02));
+    aFleet.Renew();
+  }
+  return aEjected;
+}
+
+} // namespace
+
+// Guards against upstreams that keep getting work although every attempt fails,
+// and against ejecting more than 30% of a service in a rack loss.
+Test(Ejector, TakesAtMost30PercentOut)
+{
+  Story story;
+  FleetOptions options;
+  options.upstreams = 20;
+  Fleet fleet(options);
+  const std::set<std::string> rack{ "u0",  "u3",  "u6", "u9", "u12",
+                                    "u15", "u18", "u1", "u4" };
+  const auto ejected = Drive(fleet, rack, 500);
+  EXPECT_EQUAL(story, ejected.size(), 6U);
+  for (const std::string& upstream : ejected) {
+    EXPECT_THAT(story, rack.contains(upstream));
+  }
+  const auto countOut = [&] {
+    std::size_t out = 0;
+    for (const std::string& name : rack) {
+      const auto lines =
+        fleet.reducer.ExplainUpstream(InstanceId(name), fleet.now);
+      out += lines[0].find("ejected") != std::string::npos ? 1 : 0;
+    }
+    return out;
+  };
+  story.Section("the service shrinks: some are readmitted", [&] {
+    EXPECT_EQUAL(story, countOut(), 6U);
+    for (const char* name : { "u2", "u5", "u7", "u8" }) {
+      state::Announcement left =
+        fleet.Announcement(static_cast<std::uint32_t>(name[1] - '0'));
+      left.state = state::UpstreamState::Departing;
+      fleet.Announce(left);
+    }
+    EXPECT_EQUAL(story, countOut(), 4U);
+  });
+  story.Section("probes readmit the ones that work again", [&] {
+    Drive(fleet, {}, 1000);
+    EXPECT_EQUAL(story, countOut(), 0U);
+  });
+}
+
+// Guards against probes in quick succession to an upstream that stays broken.
+Test(Ejector, ProbesWithExponentialDelay)
+{
+  Story story;
+  Ejector ejector(1);
+  Upstream upstream;
+  ServiceGroup group;
+  group.usable = 10;
+  upstream.group = &group;
+  for (std::uint32_t failure = 1; failure < Ejector::kFailuresToEject;
+       ++failure) {
+    EXPECT_THAT(story, !ejector.OnFailure(upstream).has_value());
+  }
+  Duration expected = Ejector::kFirstProbe;
+  for (int probe = 0; probe < 8; ++probe) {
+    const auto delay = ejector.OnFailure(upstream);
+    EXPECT_THAT(story, delay >= expected && *delay <= expected * 5 / 4);
+    EXPECT_EQUAL(story, group.ejected.size(), 1U);
+    Ejector::BeginProbe(upstream);
+    expected = std::min(expected * 2, Ejector::kLastProbe);
+  }
+  EXPECT_THAT(story, Ejector::OnSuccess(upstream));
+  EXPECT_THAT(story, group.ejected.empty());
+}
+
+// Guards against a new upstream that gets its full load before its caches and
+// pools are warm.
+Test(Router, StartsNewUpstreamsSlowly)
+{
+  Story story;
+  FleetOptions options;
+  options.upstreams = 0;
+  options.slots = 10;
+  Fleet fleet(options);
+  fleet.Serve(0);
+  const auto limit = [&] {
+    const auto* text = "";
+    for (const char* count : { "1", "2", "5", "9", "10" }) {
+      const auto lines =
+        fleet.reducer.ExplainUpstream(InstanceId("u0"), fleet.now);
+      if (lines[1].find("of " + std::string(count) + " ") !=
+          std::string::npos) {
+        text = count;
+      }
+    }
+    return std::string(text);
+  };
+  EXPECT_EQUAL(story, limit(), std::string("1"));
+  fleet.PassWithTicks(Seconds(5), Seconds(1));
+  EXPECT_EQUAL(story, limit(), std::string("5"));
+  fleet.PassWithTicks(Seconds(5), Seconds(1));
+  EXPECT_EQUAL(story, limit(), std::string("10"));
+}
+
+// Guards against a concurrency limit that ignores an overloaded upstream, that
+// stays low for ever, or that passes the declared slots.
+Test(Concurrency, FollowsLatencyWithinTheDeclaredSlots)
+{
+  Story story;
+  ConcurrencyLimit limit;
+  limit.SetCeiling(8);
+  Time now{ Seconds(100) };
+  const auto answers = [&](Duration aLatency, int aCount) {
+    for (int answer = 0; answer < aCount; ++answer) {
+      now += Seconds(0.1);
+      limit.OnAnswer(aLatency, Seconds(0.1), true, now);
+    }
+  };
+  answers(Seconds(0.5), 60);
+  EXPECT_EQUAL(story, limit.Value(), 1.0);
+  answers(Seconds(0.1), 200);
+  EXPECT_EQUAL(story, limit.Value(), 8.0);
+  story.Section("a refusal lowers it once per answer time", [&] {
+    limit.OnRejected(now);
+    limit.OnRejected(now);
+    EXPECT_EQUAL(story, limit.Value(), 8 * 0.8);
+  });
+}
+
+// Guards against an outage that the retries multiply.
+Test(RetryBudget, HoldsInAFullOutage)
+{
+  Story story;
+  RetryBudget budget;
+  Time now{ Seconds(1000) };
+  std::uint32_t retries = 0;
+  story.Section("1000 first attempts a second for 20 s, all fail", [&] {
+    for (int step = 0; step < 20000; ++step) {
+      now += Seconds(0.001);
+      budget.OnFirstAttempt(now);
+      retries += budget.TryRetry(now) ? 1 : 0;
+      retries += budget.TryRetry(now) ? 1 : 0;
+    }
+    EXPECT_THAT(story, retries <= 20000 / 10 + 3 * 21);
+    EXPECT_THAT(story, retries >= 20000 / 10 - 50);
+  });
+  story.Section("a quiet service may retry 3 times a second", [&] {
+    RetryBudget quiet;
+    for (int retry = 0; retry < 3; ++retry) {
+      EXPECT_THAT(story, quiet.TryRetry(now));
+    }
+    EXPECT_THAT(story, !quiet.TryRetry(now));
+    EXPECT_THAT(story, quiet.TryRetry(now + Seconds(1)));
+  });
+  story.Section("delays double, with jitter", [&] {
+    Random random(1);
+    for (std::uint32_t tries = 1; tries < 4; ++tries) {
+      const Duration full = RetryBudget::kFirstDelay * (1 << (tries - 1));
+      const Duration delay = RetryBudget::Delay(tries, random);
+      EXPECT_THAT(story, delay >= full / 2 && delay <= full);
+    }
+  });
+}
+
+// Guards against retries after the deadline or beyond the budget in the whole
+// path: every request of an outage ends, and the load grows by a tenth.
+Test(RetryBudget, BoundsTheLoadOfAnOutage)
+{
+  Story story;
+  Fleet fleet;
+  std::uint64_t attempts = 0;
+  std::uint64_t refused = 0;
+  const auto fail = [&](Effects aEffects) {
+    for (std::size_t at = 0; at < aEffects.size(); ++at) {
+      if (const auto* start = std::get_if<StartAttempt>(&aEffects[at])) {
+        ++attempts;
+        const StartAttempt attempt = *start;
+        const Effects more = fleet.Fail(attempt, AttemptPhase::Connecting);
+        aEffects.insert(aEffects.end(), more.begin(), more.end());
+      }
+    }
+    refused += Of<Refuse>(aEffects).size();
+  };
+  for (int number = 0; number < 2000; ++number) {
+    fail(fleet.Step(fleet.Request("team-a")));
+    fleet.Pass(Seconds(0.01));
+    fail(fleet.Renew());
+  }
+  for (int step = 0; step < 200; ++step) {
+    fleet.Pass(Seconds(0.1));
+    fail(fleet.Renew());
+  }
+  EXPECT_EQUAL(story, fleet.reducer.Active(), 0U);
+  EXPECT_EQUAL(story, refused, 2000U);
+  EXPECT_THAT(story, attempts <= 2200U + 3 * 41);
+}
--- /dev/null
+++ b/test/request/World.h
@@ -0,0 +1,100 @@
+// A seeded world around one reducer: callers, upstreams, the log and the leader
+// act at random, and events reach the reducer late. A checker looks only at
+// effects and at what truly happened in this world, never into the reducer.
+#ifndef hyssoppaddle_test_request_World_h
+#define hyssoppaddle_test_request_World_h
+
+#include "base/Random.h"
+#include "request/Fleet.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hyssoppaddle::test {
+
+class World
+{
+public:
+  explicit World(std::uint64_t aSeed);
+
+  // One random action, then the check of its effects.
+  void Act();
+  // Connects everything again and lets time pass until all must have ended.
+  void Settle();
+
+  // First violation found; empty while there is none.
+  [[nodiscard]] const std::string& Violation() const { return this->violation; }
+  [[nodiscard]] std::uint64_t Attempts() const { return this->attempts; }
+
+private:
+  struct Attempt
+  {
+    StartAttempt start;
+    TeamId team;
+    std::string boot;
+    AttemptPhase phase = AttemptPhase::Connecting; // true one
+    bool given = false;  // no more of it will be reported
+    bool running = true; // at the upstream, for permits
+    Time runsUntil;      // latest end at the upstream
+    bool statedNotRun = false;
+  };
+
+  struct Caller
+  {
+    RequestArrived arrival;
+    bool ended = false;
+    std::vector<Attempt> attempts;
+  };
+
+  struct Late
+  {
+    Time at;
+    Event event;
+  };
+
+  void Arrive();
+  void MoveAttempt();
+  void LeaveCaller();
+  void DecideClaim();
+  void ChangeUpstream();
+  void ChangeKeysAndPermits();
+  void Renew();
+  void ApplyLater();
+  void PassTime();
+  void DeliverLate();
+
+  void Send(const Event& aEvent);
+  void SendLate(const Event& aEvent);
+  void Check(const Effects& aEffects);
+  void CheckStart(const StartAttempt& aStart);
+  void CheckOnce(const Caller& aCaller);
+  void CheckLeases(const StartAttempt& aStart, const Caller& aCaller);
+  void CheckRunning();
+  void CheckEnd(RequestNumber aRequest, bool aNotRun);
+  void EndAtUpstream(Attempt& aAttempt);
+  void Violate(const std::string& aText);
+  Attempt* PickAttempt();
+  bool Chance(std::uint64_t aPercent);
+
+  FleetOptions options;
+  Fleet fleet;
+  Random random;
+  std::map<RequestNumber, Caller> callers;
+  std::vector<std::pair<RequestNumber, std::size_t>> open; // attempts
+  std::vector<ClaimNeeded> claims;
+  std::deque<state::CommandBody> commands; // on their way to the log
+  std::vector<Late> late;
+  std::map<InstanceId, state::Announcement> latest;
+  std::map<InstanceId, Time> heard;
+  std::map<std::string, RequestNumber> ranOnce; // by idempotency key
+  Time renewedAt;
+  std::string violation;
+  std::uint64_t attempts = 0;
+};
+
+} // namespace hyssoppaddle::test
+
+#endif
--- /dev/null
+++ b/test/request/WorldCheck.cpp
@@ -0,0 +1,186 @@
+// The checker of the world: what effects may never do, given what happened.
+#include "request/World.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::test {
+
+void
+World::Violate(const std::string& aText)
+{
+  if (this->violation.empty()) {
+    this->violation = aText;
+  }
+}
+
+void
+World::Send(const Event& aEvent)
+{
+  this->Check(this->fleet.Step(aEvent));
+  if (const auto* finished = std::get_if<AttemptFinished>(&aEvent)) {
+    Caller& caller = this->callers.at(finished->request);
+    // Only the last attempt's answer can be the end; anything later is ignored.
+    const bool last = !caller.attempts.empty() &&
+                      caller.attempts.back().start.attempt == finished->attempt;
+    caller.ended = caller.ended || last;
+  }
+}
+
+void
+World::Check(const Effects& aEffects)
+{
+  for (const Effect& effect : aEffects) {
+    if (const auto* start = std::get_if<StartAttempt>(&effect)) {
+      this->CheckStart(*start);
+    } else if (const auto* refuse = std::get_if<Refuse>(&effect)) {
+      this->CheckEnd(refuse->request, refuse->notRun);
+    } else if (const auto* abort = std::get_if<AbortCaller>(&effect)) {
+      this->CheckEnd(abort->request, false);
+    } else if (const auto* claim = std::get_if<ClaimNeeded>(&effect)) {
+      this->claims.push_back(*claim);
+    } else if (const auto* ended = std::get_if<ClaimEnded>(&effect)) {
+      this->commands.emplace_back(ended->finish);
+    } else if (const auto* back = std::get_if<SendReturnPermits>(&effect)) {
+      this->commands.emplace_back(back->permits);
+    } else if (const auto* abandon = std::get_if<AbandonAttempt>(&effect)) {
+      // The shell closes the connection; what it has reported may be on its
+      // way.
+      Caller& caller = this->callers.at(abandon->request);
+      caller.attempts.at(abandon->attempt - 1).given = true;
+    }
+  }
+}
+
+void
+World::CheckStart(const StartAttempt& aStart)
+{
+  ++this->attempts;
+  Caller& caller = this->callers.at(aStart.request);
+  if (caller.ended) {
+    this->Violate("attempt after the end of the request");
+  }
+  if (aStart.attempt != caller.attempts.size() + 1) {
+    this->Violate("attempt numbers do not count up");
+  }
+  this->CheckLeases(aStart, caller);
+  const state::Announcement& upstream = this->latest.at(aStart.upstream);
+  const auto heardAt = this->heard.find(aStart.upstream);
+  const bool known =
+    heardAt != this->heard.end() ||
+    this->fleet.state.Upstreams().at(aStart.upstream).announcement.sequence >=
+      upstream.sequence;
+  if (known && upstream.state != state::UpstreamState::Serving &&
+      this->fleet.state.Upstreams().at(aStart.upstream).announcement ==
+        upstream) {
+    this->Violate("attempt at a departed upstream");
+  }
+  if (caller.attempts.size() > 0 && !caller.attempts.back().given) {
+    this->Violate("attempt while an earlier one is under way");
+  }
+  Attempt attempt;
+  attempt.start = aStart;
+  attempt.team = TeamId(caller.arrival.key->value.substr(4));
+  attempt.boot = upstream.boot;
+  // The upstream's clock may be slow by 1%.
+  attempt.runsUntil = this->fleet.now + aStart.timeLeft + aStart.timeLeft / 100;
+  caller.attempts.push_back(attempt);
+  this->open.emplace_back(aStart.request, caller.attempts.size() - 1);
+  this->CheckOnce(caller);
+}
+
+// At most one attempt that may have sent a byte, unless the upstream stated
+// that it did not run; over all requests with the same idempotency key.
+void
+World::CheckOnce(const Caller& aCaller)
+{
+  if (aCaller.arrival.idempotent) {
+    return;
+  }
+  for (std::size_t place = 0; place + 1 < aCaller.attempts.size(); ++place) {
+    const Attempt& earlier = aCaller.attempts[place];
+    const bool sent = earlier.phase != AttemptPhase::Connecting;
+    const bool excused =
+      earlier.statedNotRun && !aCaller.arrival.idempotencyKey.empty();
+    if (sent && !excused) {
+      this->Violate("second attempt after a byte may have left");
+    }
+  }
+  if (aCaller.arrival.idempotencyKey.empty()) {
+    return;
+  }
+  const auto [other, added] = this->ranOnce.try_emplace(
+    aCaller.arrival.idempotencyKey, aCaller.arrival.request);
+  if (!added && other->second != aCaller.arrival.request) {
+    for (const Attempt& earlier : this->callers.at(other->second).attempts) {
+      if (earlier.phase != AttemptPhase::Connecting && !earlier.statedNotRun) {
+        this->Violate("an equal non-idempotent request may have run");
+      }
+    }
+    other->second = aCaller.arrival.request;
+  }
+}
+
+void
+World::CheckLeases(const StartAttempt& aStart, const Caller& aCaller)
+{
+  const Duration age = this->fleet.now - this->renewedAt;
+  if (age >= Seconds(4)) {
+    this->Violate("keyed attempt without a fresh view");
+  }
+  const auto heardAt = this->heard.find(aStart.upstream);
+  if (age >= Seconds(2) && (heardAt == this->heard.end() ||
+                            this->fleet.now - heardAt->second >= Seconds(2))) {
+    this->Violate("attempt at an upstream that is not heard here");
+  }
+  const auto key = this->fleet.state.Keys().find(*aCaller.arrival.key);
+  if (key->second.digest != aCaller.arrival.keyDigest ||
+      (key->second.withdrawnAt &&
+       *key->second.withdrawnAt <= this->fleet.wall)) {
+    this->Violate("attempt with an invalid or withdrawn key");
+  }
+}
+
+void
+World::CheckRunning()
+{
+  std::map<TeamId, std::uint32_t> running;
+  std::vector<std::pair<RequestNumber, std::size_t>> still;
+  for (const auto& [request, place] : this->open) {
+    Attempt& attempt = this->callers.at(request).attempts.at(place);
+    attempt.running = attempt.running && this->fleet.now < attempt.runsUntil;
+    if (attempt.running) {
+      ++running[attempt.team];
+    }
+    if (attempt.running || !attempt.given) {
+      still.emplace_back(request, place);
+    }
+  }
+  this->open = std::move(still);
+  const auto& permits =
+    this->fleet.state.Entries().at(InstanceId("entry-1")).permits;
+  for (const auto& [team, count] : running) {
+    const auto granted = permits.find(team);
+    if (granted == permits.end() || count > granted->second) {
+      this->Violate("team " + team.value + " runs more than its permits");
+    }
+  }
+}
+
+void
+World::CheckEnd(RequestNumber aRequest, bool aNotRun)
+{
+  Caller& caller = this->callers.at(aRequest);
+  if (caller.ended) {
+    this->Violate("request " + std::to_string(aRequest) + " ended twice");
+  }
+  caller.ended = true;
+  for (Attempt& attempt : caller.attempts) {
+    if (aNotRun && attempt.phase != AttemptPhase::Connecting &&
+        !attempt.statedNotRun) {
+      this->Violate("not run was stated after a byte left");
+    }
+    attempt.given = true;
+  }
+}
+
+} // namespace hyssoppaddle::test
