Keep test values alive while they are compared

The address sanitizer reported two reads of a freed vector in tests that took an element of a temporary. The tests now compare copies.

--- a/test/request/RequestReducerTest.cpp
+++ b/test/request/RequestReducerTest.cpp
@@ -4,6 +4,20 @@
 using namespace hyssoppaddle;
 using namespace hyssoppaddle::test;
 
+namespace {
+
+std::uint32_t
+InUse(const Fleet& aFleet)
+{
+  std::uint32_t inUse = 0;
+  for (const wire::TeamDemand& demand : aFleet.reducer.Demand()) {
+    inUse += demand.inUse;
+  }
+  return inUse;
+}
+
+} // namespace
+
 // Guards against a path on which a valid request is neither answered nor
 // refused.
 Test(RequestReducer, AdmitsRoutesAndFinishes)
@@ -19,10 +33,10 @@
       EXPECT_EQUAL(story, record.announcement.dataCentre, DataCentreId("dc-0"));
     });
     story.Section("and its answer ends it and frees the permit", [&] {
-      EXPECT_EQUAL(story, fleet.reducer.Demand()[0].inUse, 1U);
+      EXPECT_EQUAL(story, InUse(fleet), 1U);
       fleet.Finish(starts[0]);
       EXPECT_EQUAL(story, fleet.reducer.Active(), 0U);
-      EXPECT_EQUAL(story, fleet.reducer.Demand()[0].inUse, 0U);
+      EXPECT_EQUAL(story, InUse(fleet), 0U);
     });
   });
 }
@@ -206,13 +220,12 @@
     const Effects effects = fleet.Step(CallerGone{ running.request });
     EXPECT_EQUAL(story, Of<AbandonAttempt>(effects).size(), 1U);
     EXPECT_THAT(story, Of<StartAttempt>(effects).empty());
-    EXPECT_EQUAL(story, fleet.reducer.Demand()[0].inUse, 1U);
+    EXPECT_EQUAL(story, InUse(fleet), 1U);
   });
   story.Section("until the deadline with the clock margin", [&] {
-    const auto permits = [&] { return fleet.reducer.Demand()[0].inUse; };
     fleet.PassWithTicks(Seconds(10), Seconds(10));
-    EXPECT_EQUAL(story, permits(), 1U);
+    EXPECT_EQUAL(story, InUse(fleet), 1U);
     fleet.PassWithTicks(Seconds(0.2), Seconds(0.2));
-    EXPECT_EQUAL(story, permits(), 0U);
+    EXPECT_EQUAL(story, InUse(fleet), 0U);
   });
 }
