--- /dev/null
+++ b/test/core/LivenessTableTest.cpp
@@ -0,0 +1,119 @@
+// Tests of the leader's decision that an upstream is silent.
+#include "core/LivenessTable.h"
+#include "core/UpstreamWatch.h"
+#include "support/Story.h"
+
+using namespace hyssoppaddle;
+using core::LivenessTable;
+using core::UpstreamWatch;
+using test::Story;
+
+namespace {
+
+const InstanceId kUpstream("u1");
+const InstanceId kFirst("n1");
+const InstanceId kSecond("n2");
+
+Time
+AtSeconds(int aSeconds)
+{
+  return Time(Duration(aSeconds * 1000000LL));
+}
+
+wire::HeardUpstream
+Heard(std::uint64_t aSequence, bool aSilent)
+{
+  return { kUpstream, "boot", aSequence, aSilent };
+}
+
+state::Announcement
+Announcement(std::uint64_t aSequence)
+{
+  state::Announcement announcement;
+  announcement.instance = kUpstream;
+  announcement.boot = "boot";
+  announcement.sequence = aSequence;
+  return announcement;
+}
+
+} // namespace
+
+// Guards against an upstream that is marked silent because it changed the entry
+// instance that it announces to.
+Test(LivenessTable, KeepsAnUpstreamThatAnotherEntryInstanceHears)
+{
+  Story story;
+  LivenessTable table;
+  story.Section("n1 hears the upstream, then reports it silent", [&] {
+    table.Report(kFirst, Heard(5, false), AtSeconds(0));
+    EXPECT_THAT(story, table.Report(kFirst, Heard(9, true), AtSeconds(10)));
+    story.Section("n2 answers the question with a later sequence", [&] {
+      table.Report(kSecond, Heard(12, false), AtSeconds(10));
+      EXPECT_EQUAL(story, table.TakeSilent(AtSeconds(30)).size(), 0U);
+    });
+    story.Section("n1's older report does not count against n2's", [&] {
+      EXPECT_THAT(story, !table.Report(kFirst, Heard(9, true), AtSeconds(31)));
+    });
+    story.Section("when n2 reports it silent too, it is marked", [&] {
+      EXPECT_THAT(story, table.Report(kSecond, Heard(12, true), AtSeconds(40)));
+      EXPECT_EQUAL(story, table.TakeSilent(AtSeconds(40)).size(), 0U);
+      EXPECT_EQUAL(story, table.TakeSilent(AtSeconds(41)).size(), 1U);
+    });
+  });
+}
+
+// Guards against an upstream that fails together with the entry instance that
+// hears it: nobody would report its silence.
+Test(LivenessTable, SuspectsWhatALostEntryInstanceHeard)
+{
+  Story story;
+  LivenessTable table;
+  story.Section("n1 hears the upstream and is lost", [&] {
+    table.Report(kFirst, Heard(5, false), AtSeconds(0));
+    EXPECT_EQUAL(story, table.SuspectAllOf(kFirst, AtSeconds(5)).size(), 1U);
+    EXPECT_EQUAL(story, table.TakeSilent(AtSeconds(14)).size(), 0U);
+    EXPECT_EQUAL(story, table.TakeSilent(AtSeconds(15)).size(), 1U);
+  });
+}
+
+// Guards against upstreams that vanished while there was no leader.
+Test(LivenessTable, ExpectsAllServingUpstreamsAfterAnElection)
+{
+  Story story;
+  LivenessTable table;
+  story.Section("a new leader expects two and hears one", [&] {
+    state::Announcement other = Announcement(1);
+    other.instance = InstanceId("u2");
+    table.Start({ Announcement(3), other }, AtSeconds(0));
+    table.Report(kFirst, Heard(4, false), AtSeconds(1));
+    const auto silent = table.TakeSilent(AtSeconds(10));
+    EXPECT_EQUAL(story, silent.size(), 1U);
+    EXPECT_EQUAL(story, silent[0].instance.value, std::string("u2"));
+  });
+}
+
+// Guards against traffic that grows with announcements instead of changes, and
+// against a silence that nobody notices.
+Test(UpstreamWatch, ReportsChangesAndSilenceOnly)
+{
+  Story story;
+  UpstreamWatch watch;
+  const Duration interval{ 1000000 };
+  story.Section("an upstream announces itself three times", [&] {
+    for (int second = 0; second < 3; ++second) {
+      watch.Hear(Announcement(static_cast<std::uint64_t>(second)),
+                 interval,
+                 AtSeconds(second));
+    }
+    EXPECT_EQUAL(story, watch.TakeQueue().size(), 1U);
+    story.Section("and falls silent", [&] {
+      watch.CollectSilent(AtSeconds(5));
+      EXPECT_THAT(story, !watch.HasQueue());
+      watch.CollectSilent(AtSeconds(6));
+      const auto queue = watch.TakeQueue();
+      EXPECT_EQUAL(story, queue.size(), 1U);
+      EXPECT_THAT(story, queue[0].silent);
+      EXPECT_EQUAL(story, queue[0].sequence, 2U);
+    });
+  });
+}
