Measure the policies of the request path against baselines

There was no figure for routing, retries, adaptive concurrency or shares. RequestBench runs real reducers and baselines of our own in one discrete-event model. The option adaptiveConcurrency exists for the fixed baseline.

--- /dev/null
+++ b/bench/RequestBench.cpp
@@ -0,0 +1,210 @@
+// Measures the policies of the request path against baselines of our own, as
+// ratios in one run. Usage: RequestBench [seed]
+#include "RequestSim.h"
+
+#include "request/FairQueue.h"
+#include "request/RetryBudget.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::bench;
+
+namespace {
+
+SimOptions
+Payroll()
+{
+  SimOptions options;
+  options.name = "payroll printer, 49 upstreams";
+  options.services = { 9, 9, 11, 12, 8 };
+  return options;
+}
+
+SimOptions
+Cooperative()
+{
+  SimOptions options;
+  options.name = "co-operative, 48 upstreams";
+  options.services = { 8, 9, 11, 12, 8 };
+  options.dataCentres = 4;
+  return options;
+}
+
+void
+PrintRouting(const char* aName, const SimResult& aResult)
+{
+  std::printf("  %-22s wait p50 %8.1f ms  p99 %8.1f ms  imbalance %.2f"
+              "  done %llu  refused %llu  rejected %llu\n",
+              aName,
+              aResult.Wait(0.5),
+              aResult.Wait(0.99),
+              aResult.imbalance,
+              static_cast<unsigned long long>(aResult.done),
+              static_cast<unsigned long long>(aResult.refused),
+              static_cast<unsigned long long>(aResult.rejected));
+}
+
+void
+MeasureRouting(SimOptions aOptions, double aLoad, std::uint64_t aSeed)
+{
+  aOptions.load = aLoad;
+  aOptions.seed = aSeed;
+  std::printf("routing, %s, two slow by 4x, peaks at %.2f of the capacity\n",
+              aOptions.name.c_str(),
+              aLoad * aOptions.peak);
+  const auto run = [&](const char* aName, Policy aPolicy) {
+    aOptions.policy = aPolicy;
+    const SimResult result = Sim(aOptions).Run();
+    PrintRouting(aName, result);
+    return result;
+  };
+  const SimResult ours = run("least of three", Policy::Reducer);
+  const SimResult fixed = run("fixed concurrency", Policy::ReducerFixed);
+  const SimResult random = run("random", Policy::RandomChoice);
+  const SimResult turns = run("round robin", Policy::RoundRobin);
+  std::printf(
+    "  p99 of ours over random %.3f, over round robin %.3f, over fixed "
+    "concurrency %.3f\n",
+    ours.Wait(0.99) / random.Wait(0.99),
+    ours.Wait(0.99) / turns.Wait(0.99),
+    ours.Wait(0.99) / fixed.Wait(0.99));
+}
+
+// A full outage: every attempt fails to connect after 1 ms.
+void
+MeasureRetries(std::uint64_t aSeed)
+{
+  constexpr double kRate = 500; // first attempts per second
+  constexpr double kSeconds = 30;
+  constexpr double kDeadline = 10;
+  Random random(aSeed);
+  RetryBudget budget;
+  std::multimap<Time, std::pair<std::uint32_t, Time>> due; // tries, deadline
+  std::uint64_t limited = 0;
+  std::uint64_t unlimited = 0;
+  std::uint64_t first = 0;
+  for (const bool bounded : { true, false }) {
+    due.clear();
+    Time now{ Us(1000) };
+    const Time end = now + Us(kSeconds);
+    first = 0;
+    std::uint64_t& attempts = bounded ? limited : unlimited;
+    Time next = now;
+    while (now < end) {
+      std::uint32_t tries = 0;
+      Time deadline;
+      if (due.empty() || next <= due.begin()->first) {
+        now = next;
+        next = now + Us(1 / kRate);
+        deadline = now + Us(kDeadline);
+        ++first;
+        budget.OnFirstAttempt(now);
+      } else {
+        now = due.begin()->first;
+        std::tie(tries, deadline) = due.begin()->second;
+        due.erase(due.begin());
+      }
+      ++tries;
+      ++attempts;
+      const Time again = now + RetryBudget::Delay(tries, random);
+      const bool may =
+        !bounded || (tries < RetryBudget::kMaxAttempts && budget.TryRetry(now));
+      if (may && again < deadline) {
+        due.emplace(again, std::pair(tries, deadline));
+      }
+    }
+  }
+  const auto firsts = static_cast<double>(first);
+  std::printf("retries in a full outage of %.0f s at %.0f requests a second\n",
+              kSeconds,
+              kRate);
+  std::printf("  load amplification: with budget %.3f, unlimited %.3f\n",
+              static_cast<double>(limited) / firsts,
+              static_cast<double>(unlimited) / firsts);
+}
+
+// Six teams with shares 1 to 6 that always wait, 64 slots, run times that
+// differ by up to 4x between teams.
+void
+MeasureShares(std::uint64_t aSeed)
+{
+  constexpr int kTeams = 6;
+  constexpr int kSlots = 64;
+  constexpr double kWindow = 60;
+  Random random(aSeed);
+  FairQueue queue;
+  Time now{ Us(1000) };
+  std::uint64_t number = 0;
+  std::map<TeamId, double> used;
+  struct End
+  {
+    Time at;
+    TeamId team;
+    Duration charged;
+    Duration run;
+    bool operator<(const End& aOther) const { return aOther.at < this->at; }
+  };
+  std::priority_queue<End> running;
+  double worst = 0;
+  const auto teamOf = [](int aTeam) { return TeamId(std::to_string(aTeam)); };
+  for (int window = 0; window < 4; ++window) {
+    const Time end = now + Us(kWindow);
+    used.clear();
+    while (now < end) {
+      for (int team = 1; team <= kTeams; ++team) {
+        while (queue.SizeOf(teamOf(team)) < 8) {
+          queue.Push({ ++number, teamOf(team), now + Us(30) },
+                     static_cast<std::uint32_t>(team),
+                     now);
+        }
+      }
+      while (running.size() < kSlots) {
+        const auto next = queue.Pop([](const TeamId&) { return true; }, now);
+        const int team = std::stoi(next->team.value);
+        const double mean = 0.05 * (1 + team % 4);
+        const Duration run = Us(mean * (0.5 + random.Fraction()));
+        running.push(
+          { now + run, next->team, queue.Estimate(next->team), run });
+      }
+      const End next = running.top();
+      running.pop();
+      now = next.at;
+      used[next.team] += static_cast<double>(next.run.count());
+      queue.OnEnded(next.team, next.charged, next.run);
+    }
+    double sum = 0;
+    for (const auto& [team, time] : used) {
+      sum += time;
+    }
+    double shortfall = 0;
+    for (int team = 1; team <= kTeams; ++team) {
+      const double fair = sum * team / 21;
+      shortfall = std::max(shortfall, 1 - used[teamOf(team)] / fair);
+    }
+    // The first window includes learning the run times.
+    worst = window == 0 ? worst : std::max(worst, shortfall);
+    std::printf("shares, window %d of 60 s: largest relative shortfall %.4f\n",
+                window,
+                shortfall);
+  }
+  std::printf("  worst after the first window: %.4f\n", worst);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const std::uint64_t seed =
+    aCount > 1 ? std::strtoull(aArguments[1], nullptr, 10) : 1;
+  std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
+  for (const double load : { 0.16, 0.3 }) {
+    MeasureRouting(Payroll(), load, seed);
+    MeasureRouting(Cooperative(), load, seed);
+  }
+  MeasureRetries(seed);
+  MeasureShares(seed);
+  return 0;
+}
--- a/src/request/EngineAttempts.cpp
+++ b/src/request/EngineAttempts.cpp
@@ -114,7 +114,7 @@
     return;
   }
   Upstream& upstream = *request->upstream;
-  upstream.limit.OnRejected(this->now);
+  this->LowerLimit(upstream);
   request->avoid = upstream.id;
   const bool retry = this->MayRetry(*request, request->phase, true);
   this->LeaveStage(*request);
@@ -259,7 +259,7 @@
 void
 Engine::ReportFailure(Upstream& aUpstream, std::string_view aReason)
 {
-  aUpstream.limit.OnRejected(this->now);
+  this->LowerLimit(aUpstream);
   if (const auto delay = this->ejector.OnFailure(aUpstream)) {
     aUpstream.probeTimer = this->timers.Add(
       this->now + *delay, { TimerKind::Probe, 0, aUpstream.id });
@@ -267,13 +267,23 @@
   }
 }
 
+void
+Engine::LowerLimit(Upstream& aUpstream)
+{
+  if (this->options.adaptiveConcurrency) {
+    aUpstream.limit.OnRejected(this->now);
+  }
+}
+
 void
 Engine::ReportSuccess(Upstream& aUpstream, Duration aLatency, bool aBusy)
 {
   if (aUpstream.group != nullptr) {
     LatencyBaseline& baseline = aUpstream.group->baseline;
     baseline.Add(aLatency, this->now);
-    aUpstream.limit.OnAnswer(aLatency, baseline.Usual(), aBusy, this->now);
+    if (this->options.adaptiveConcurrency) {
+      aUpstream.limit.OnAnswer(aLatency, baseline.Usual(), aBusy, this->now);
+    }
   }
   if (Ejector::OnSuccess(aUpstream)) {
     this->BeginRamp(aUpstream, Duration(0));
--- a/src/request/RequestReducer.h
+++ b/src/request/RequestReducer.h
@@ -25,6 +25,8 @@
   Duration heardFor{ 2000000 };       // an announcement here counts this long
   Duration maxDeadline{ 60000000 };
   Duration claimRetention{ 24LL * 3600 * 1000000 };
+  // False: every upstream gets its declared number at once, as a baseline.
+  bool adaptiveConcurrency = true;
 };
 
 // Counters for /metrics and for tests.
