Add waves, moves, repair, share caps and recovery of lent share

Instances were never maintained, moved or replaced, and full pools went to whoever asked first. Adds Maintenance (one failure domain at a time, paused after correlated losses), Transfers, Moves (smoothed demand), Repair, ShareCaps (weighted max-min of full pools), ShareReclaimer (checkpoint, then throttle) and the explanations.

--- a/src/planner/DomainHistory.cpp
+++ b/src/planner/DomainHistory.cpp
@@ -48,9 +48,13 @@
   }
   const state::InstanceRecord& record = found->second;
   const auto known = this->phases.find(aInstance);
-  const bool wasLost =
-    known != this->phases.end() && known->second == state::InstancePhase::Lost;
-  const bool isLost = record.phase == state::InstancePhase::Lost;
+  const bool wasLost = this->lost.contains(aInstance);
+  // An upstream that ends after it announced its departure is not lost.
+  const auto upstream = aState.Upstreams().find(aInstance);
+  const bool hasLeft =
+    upstream != aState.Upstreams().end() &&
+    upstream->second.announcement.state == state::UpstreamState::Departing;
+  const bool isLost = record.phase == state::InstancePhase::Lost && !hasLeft;
   const bool isBack = record.phase == state::InstancePhase::Soaking ||
                       record.phase == state::InstancePhase::Serving;
   const bool isNew = known == this->phases.end();
--- a/src/planner/JobTracker.cpp
+++ b/src/planner/JobTracker.cpp
@@ -61,6 +61,7 @@
   this->proposals.clear();
   this->proposalsOn.clear();
   this->byTeam.clear();
+  this->liveSlots.clear();
   this->leases.clear();
   this->deferred.clear();
   this->proposalEnds.clear();
@@ -138,6 +139,7 @@
   this->loads.Add(entry.instance, entry.team, entry.reserved, entry.slots);
   this->ledger.Charge(entry.team, entry.held);
   this->byTeam[entry.team].emplace(aContext.now, aJob);
+  this->liveSlots[entry.team] += entry.slots;
   if (this->failures.TrustOf(entry.instance, aContext.now) ==
       WorkerTrust::ProbeDue) {
     this->failures.ProbeStarted(entry.instance);
@@ -232,6 +234,7 @@
   this->owed.Settle(task.instance, aJob);
   this->loads.Remove(task.instance, task.team, task.reserved, task.slots);
   this->ledger.Charge(task.team, Negative(task.held));
+  this->liveSlots[task.team] -= task.slots;
   const auto ofTeam = this->byTeam.find(task.team);
   ofTeam->second.erase({ task.startedAt, aJob });
   if (ofTeam->second.empty()) {
@@ -411,6 +414,13 @@
   return found == this->live.end() ? nullptr : &found->second;
 }
 
+std::uint32_t
+JobTracker::LiveSlots(const TeamId& aTeam) const
+{
+  const auto found = this->liveSlots.find(aTeam);
+  return found == this->liveSlots.end() ? 0 : found->second;
+}
+
 const std::set<std::pair<Time, JobId>>&
 JobTracker::TasksOf(const TeamId& aTeam) const
 {
--- a/src/planner/JobTracker.h
+++ b/src/planner/JobTracker.h
@@ -79,6 +79,8 @@
   {
     return this->live;
   }
+  // Slots of the live tasks of a team.
+  [[nodiscard]] std::uint32_t LiveSlots(const TeamId& aTeam) const;
   // Live tasks of a team, newest last.
   [[nodiscard]] const std::set<std::pair<Time, JobId>>& TasksOf(
     const TeamId& aTeam) const;
@@ -132,6 +134,7 @@
   std::map<JobId, Proposal> proposals;
   std::map<InstanceId, std::uint32_t> proposalsOn;
   std::map<TeamId, std::set<std::pair<Time, JobId>>> byTeam;
+  std::map<TeamId, std::uint32_t> liveSlots;
   std::set<std::pair<Time, JobId>> leases;
   std::set<std::pair<Time, JobId>> deferred; // refused placements
   std::set<std::pair<Time, JobId>> proposalEnds;
--- a/src/planner/PermitAllocator.cpp
+++ b/src/planner/PermitAllocator.cpp
@@ -156,7 +156,7 @@
     const std::uint32_t old = before[team];
     Share& own = share->second;
     if (own.granted > old) {
-      this->ReleasePending(own, team);
+      this->ReleasePending(own, team, own.granted - old);
     }
     if (own.granted < old) {
       own.recall = Minus(own.recall, old - own.granted);
@@ -176,16 +176,19 @@
   }
   const auto share = team->second.find(aGrant.entry);
   if (share != team->second.end()) {
-    this->ReleasePending(share->second, aGrant.team);
+    this->ReleasePending(share->second, aGrant.team, aGrant.count);
   }
   (void)aContext;
 }
 
 void
-PermitAllocator::ReleasePending(Share& aShare, const TeamId& aTeam)
+PermitAllocator::ReleasePending(Share& aShare,
+                                const TeamId& aTeam,
+                                std::uint32_t aCount)
 {
-  this->reservations.Remove(aTeam, aShare.pending);
-  aShare.pending = 0;
+  const std::uint32_t count = std::min(aCount, aShare.pending);
+  this->reservations.Remove(aTeam, count);
+  aShare.pending -= count;
 }
 
 void
@@ -203,7 +206,7 @@
     for (auto& [entry, share] : shares) {
       if (share.pending > 0 &&
           aContext.now - share.pendingSince > kPendingTimeout) {
-        this->ReleasePending(share, team);
+        this->ReleasePending(share, team, share.pending);
       }
     }
     this->Rebalance(aContext, team);
@@ -230,36 +233,66 @@
   this->RecallIdle(aContext, aTeam);
 }
 
+// Entry instances in need, the latest renewal first: an older report may
+// describe load that has moved away since.
+std::vector<PermitAllocator::Claim>
+PermitAllocator::Claims(const TeamId& aTeam, std::uint32_t aUsable) const
+{
+  std::vector<Claim> claims;
+  std::uint64_t demand = 0;
+  for (const auto& [entry, share] : this->teams.at(aTeam)) {
+    demand += share.inUse + share.waiting;
+  }
+  for (const auto& [entry, share] : this->teams.at(aTeam)) {
+    const std::uint64_t own = share.inUse + share.waiting;
+    const std::uint64_t fair = demand <= aUsable ? own : own * aUsable / demand;
+    const auto renewal = this->entries.find(entry);
+    claims.push_back(Claim{
+      entry,
+      renewal == this->entries.end() ? Time{} : renewal->second.renewedAt,
+      share.Need(),
+      share.Held(),
+      static_cast<std::uint32_t>(fair) });
+  }
+  std::stable_sort(
+    claims.begin(), claims.end(), [](const Claim& aLeft, const Claim& aRight) {
+      return aLeft.renewedAt > aRight.renewedAt;
+    });
+  return claims;
+}
+
 void
 PermitAllocator::GrantFree(Context& aContext, const TeamId& aTeam)
 {
-  std::map<InstanceId, Share>& shares = this->teams[aTeam];
-  std::uint32_t need = 0;
+  const std::uint32_t cap = this->Cap(aContext.state, aTeam);
+  std::vector<Claim> claims = this->Claims(aTeam, cap);
   std::uint32_t held = 0;
-  for (const auto& [entry, share] : shares) {
-    need += share.Need();
-    held += share.Held();
+  std::uint32_t need = 0;
+  for (const Claim& claim : claims) {
+    held += claim.held;
+    need += claim.need;
   }
   if (need == 0) {
     return;
   }
-  std::uint32_t free = std::min(this->reservations.Free(aContext.state, aTeam),
-                                Minus(this->Cap(aContext.state, aTeam), held));
-  // Proportional to need when there is too little for all.
-  for (auto& [entry, share] : shares) {
-    const std::uint32_t own = share.Need();
-    if (free == 0 || need == 0) {
-      return;
-    }
-    if (own == 0) {
-      continue;
-    }
-    const std::uint64_t part =
-      (static_cast<std::uint64_t>(free) * own + need - 1) / need;
-    const auto count =
-      std::min({ own, free, static_cast<std::uint32_t>(part) });
-    need -= own;
+  std::uint32_t free =
+    std::min(this->reservations.Free(aContext.state, aTeam), Minus(cap, held));
+  std::map<InstanceId, std::uint32_t> counts;
+  const auto give = [&](Claim& aClaim, std::uint32_t aMost) {
+    const std::uint32_t count = std::min({ free, aClaim.need, aMost });
+    counts[aClaim.entry] += count;
+    aClaim.need -= count;
+    aClaim.held += count;
     free -= count;
+  };
+  // First up to the fair part of each, then whatever is left.
+  for (Claim& claim : claims) {
+    give(claim, Minus(claim.fair, claim.held));
+  }
+  for (Claim& claim : claims) {
+    give(claim, claim.need);
+  }
+  for (const auto& [entry, count] : counts) {
     this->Grant(aContext, aTeam, entry, count);
   }
 }
@@ -330,13 +363,38 @@
     }
     share.recall = recall;
   }
-  // Above a cap, busy holders give back what becomes idle, in proportion.
+  this->RecallBusy(aContext, aTeam, excess);
+}
+
+// Permits in use return as their requests end: those above a cap, and those
+// above the fair part of a holder while another one is below its own.
+void
+PermitAllocator::RecallBusy(Context& aContext,
+                            const TeamId& aTeam,
+                            std::uint32_t aExcess)
+{
+  std::map<InstanceId, Share>& shares = this->teams[aTeam];
+  std::uint32_t excess = aExcess;
   for (auto& [entry, share] : shares) {
     const std::uint32_t part =
       std::min(excess, Minus(share.granted, share.recall));
     share.recall += part;
     excess -= part;
   }
+  const std::uint32_t usable = this->Cap(aContext.state, aTeam);
+  std::uint32_t missing = 0;
+  const std::vector<Claim> claims = this->Claims(aTeam, usable);
+  for (const Claim& claim : claims) {
+    missing += std::min(claim.need, Minus(claim.fair, claim.held));
+  }
+  for (const Claim& claim : claims) {
+    Share& share = shares[claim.entry];
+    const std::uint32_t keep = claim.fair + Headroom(claim.fair);
+    const std::uint32_t over =
+      std::min(missing, Minus(share.granted, keep + share.recall));
+    share.recall += over;
+    missing -= over;
+  }
 }
 
 void
--- a/src/planner/PermitAllocator.h
+++ b/src/planner/PermitAllocator.h
@@ -68,6 +68,18 @@
     std::map<TeamId, std::uint32_t> reported; // teams in the last renewal
   };
 
+  // One entry instance that competes for the permits of a team.
+  struct Claim
+  {
+    InstanceId entry;
+    Time renewedAt{};
+    std::uint32_t need = 0;
+    std::uint32_t held = 0;
+    std::uint32_t fair = 0; // by demand, of what the team may use
+  };
+
+  [[nodiscard]] std::vector<Claim> Claims(const TeamId& aTeam,
+                                          std::uint32_t aUsable) const;
   void Rebalance(Context& aContext, const TeamId& aTeam);
   void Grant(Context& aContext,
              const TeamId& aTeam,
@@ -75,7 +87,10 @@
              std::uint32_t aCount);
   void GrantFree(Context& aContext, const TeamId& aTeam);
   void RecallIdle(Context& aContext, const TeamId& aTeam);
-  void ReleasePending(Share& aShare, const TeamId& aTeam);
+  void RecallBusy(Context& aContext,
+                  const TeamId& aTeam,
+                  std::uint32_t aExcess);
+  void ReleasePending(Share& aShare, const TeamId& aTeam, std::uint32_t aCount);
   void ReclaimSilent(Context& aContext);
   void SyncGranted(Context& aContext, const InstanceId& aEntry);
   [[nodiscard]] std::uint32_t Unmet(const TeamId& aTeam) const;
--- a/src/planner/Planner.cpp
+++ b/src/planner/Planner.cpp
@@ -63,24 +63,44 @@
   , placement(this->jobs, this->loads, this->ledger, this->reservations)
   , budget(this->history)
   , lifecycle(this->jobs, this->owed, this->budget)
+  , demand(this->jobs, this->loads, this->permits)
+  , caps(this->demand, this->loads, this->jobs, this->permits)
+  , reclaimer(this->jobs, this->loads, this->ledger)
+  , maintenance(this->budget, this->history)
+  , transfers(this->budget, this->lifecycle)
+  , moves(this->demand, this->loads, this->budget, this->transfers)
+  , repair(this->history, this->transfers)
 {
 }
 
 void
-Planner::Impl::On(Context& aContext, const BecameLeader& /*aEvent*/)
+Planner::Impl::Forget(Time aNow)
 {
-  this->leads = true;
   this->reservations.Clear();
   this->loads.Clear();
   this->owed.Clear();
-  this->ledger.Reset(aContext.now);
+  this->ledger.Reset(aNow);
   this->jobs.Reset();
   this->placement.Reset();
   this->history.Clear();
   this->budget.Clear();
   this->lifecycle.Clear();
-  this->permits.Reset(aContext.now);
+  this->permits.Reset(aNow);
+  this->caps.Clear();
+  this->reclaimer.Clear();
+  this->maintenance.Reset(aNow);
+  this->transfers.Clear();
+  this->moves.Clear();
+  this->repair.Clear();
+}
+
+void
+Planner::Impl::On(Context& aContext, const BecameLeader& /*aEvent*/)
+{
+  this->leads = true;
+  this->Forget(aContext.now);
   this->ReadBundle(aContext);
+  this->maintenance.OnWaves(aContext);
   for (const auto& [instance, record] : this->state.Instances()) {
     this->OnInstance(aContext, instance);
   }
@@ -103,6 +123,8 @@
   for (const state::TeamSpec& team : bundle.teams) {
     this->ledger.SetShare(team.name, team.share);
   }
+  this->demand.ReadBundle(bundle);
+  this->moves.ReadBundle(bundle);
   this->permits.OnBundle(aContext);
 }
 
@@ -119,6 +141,8 @@
                            aInstance,
                            this->state.ActiveBundle().policy.soakTime,
                            aContext.now);
+  this->maintenance.OnInstance(aContext, aInstance);
+  this->transfers.OnInstance(aContext, aInstance);
   this->lifecycle.OnInstance(aContext, aInstance);
 }
 
@@ -132,6 +156,9 @@
   if (changes.bundle) {
     this->ReadBundle(aContext);
   }
+  if (changes.waves) {
+    this->maintenance.OnWaves(aContext);
+  }
   for (const InstanceId& instance : changes.upstreams) {
     this->OnInstance(aContext, instance);
   }
@@ -194,7 +221,32 @@
   this->budget.OnTick(aContext.now);
   this->placement.Sweep(aContext);
   this->HandOverLimits();
+  this->ChargeRequests();
+  this->caps.OnTick(aContext);
+  this->reclaimer.OnTick(aContext);
   this->lifecycle.OnTick(aContext);
+  this->transfers.OnTick(aContext);
+  this->repair.OnTick(aContext, this->moves.SparePool());
+  this->maintenance.OnTick(aContext);
+  this->moves.OnTick(aContext, this->maintenance.BlockedPools());
+}
+
+// Relayed requests use slots of the same workers, so they count for the share:
+// each slot as the mean part of the fleet that a slot stands for.
+void
+Planner::Impl::ChargeRequests()
+{
+  const auto slots =
+    static_cast<std::int64_t>(std::max<std::uint64_t>(1, this->loads.Slots()));
+  const state::Resources& capacity = this->loads.Capacity();
+  for (const state::TeamSpec& team : this->state.ActiveBundle().teams) {
+    const auto inUse =
+      static_cast<std::int64_t>(this->permits.Demand(team.name).inUse);
+    this->ledger.SetRequests(team.name,
+                             { capacity.milliCpus * inUse / slots,
+                               capacity.memoryMb * inUse / slots,
+                               0 });
+  }
 }
 
 // Jobs that only their team's limit holds back make idle permits return.
--- a/src/planner/PlannerImpl.h
+++ b/src/planner/PlannerImpl.h
@@ -8,12 +8,19 @@
 #include "planner/InstanceLoads.h"
 #include "planner/JobTracker.h"
 #include "planner/Lifecycle.h"
+#include "planner/Maintenance.h"
+#include "planner/Moves.h"
 #include "planner/OwedInstructions.h"
 #include "planner/PermitAllocator.h"
 #include "planner/Placement.h"
 #include "planner/Planner.h"
+#include "planner/PoolDemand.h"
+#include "planner/Repair.h"
 #include "planner/Reservations.h"
+#include "planner/ShareCaps.h"
 #include "planner/ShareLedger.h"
+#include "planner/ShareReclaimer.h"
+#include "planner/Transfers.h"
 
 namespace hyssoppaddle::planner {
 
@@ -32,6 +39,8 @@
   void ReadBundle(Context& aContext);
   void OnInstance(Context& aContext, const InstanceId& aInstance);
   void HandOverLimits();
+  void ChargeRequests();
+  void Forget(Time aNow);
 
   PlannerOptions options;
   const state::FleetState& state;
@@ -48,6 +57,13 @@
   DomainHistory history;
   Budget budget;
   Lifecycle lifecycle;
+  PoolDemand demand;
+  ShareCaps caps;
+  ShareReclaimer reclaimer;
+  Maintenance maintenance;
+  Transfers transfers;
+  Moves moves;
+  Repair repair;
 };
 
 } // namespace hyssoppaddle::planner
--- a/src/planner/ShareLedger.cpp
+++ b/src/planner/ShareLedger.cpp
@@ -170,6 +170,15 @@
   return Largest(found->second.sum) / window;
 }
 
+double
+ShareLedger::FractionOf(const state::Resources& aAmount) const
+{
+  return std::max(
+    { Fraction(aAmount.milliCpus, this->capacity.milliCpus),
+      Fraction(aAmount.memoryMb, this->capacity.memoryMb),
+      Fraction(aAmount.accelerators, this->capacity.accelerators) });
+}
+
 std::uint32_t
 ShareLedger::ShareOf(const TeamId& aTeam) const
 {
--- a/src/planner/ShareLedger.h
+++ b/src/planner/ShareLedger.h
@@ -42,6 +42,8 @@
   [[nodiscard]] double Held(const TeamId& aTeam) const;
   // Mean dominant fraction over the window.
   [[nodiscard]] double Used(const TeamId& aTeam) const;
+  // Dominant fraction of the fleet that an amount is.
+  [[nodiscard]] double FractionOf(const state::Resources& aAmount) const;
   [[nodiscard]] std::uint32_t ShareOf(const TeamId& aTeam) const;
 
 private:
--- /dev/null
+++ b/test/planner/PermitTest.cpp
@@ -0,0 +1,185 @@
+// Permits: granted by demand, recalled for where work waits, split by share
+// when the pools are full, reclaimed from silent holders.
+#include "planner/EntryDriver.h"
+#include "planner/FleetChecker.h"
+#include "planner/FleetDriver.h"
+#include "planner/Fleets.h"
+#include "support/Story.h"
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+
+namespace {
+
+constexpr std::size_t kEntries = 11;
+constexpr std::uint32_t kLimit = 60;
+
+// Every team may use its whole limit at once without filling a pool.
+state::Bundle
+RoomyBundle()
+{
+  state::Bundle bundle = MakeBundle(PayrollShape());
+  for (state::TeamSpec& team : bundle.teams) {
+    team.limit = kLimit;
+  }
+  return bundle;
+}
+
+} // namespace
+
+// Guards against limits that are usable only where load used to enter.
+Test(Permits, NearlyTheWholeLimitIsUsableWithinASecondOfAMove)
+{
+  Story story;
+  const state::Bundle bundle = RoomyBundle();
+  FleetDriver fleet(bundle);
+  FleetChecker checker(fleet, bundle);
+  EntryDriver entries(fleet, kEntries);
+  const TeamId team = TeamName(0);
+  story.Section("load of twice the limit enters evenly", [&] {
+    fleet.Run(5 * kSecond);
+    for (std::size_t entry = 0; entry < kEntries; ++entry) {
+      entries.SetLoad(entry, team, 2 * kLimit / kEntries);
+    }
+    fleet.Run(kSecond);
+    entries.UpdateAll();
+    EXPECT_THAT(story, entries.InUse(team) * 100 >= kLimit * 95);
+    story.Section("then all of it enters at one entry instance", [&] {
+      fleet.Run(10 * kSecond);
+      for (std::size_t entry = 1; entry < kEntries; ++entry) {
+        entries.SetLoad(entry, team, 0);
+      }
+      entries.SetLoad(0, team, 2 * kLimit);
+      fleet.Run(kSecond);
+      entries.UpdateAll();
+      EXPECT_THAT(story, entries.InUse(team) * 100 >= kLimit * 95);
+    });
+    story.Section("and evenly again", [&] {
+      fleet.Run(10 * kSecond);
+      for (std::size_t entry = 0; entry < kEntries; ++entry) {
+        entries.SetLoad(entry, team, 2 * kLimit / kEntries);
+      }
+      fleet.Run(kSecond);
+      entries.UpdateAll();
+      EXPECT_THAT(story, entries.InUse(team) * 100 >= kLimit * 95);
+      EXPECT_EQUAL(story, checker.problems.size(), 0U);
+    });
+  });
+}
+
+// Guards against limits that break when the leader changes between a proposed
+// grant and its entry in the log.
+Test(Permits, LimitsHoldUnderAChangingLeader)
+{
+  Story story;
+  const state::Bundle bundle = RoomyBundle();
+  FleetDriver fleet(bundle);
+  FleetChecker checker(fleet, bundle);
+  EntryDriver entries(fleet, kEntries);
+  Random random(42);
+  story.Section("load moves at random while the leader changes", [&] {
+    for (int round = 0; round < 300; ++round) {
+      entries.SetLoad(random.Below(kEntries),
+                      TeamName(random.Below(6)),
+                      static_cast<std::uint32_t>(random.Below(100)));
+      fleet.Run(random.Between(Duration(0), 300 * kMillisecond));
+      if (random.Below(4) == 0) {
+        fleet.Lead();
+      }
+    }
+    EXPECT_EQUAL(story,
+                 checker.problems.empty() ? "" : checker.problems.front(),
+                 std::string());
+  });
+}
+
+// Guards against permits of a dead entry instance that come back too early,
+// while its requests may still run, or never.
+Test(Permits, SilentHolderKeepsItsPermitsUntilLeaseDeadlineAndMargin)
+{
+  Story story;
+  const state::Bundle bundle = RoomyBundle();
+  FleetDriver fleet(bundle);
+  EntryDriver entries(fleet, 2);
+  const TeamId team = TeamName(0);
+  fleet.Run(kSecond);
+  entries.SetLoad(0, team, kLimit);
+  fleet.Run(5 * kSecond);
+  story.Section("an entry instance that holds a whole limit dies", [&] {
+    EXPECT_EQUAL(story, entries.Held(0, team), kLimit);
+    entries.entries[0].up = false;
+    entries.SetLoad(1, team, kLimit);
+    fleet.Run(70 * kSecond);
+    EXPECT_EQUAL(story, entries.Held(1, team), 0U);
+    story.Section("a new leader counts from its election", [&] {
+      fleet.Lead();
+      fleet.Run(79 * kSecond);
+      EXPECT_EQUAL(story, entries.Held(1, team), 0U);
+    });
+    story.Section("then the other one gets the limit", [&] {
+      fleet.Run(5 * kSecond);
+      EXPECT_EQUAL(story, entries.Held(1, team), kLimit);
+    });
+  });
+}
+
+// Guards against a full pool that the first or greediest team keeps.
+Test(Permits, FullPoolIsSplitByShare)
+{
+  Story story;
+  FleetShape shape = PayrollShape();
+  shape.shares = { 30, 10 };
+  shape.poolSizes = { 5, 4 };
+  shape.spare = 1;
+  shape.limit = 100;
+  state::Bundle bundle = MakeBundle(shape);
+  for (state::TeamSpec& team : bundle.teams) {
+    team.workspace = bundle.services[0].workspace;
+  }
+  for (state::ServiceSpec& service : bundle.services) {
+    service.workspace = bundle.teams[0].workspace;
+  }
+  FleetDriver fleet(bundle);
+  EntryDriver entries(fleet, 3);
+  fleet.Run(kSecond);
+  story.Section("the small team fills 72 slots, then the large one comes", [&] {
+    entries.SetLoad(0, TeamName(1), 90);
+    fleet.Run(5 * kSecond);
+    EXPECT_EQUAL(story, entries.Held(0, TeamName(1)), 90U);
+    entries.SetLoad(1, TeamName(0), 90);
+    fleet.Run(5 * kSecond);
+    story.Section("the large one may use three quarters", [&] {
+      EXPECT_EQUAL(story, entries.Held(1, TeamName(0)), 54U);
+    });
+    story.Section("what the large one does not ask for is lent", [&] {
+      entries.SetLoad(1, TeamName(0), 10);
+      fleet.Run(10 * kSecond);
+      EXPECT_THAT(story, entries.Held(0, TeamName(1)) >= 62U);
+    });
+  });
+}
+
+// Guards against a lowered limit that running holders keep exceeding.
+Test(Permits, LoweredLimitRecallsIdlePermits)
+{
+  Story story;
+  state::Bundle bundle = RoomyBundle();
+  FleetDriver fleet(bundle);
+  EntryDriver entries(fleet, 2);
+  const TeamId team = TeamName(0);
+  fleet.Run(kSecond);
+  entries.SetLoad(0, team, kLimit);
+  fleet.Run(2 * kSecond);
+  story.Section("the limit is halved while all permits are in use", [&] {
+    bundle.version = 2;
+    bundle.base = 1;
+    bundle.teams[0].limit = kLimit / 2;
+    fleet.ApplyNow(state::ProposeBundle{ "", "second", "key", bundle });
+    fleet.ApplyNow(state::ApproveBundle{ 2, "second", MemberId("member") });
+    story.Section("half of the work ends, and its permits return", [&] {
+      entries.SetLoad(0, team, kLimit / 2);
+      fleet.Run(3 * kSecond);
+      EXPECT_EQUAL(story, entries.Held(0, team), kLimit / 2);
+    });
+  });
+}
