Hold planned stops while upstreams of the pool are unconfirmed

Change: the reducer refuses a planned stop that would break the budget if the suspected upstreams of the pool were gone; an entry instance that missed two renewals (2.5 s instead of 5 s) makes what it heard suspected. The matrix gets a maintenance wave and work after the bound for departures.

--- a/src/core/LivenessTable.cpp
+++ b/src/core/LivenessTable.cpp
@@ -88,6 +88,17 @@
   this->ClearSuspicion(aAnnouncement.instance, record);
 }
 
+std::vector<InstanceId>
+LivenessTable::Suspects() const
+{
+  std::vector<InstanceId> instances;
+  instances.reserve(this->suspects.size());
+  for (const auto& [until, instance] : this->suspects) {
+    instances.push_back(instance);
+  }
+  return instances;
+}
+
 std::vector<state::MarkUpstreamSilent>
 LivenessTable::TakeSilent(Time aNow)
 {
--- a/src/core/LivenessTable.h
+++ b/src/core/LivenessTable.h
@@ -38,6 +38,9 @@
   // An upstream that was accepted through the log with this announcement.
   void Accept(const state::Announcement& aAnnouncement);
 
+  // Upstreams that may be gone: suspected and not yet heard again.
+  [[nodiscard]] std::vector<InstanceId> Suspects() const;
+
   // Takes the upstreams whose grace period ended without a later announcement.
   std::vector<state::MarkUpstreamSilent> TakeSilent(Time aNow);
 
--- a/src/core/ReducerEffects.cpp
+++ b/src/core/ReducerEffects.cpp
@@ -81,9 +81,47 @@
   }
 }
 
+std::uint32_t
+Reducer::Impl::UnconfirmedIn(const PoolId& aPool) const
+{
+  std::uint32_t count = 0;
+  for (const InstanceId& suspect : this->liveness.Suspects()) {
+    const auto record = this->state.Instances().find(suspect);
+    const bool counts = record != this->state.Instances().end() &&
+                        record->second.pool == aPool &&
+                        record->second.phase == state::InstancePhase::Serving;
+    count += counts ? 1 : 0;
+  }
+  return count;
+}
+
+bool
+Reducer::Impl::MustWait(const state::SetInstancePhase& aStop) const
+{
+  const auto record = this->state.Instances().find(aStop.instance);
+  if (aStop.to != state::InstancePhase::Draining ||
+      record == this->state.Instances().end()) {
+    return false;
+  }
+  const PoolId& pool = record->second.pool;
+  const std::uint32_t unconfirmed = this->UnconfirmedIn(pool);
+  const state::PoolSpec* spec = this->state.FindPool(pool);
+  const std::uint32_t needed = spec == nullptr ? 0 : spec->minAvailable;
+  return unconfirmed > 0 &&
+         this->state.AvailableIn(pool) < needed + unconfirmed + 1;
+}
+
 void
 Reducer::Impl::Run(const planner::ProposeCommand& aEffect)
 {
+  const auto* stop = std::get_if<state::SetInstancePhase>(&aEffect.command);
+  if (stop != nullptr && this->MustWait(*stop)) {
+    this->work.emplace_back(planner::Event(planner::CommandRefused{
+      aEffect.command,
+      "upstreams of the pool are not confirmed to be alive; the stop waits "
+      "until they are heard or marked lost" }));
+    return;
+  }
   Origin origin;
   origin.kind = OriginKind::Planner;
   state::Command command;
--- a/src/core/ReducerImpl.h
+++ b/src/core/ReducerImpl.h
@@ -164,6 +164,10 @@
   void Run(const request::RenewNow& aEffect);
   void Run(planner::Effects aEffects);
   void Run(const planner::ProposeCommand& aEffect);
+  // Serving instances of a pool that may be gone without being marked lost yet.
+  [[nodiscard]] std::uint32_t UnconfirmedIn(const PoolId& aPool) const;
+  // True when a planned stop would break the budget if they were gone.
+  [[nodiscard]] bool MustWait(const state::SetInstancePhase& aStop) const;
   void Run(const planner::SendInstruction& aEffect);
   // Boot of the upstream that an instruction is meant for; empty when the task
   // or the stop it belongs to is over.
--- a/src/core/ReducerUpstreams.cpp
+++ b/src/core/ReducerUpstreams.cpp
@@ -16,9 +16,10 @@
 // about 100 us of processor time over HTTP, and 1.2% of a core is 12 ms a
 // second.
 constexpr double kAnnouncementsPerSecondAndEntry = 50;
-// An entry instance that has not renewed for this long no longer hears
-// upstreams.
-constexpr Duration kEntrySilence{ 5000000 };
+// An entry instance that has missed two renewals may no longer hear upstreams.
+// What it heard is then suspected, which holds planned stops back: a data centre
+// that is lost takes upstreams and the entry instances that watch them together.
+constexpr Duration kEntrySilence{ 2500000 };
 // Usage that differs by less than this fraction from the record stays out of
 // the log.
 constexpr double kUsageChange = 0.1;
--- a/test/matrix/FaultMatrixTest.cpp
+++ b/test/matrix/FaultMatrixTest.cpp
@@ -189,6 +189,11 @@
   RunSession("move");
 }
 
+Test(FaultMatrix, Wave)
+{
+  RunSession("wave");
+}
+
 Test(FaultMatrix, Replacement)
 {
   RunSession("replacement");
--- a/test/matrix/Sessions.cpp
+++ b/test/matrix/Sessions.cpp
@@ -278,8 +278,10 @@
                  Submit(aFleet, second);
                  Call(aFleet);
                } },
-             { "and a third",
+             { "and a third, with work after the bound for departures",
                [aRequest](Fleet& aFleet) {
+                 aFleet.RunFor(Duration(3000000));
+                 Call(aFleet);
                  state::RequestInstance third = aRequest;
                  third.instance = InstanceId("u3");
                  Submit(aFleet, third);
@@ -288,6 +290,35 @@
            &Nothing };
 }
 
+Session
+WaveSession()
+{
+  return { "wave",
+           { { "a bundle asks for maintenance every 40 s",
+               [](Fleet& aFleet) {
+                 state::CommandBody body = Fleet::Bundle(2, 6).body;
+                 auto& propose = std::get<state::ProposeBundle>(body);
+                 propose.bundle.policy.maintenanceInterval = Duration(40000000);
+                 Submit(aFleet, std::move(body));
+                 SubmitWhenFound(aFleet,
+                                 state::ApproveBundle{
+                                   2, "version 2 limit 6", MemberId("m1") });
+               } },
+             { "work runs while the wave begins",
+               [](Fleet& aFleet) {
+                 aFleet.RunFor(Duration(5000000));
+                 Call(aFleet);
+                 SubmitJob(aFleet, "idempotent-wave", true);
+               } },
+             { "and goes on",
+               [](Fleet& aFleet) {
+                 aFleet.RunFor(Duration(8000000));
+                 Call(aFleet);
+                 SubmitJob(aFleet, "once-wave", false);
+               } } },
+           &JobsUnfinished };
+}
+
 Session
 ReplacementSession()
 {
@@ -319,6 +350,7 @@
     StopSession(
       "move",
       { InstanceId("u1"), state::InstanceRequest::Move, PoolId("spare") }),
+    WaveSession(),
     ReplacementSession(),
   };
   return kSessions;
