Add the daemon, the core loop, peer connections and the storage thread

The parts had no process that runs them together. Daemon builds the core, carries out its effects in order, batches writes on one storage thread, greets peers with a mutual proof, delivers instructions, writes decision lines at a bounded rate and stops gracefully. Observed: test_shell Daemon/* pass: one daemon with two upstreams from the first command to the stop, and a cluster of three that outlives a loss.

--- a/src/shell/Attempt.cpp
+++ b/src/shell/Attempt.cpp
@@ -193,15 +193,15 @@
 Awaitable<Attempt::Sent>
 Attempt::SendRequest()
 {
-  std::string header = UpstreamHeader(this->caller.Request(),
-                                      this->exchange.head,
-                                      this->caller.RemoteAddress(),
-                                      this->TimeLeft());
+  const std::string header = UpstreamHeader(this->caller.Request(),
+                                            this->exchange.head,
+                                            this->caller.RemoteAddress(),
+                                            this->TimeLeft());
   this->Advance(request::AttemptPhase::Sending);
   if (this->exchange.head.arrived.replayable) {
-    co_return co_await this->SendKept(std::move(header));
+    co_return co_await this->SendKept(header);
   }
-  co_return co_await this->SendStreamed(std::move(header));
+  co_return co_await this->SendStreamed(header);
 }
 
 bool
@@ -215,7 +215,7 @@
 }
 
 Awaitable<Attempt::Sent>
-Attempt::SendKept(std::string aHeader)
+Attempt::SendKept(const std::string& aHeader)
 {
   const std::array<asio::const_buffer, 2> buffers{
     asio::buffer(aHeader), asio::buffer(this->exchange.body)
@@ -238,7 +238,7 @@
 }
 
 Awaitable<Attempt::Sent>
-Attempt::SendStreamed(std::string aHeader)
+Attempt::SendStreamed(const std::string& aHeader)
 {
   ErrorValue error;
   const std::size_t written = co_await asio::async_write(
--- a/src/shell/Attempt.h
+++ b/src/shell/Attempt.h
@@ -71,14 +71,14 @@
   Awaitable<bool> ReadKeptBody();
   Awaitable<bool> Connect();
   Awaitable<Sent> SendRequest();
-  Awaitable<Sent> SendKept(std::string aHeader);
-  Awaitable<Sent> SendStreamed(std::string aHeader);
+  Awaitable<Sent> SendKept(const std::string& aHeader);
+  Awaitable<Sent> SendStreamed(const std::string& aHeader);
   Awaitable<void> PumpBody();
   Awaitable<void> StopPump();
   Awaitable<ErrorValue> ReadAnswerHeader();
   Awaitable<AttemptEnd> Answer();
   Awaitable<AttemptEnd> RelayAnswer();
-  Awaitable<bool> RelayBody(std::string aHeader);
+  Awaitable<bool> RelayBody(const std::string& aHeader);
   Awaitable<ErrorValue> ReadAnswerPiece(asio::mutable_buffer aTarget,
                                         std::size_t& aGot);
   Awaitable<bool> WritePiece(std::string_view aHeader,
--- a/src/shell/AttemptAnswer.cpp
+++ b/src/shell/AttemptAnswer.cpp
@@ -79,8 +79,8 @@
 {
   const bool keep = this->exchange.keep && this->caller.BodyDone();
   this->exchange.keep = keep;
-  std::string header = CallerHeader(*this->answer, keep);
-  if (!co_await this->RelayBody(std::move(header))) {
+  const std::string header = CallerHeader(*this->answer, keep);
+  if (!co_await this->RelayBody(header)) {
     co_return this->callerError ? this->CallerFailure(this->callerError)
                                 : this->Failure(this->failure);
   }
@@ -144,7 +144,7 @@
 }
 
 Awaitable<bool>
-Attempt::RelayBody(std::string aHeader)
+Attempt::RelayBody(const std::string& aHeader)
 {
   if (!this->HasBody()) {
     co_return co_await this->WritePiece(aHeader, {});
--- /dev/null
+++ b/src/shell/Daemon.cpp
@@ -0,0 +1,228 @@
+// Running, periodic work and the graceful stop.
+#include "shell/Daemon.h"
+
+#include "shell/DaemonImpl.h"
+#include "shell/JsonLog.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+namespace hyssoppaddle::shell {
+
+namespace {
+
+// Grain of the core's timeouts; the shortest of them is 100 ms.
+constexpr std::chrono::milliseconds kTick{ 20 };
+constexpr std::chrono::milliseconds kStopCheck{ 50 };
+// After the last request: returned permits and the leadership leave.
+constexpr std::chrono::milliseconds kHandOver{ 500 };
+// Connections that are still writing their last answer.
+constexpr std::chrono::seconds kLastAnswers{ 2 };
+constexpr std::chrono::seconds kJoinInterval{ 5 };
+
+} // namespace
+
+void
+Daemon::Impl::ArmTick()
+{
+  this->tickTimer.expires_after(kTick);
+  this->tickTimer.async_wait([this](ErrorValue aError) {
+    if (!aError) {
+      this->core->Tick();
+      this->AskToJoin();
+      this->ArmTick();
+    }
+  });
+}
+
+void
+Daemon::Impl::AskToJoin()
+{
+  const auto now = SteadyClock::now();
+  if (now < this->nextJoin) {
+    return;
+  }
+  this->nextJoin = now + kJoinInterval;
+  const auto& active = this->core->Core().Log().ActiveConfiguration();
+  const auto has = [this](const std::vector<InstanceId>& aList) {
+    return std::find(aList.begin(), aList.end(), this->settings.instance) !=
+           aList.end();
+  };
+  if (!has(active.voters) && !has(active.learners)) {
+    this->peers->SendAll(
+      wire::JoinRequest{ !this->settings.dataFolder.empty() });
+  }
+}
+
+void
+Daemon::Impl::BeginStop()
+{
+  if (this->stopping) {
+    return;
+  }
+  // /readyz tells the balancer before the first request is refused.
+  this->stopping = true;
+  this->stopBegan = SteadyClock::now();
+  Log(LogLevel::Info, "stopping", nlohmann::json::object());
+  this->core->BeginStop();
+  this->ArmStopCheck();
+}
+
+void
+Daemon::Impl::ArmStopCheck()
+{
+  this->stopTimer.expires_after(kStopCheck);
+  this->stopTimer.async_wait([this](ErrorValue aError) {
+    if (!aError) {
+      this->CheckStop();
+    }
+  });
+}
+
+void
+Daemon::Impl::CheckStop()
+{
+  const auto waited = SteadyClock::now() - this->stopBegan;
+  if (this->closing) {
+    const bool isQuiet =
+      this->callers->Connections() + this->control->Connections() == 0;
+    if (isQuiet || waited > kLastAnswers) {
+      this->Finish();
+      return;
+    }
+  } else if ((this->core->Core().IsDrained() && waited > kHandOver) ||
+             waited > this->settings.limits.requestTimeout) {
+    this->closing = true;
+    this->stopBegan = SteadyClock::now();
+    this->callers->Stop();
+    this->control->Stop();
+  }
+  this->ArmStopCheck();
+}
+
+void
+Daemon::Impl::Finish()
+{
+  this->peers->Stop();
+  this->relay->Stop();
+  this->tickTimer.cancel();
+  this->signals.cancel();
+  this->storage.reset();
+  Log(LogLevel::Info, "stopped", nlohmann::json::object());
+  this->io.stop();
+}
+
+void
+Daemon::Impl::HandleLocal(api::HttpRequest aRequest, api::ReplyCallback aReply)
+{
+  const bool isControl = aRequest.listener == api::Listener::Control;
+  if (isControl && aRequest.target == "/metrics") {
+    aReply(this->MetricsReply());
+  } else if (isControl && aRequest.target == "/healthz") {
+    aReply(this->HealthReply(true));
+  } else if (isControl && aRequest.target == "/readyz") {
+    aReply(this->HealthReply(!this->stopping &&
+                             this->core->Core().IsReady(this->core->Now())));
+  } else {
+    this->handler->Handle(std::move(aRequest), std::move(aReply));
+  }
+}
+
+api::HttpReply
+Daemon::Impl::MetricsReply() const
+{
+  const core::Reducer& reducer = this->core->Core();
+  const auto number = [](auto aValue) { return static_cast<double>(aValue); };
+  const std::vector<Gauge> gauges{
+    { "requests_active",
+      "Requests under way.",
+      number(reducer.Requests().Active()) },
+    { "peers_connected", "Peer links.", number(this->peers->Connected()) },
+    { "caller_connections",
+      "Connections of callers.",
+      number(this->callers->Connections()) },
+    { "applied_index", "Last entry applied.", number(reducer.AppliedIndex()) },
+    { "commit_index",
+      "Last entry committed.",
+      number(reducer.Log().CommitIndex()) },
+    { "term", "Term of the log.", number(reducer.Log().CurrentTerm()) },
+    { "is_leader",
+      "1 on the leader.",
+      reducer.Log().CurrentRole() == agreement::Role::Leader ? 1.0 : 0.0 },
+    { "bundle_version",
+      "Bundle in force here.",
+      number(reducer.State().ActiveBundle().version) },
+  };
+  return {
+    200, "text/plain; version=0.0.4", {}, this->metrics->Render(gauges)
+  };
+}
+
+api::HttpReply
+Daemon::Impl::HealthReply(bool aHealthy) const
+{
+  return {
+    aHealthy ? 200U : 503U, "text/plain", {}, aHealthy ? "ok\n" : "not ready\n"
+  };
+}
+
+Daemon::Daemon(config::Settings aSettings, DaemonParts aParts)
+  : impl(std::make_unique<Impl>(std::move(aSettings), std::move(aParts)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Result<void>
+Daemon::Start()
+{
+  return this->impl->Start();
+}
+
+void
+Daemon::Run()
+{
+  this->impl->signals.add(SIGTERM);
+  this->impl->signals.add(SIGINT);
+  this->impl->signals.async_wait([this](ErrorValue aError, int) {
+    if (!aError) {
+      this->impl->BeginStop();
+    }
+  });
+  Log(LogLevel::Info,
+      "started",
+      { { "instance", this->impl->settings.instance.value },
+        { "boot", this->impl->boot },
+        { "callers_port", this->CallersPort() },
+        { "control_port", this->ControlPort() },
+        { "peers_port", this->PeersPort() } });
+  this->impl->io.run();
+}
+
+void
+Daemon::RequestStop()
+{
+  asio::post(this->impl->io, [this] { this->impl->BeginStop(); });
+}
+
+std::uint16_t
+Daemon::CallersPort() const
+{
+  return this->impl->callers->Port();
+}
+
+std::uint16_t
+Daemon::ControlPort() const
+{
+  return this->impl->control->Port();
+}
+
+std::uint16_t
+Daemon::PeersPort() const
+{
+  return this->impl->peers->Port();
+}
+
+} // namespace hyssoppaddle::shell
--- /dev/null
+++ b/src/shell/DurableLog.h
@@ -0,0 +1,41 @@
+// What the storage thread writes to: the log store of the data folder, or a
+// fake in tests.
+#ifndef hyssoppaddle_shell_DurableLog_h
+#define hyssoppaddle_shell_DurableLog_h
+
+#include "agreement/Events.h"
+#include "agreement/Raft.h"
+#include "base/Result.h"
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace hyssoppaddle::config {
+struct Settings;
+}
+
+namespace hyssoppaddle::shell {
+
+class DurableLog
+{
+public:
+  virtual ~DurableLog() = default;
+  virtual agreement::RecoveredLog TakeRecovered() = 0;
+  // Writes all of aBatch with one sync.
+  virtual Result<void> Write(std::span<const agreement::Persist> aBatch) = 0;
+  virtual Result<void> SaveSnapshot(const agreement::SnapshotMeta& aMeta,
+                                    std::string_view aBytes) = 0;
+};
+
+using LogOpener =
+  std::function<Result<std::unique_ptr<DurableLog>>(const config::Settings&)>;
+
+// The log store in the data folder of aSettings.
+Result<std::unique_ptr<DurableLog>>
+OpenDurableLog(const config::Settings& aSettings);
+
+} // namespace hyssoppaddle::shell
+
+#endif
--- a/src/shell/Exchange.cpp
+++ b/src/shell/Exchange.cpp
@@ -137,11 +137,11 @@
   while (!ended) {
     Directive directive = co_await this->NextDirective();
     if (auto* start = std::get_if<request::StartAttempt>(&directive)) {
-      ended = co_await this->RunAttempt(std::move(*start));
+      ended = co_await this->RunAttempt(*start);
       continue;
     }
     if (auto* refuse = std::get_if<request::Refuse>(&directive)) {
-      co_await this->WriteRefusal(std::move(*refuse));
+      co_await this->WriteRefusal(*refuse);
     } else {
       if (std::holds_alternative<CallerLost>(directive)) {
         this->ReportGone();
@@ -154,27 +154,27 @@
 }
 
 Awaitable<void>
-Exchange::WriteRefusal(request::Refuse aRefuse)
+Exchange::WriteRefusal(const request::Refuse& aRefuse)
 {
   const api::HttpReply reply = ProblemReply(DescribeRefusal(aRefuse));
   this->keep = co_await this->caller.Reply(reply, this->keep);
 }
 
 Awaitable<bool>
-Exchange::RunAttempt(request::StartAttempt aStart)
+Exchange::RunAttempt(const request::StartAttempt& aStart)
 {
   if (aStart.attempt == 1) {
     this->relay->metrics->Observe(Timing::QueueWait, Since(this->arrivedAt));
   }
-  Attempt current(*this, std::move(aStart));
+  Attempt current(*this, aStart);
   this->attempt = &current;
-  AttemptEnd end = co_await current.Run();
+  const AttemptEnd end = co_await current.Run();
   this->attempt = nullptr;
-  co_return co_await this->HandleEnd(std::move(end));
+  co_return co_await this->HandleEnd(end);
 }
 
 Awaitable<bool>
-Exchange::HandleEnd(AttemptEnd aEnd)
+Exchange::HandleEnd(const AttemptEnd& aEnd)
 {
   const auto number = this->head.arrived.request;
   const auto& submit = this->relay->hooks.submit;
@@ -188,16 +188,16 @@
       co_return false;
     case AttemptResult::Failed:
       submit(request::AttemptFailed{
-        number, attemptNumber, aEnd.phase, std::move(aEnd.reason) });
+        number, attemptNumber, aEnd.phase, aEnd.reason });
       co_return false;
     case AttemptResult::AnswerCut:
       submit(request::AttemptFailed{
-        number, attemptNumber, aEnd.phase, std::move(aEnd.reason) });
+        number, attemptNumber, aEnd.phase, aEnd.reason });
       this->keep = false;
       co_return true;
     case AttemptResult::CallerLost:
       this->ReportGone();
-      co_await this->RefuseBody(std::move(aEnd));
+      co_await this->RefuseBody(aEnd);
       co_return true;
     case AttemptResult::Abandoned:
       co_return false;
@@ -212,7 +212,7 @@
 }
 
 Awaitable<void>
-Exchange::RefuseBody(AttemptEnd aEnd)
+Exchange::RefuseBody(const AttemptEnd& aEnd)
 {
   this->keep = false;
   if (!IsMalformed(aEnd.callerError) ||
--- a/src/shell/Exchange.h
+++ b/src/shell/Exchange.h
@@ -55,10 +55,10 @@
   void Push(Directive aDirective);
   Awaitable<Directive> NextDirective();
   // True when the exchange has ended.
-  Awaitable<bool> RunAttempt(request::StartAttempt aStart);
-  Awaitable<bool> HandleEnd(AttemptEnd aEnd);
-  Awaitable<void> WriteRefusal(request::Refuse aRefuse);
-  Awaitable<void> RefuseBody(AttemptEnd aEnd);
+  Awaitable<bool> RunAttempt(const request::StartAttempt& aStart);
+  Awaitable<bool> HandleEnd(const AttemptEnd& aEnd);
+  Awaitable<void> WriteRefusal(const request::Refuse& aRefuse);
+  Awaitable<void> RefuseBody(const AttemptEnd& aEnd);
   void ReportGone();
   void ReportFinished(const AttemptEnd& aEnd);
 
--- a/src/shell/KeyToken.cpp
+++ b/src/shell/KeyToken.cpp
@@ -47,6 +47,8 @@
   return digest;
 }
 
+} // namespace
+
 std::string
 ToHex(std::string_view aBytes)
 {
@@ -56,8 +58,6 @@
   return text;
 }
 
-} // namespace
-
 std::optional<KeyToken>
 ParseBearer(std::string_view aAuthorization)
 {
--- a/src/shell/KeyToken.h
+++ b/src/shell/KeyToken.h
@@ -23,6 +23,10 @@
 std::optional<KeyToken>
 ParseBearer(std::string_view aAuthorization);
 
+// Lower-case hexadecimal.
+std::string
+ToHex(std::string_view aBytes);
+
 // Random bytes of libsodium.
 std::string
 RandomBytes(std::size_t aCount);
--- /dev/null
+++ b/src/shell/PeerLink.cpp
@@ -0,0 +1,290 @@
+// Greeting and framing of a peer connection.
+#include "shell/PeerLink.h"
+
+#include "wire/Codec.h"
+
+#include <array>
+
+#include <netinet/tcp.h>
+
+namespace hyssoppaddle::shell {
+
+namespace {
+
+constexpr std::size_t kNonceBytes = 16;
+constexpr Duration kGreetingTime{ 5000000 };
+// A peer that accepts nothing for this long is taken for lost.
+constexpr Duration kStuckTime{ 10000000 };
+constexpr int kUnacknowledgedMs = 5000;
+constexpr std::size_t kMaxQueuedBytes = 4UL * 1024 * 1024;
+constexpr std::size_t kFramesPerWrite = 64;
+constexpr std::size_t kReadBytes = 16UL * 1024;
+
+void
+AppendCounted(std::string& aText, std::string_view aPart)
+{
+  aText += std::to_string(aPart.size());
+  aText += ':';
+  aText += aPart;
+}
+
+// A silent partition must end the connection even when nothing is sent.
+void
+WatchSilence(Socket& aSocket)
+{
+  ErrorValue ignored;
+  aSocket.set_option(Tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const auto set = [&aSocket](int aName, int aValue) {
+    ::setsockopt(
+      aSocket.native_handle(), IPPROTO_TCP, aName, &aValue, sizeof(aValue));
+  };
+  set(TCP_KEEPIDLE, 2);
+  set(TCP_KEEPINTVL, 1);
+  set(TCP_KEEPCNT, 3);
+  set(TCP_USER_TIMEOUT, kUnacknowledgedMs);
+}
+
+} // namespace
+
+std::string
+GreetingProofOf(const ClusterSecret& aSecret,
+                const wire::Greeting& aFrom,
+                const wire::Greeting& aTo)
+{
+  std::string text;
+  AppendCounted(text, aFrom.cluster);
+  for (const wire::Greeting* greeting : { &aFrom, &aTo }) {
+    AppendCounted(text, greeting->instance.value);
+    AppendCounted(text, greeting->boot);
+    AppendCounted(text, greeting->nonce);
+  }
+  return aSecret.PeerProof(text);
+}
+
+PeerLink::PeerLink(std::shared_ptr<const PeerIdentity> aIdentity,
+                   Socket aSocket,
+                   asio::ssl::context* aTls,
+                   std::shared_ptr<DeadlineQueue> aDeadlines,
+                   std::shared_ptr<Metrics> aMetrics)
+  : identity(std::move(aIdentity))
+  , stream(std::move(aSocket), aTls)
+  , deadlines(std::move(aDeadlines))
+  , metrics(std::move(aMetrics))
+{
+  WatchSilence(this->stream.Lowest());
+}
+
+void
+PeerLink::Close()
+{
+  this->closed = true;
+  this->stream.Close();
+}
+
+Awaitable<std::optional<std::string>>
+PeerLink::Greet(asio::ssl::stream_base::handshake_type aRole,
+                const InstanceId& aExpected)
+{
+  Deadline deadline(*this->deadlines, [this] { this->Close(); });
+  deadline.Set(kGreetingTime);
+  const ErrorValue error = co_await this->stream.Handshake(aRole);
+  if (error) {
+    co_return "TLS: " + error.message();
+  }
+  co_return co_await this->ExchangeGreetings(aExpected);
+}
+
+std::optional<std::string>
+PeerLink::Refusal(const wire::Greeting& aGreeting,
+                  const InstanceId& aExpected) const
+{
+  if (aGreeting.protocol != kPeerProtocol) {
+    return "unknown protocol version " + std::to_string(aGreeting.protocol);
+  }
+  if (aGreeting.cluster != this->identity->cluster) {
+    return "another cluster: " + aGreeting.cluster;
+  }
+  if (aGreeting.instance == this->identity->instance ||
+      aGreeting.instance.empty()) {
+    return "an instance with this instance's name or without one";
+  }
+  if (!aExpected.empty() && aGreeting.instance != aExpected) {
+    return "another instance: " + aGreeting.instance.value;
+  }
+  if (aGreeting.nonce.size() != kNonceBytes) {
+    return "a nonce of the wrong length";
+  }
+  return std::nullopt;
+}
+
+Awaitable<std::optional<std::string>>
+PeerLink::ExchangeGreetings(const InstanceId& aExpected)
+{
+  const wire::Greeting own{ kPeerProtocol,
+                            this->identity->cluster,
+                            this->identity->instance,
+                            this->identity->boot,
+                            RandomBytes(kNonceBytes) };
+  // Messages are named: g++ 12 destroys a temporary converted inside an awaited
+  // call twice.
+  const wire::PeerMessage ownMessage = own;
+  co_await this->WriteNow(ownMessage);
+  auto first = co_await this->ReadNext();
+  const auto* greeting = first ? std::get_if<wire::Greeting>(&*first) : nullptr;
+  if (greeting == nullptr) {
+    co_return "no greeting: " + this->problem;
+  }
+  if (auto refusal = this->Refusal(*greeting, aExpected)) {
+    co_return refusal;
+  }
+  const wire::PeerMessage ownProof = wire::GreetingProof{ GreetingProofOf(
+    this->identity->secret, own, *greeting) };
+  co_await this->WriteNow(ownProof);
+  auto second = co_await this->ReadNext();
+  const auto* proof =
+    second ? std::get_if<wire::GreetingProof>(&*second) : nullptr;
+  if (proof == nullptr) {
+    co_return "no proof: " + this->problem;
+  }
+  const std::string expected =
+    GreetingProofOf(this->identity->secret, *greeting, own);
+  if (!EqualSecrets(proof->proof, expected)) {
+    co_return "wrong proof";
+  }
+  this->peer = greeting->instance;
+  this->peerBoot = greeting->boot;
+  co_return std::nullopt;
+}
+
+Awaitable<ErrorValue>
+PeerLink::WriteNow(const wire::PeerMessage& aMessage)
+{
+  const std::string frame =
+    wire::EncodeFrame(wire::EncodePeerMessage(aMessage));
+  ErrorValue error;
+  co_await asio::async_write(this->stream, asio::buffer(frame), Into(error));
+  this->metrics->Add(Counter::PeerBytesSent, frame.size());
+  co_return error;
+}
+
+Awaitable<std::optional<wire::PeerMessage>>
+PeerLink::ReadNext()
+{
+  std::string piece(kReadBytes, '\0');
+  for (;;) {
+    auto payload = this->reader.Next();
+    if (!payload) {
+      this->problem = payload.error().message;
+      co_return std::nullopt;
+    }
+    if (payload->has_value()) {
+      auto message = wire::DecodePeerMessage(**payload);
+      if (!message) {
+        this->problem = message.error().message;
+        co_return std::nullopt;
+      }
+      co_return std::move(*message);
+    }
+    ErrorValue error;
+    const std::size_t got =
+      co_await this->stream.async_read_some(asio::buffer(piece), Into(error));
+    this->metrics->Add(Counter::PeerBytesReceived, got);
+    this->reader.Feed(std::string_view(piece).substr(0, got));
+    if (error) {
+      this->problem = error.message();
+      co_return std::nullopt;
+    }
+  }
+}
+
+Awaitable<std::string>
+PeerLink::Receive(const std::function<void(wire::PeerMessage)>& aReceived)
+{
+  for (;;) {
+    auto message = co_await this->ReadNext();
+    if (!message || this->closed) {
+      co_return this->problem;
+    }
+    aReceived(std::move(*message));
+  }
+}
+
+void
+PeerLink::Send(const wire::PeerMessage& aMessage)
+{
+  if (this->closed) {
+    return;
+  }
+  Item item;
+  item.frame = wire::EncodeFrame(wire::EncodePeerMessage(aMessage));
+  item.droppable = std::holds_alternative<wire::RaftMessage>(aMessage);
+  this->queuedBytes += item.frame.size();
+  this->queue.push_back(std::move(item));
+  this->MakeRoom();
+  this->StartWriting();
+}
+
+void
+PeerLink::MakeRoom()
+{
+  // Frames under way have left the queue, so each one here can be dropped.
+  auto oldest = this->queue.begin();
+  while (this->queuedBytes > kMaxQueuedBytes && oldest != this->queue.end()) {
+    if (!oldest->droppable) {
+      ++oldest;
+      continue;
+    }
+    this->queuedBytes -= oldest->frame.size();
+    oldest = this->queue.erase(oldest);
+    this->metrics->Add(Counter::PeerMessagesDropped);
+  }
+  if (this->queuedBytes > kMaxQueuedBytes) {
+    this->Close();
+  }
+}
+
+void
+PeerLink::StartWriting()
+{
+  if (this->writing || this->closed) {
+    return;
+  }
+  this->writing = true;
+  asio::co_spawn(
+    this->stream.get_executor(),
+    [self = this->shared_from_this()]() -> Awaitable<void> {
+      co_await self->WriteQueue();
+    },
+    asio::detached);
+}
+
+Awaitable<void>
+PeerLink::WriteQueue()
+{
+  Deadline stuck(*this->deadlines, [this] { this->Close(); });
+  ErrorValue error;
+  while (!error && !this->closed && !this->queue.empty()) {
+    std::vector<std::string> frames;
+    std::vector<asio::const_buffer> buffers;
+    while (!this->queue.empty() && frames.size() < kFramesPerWrite) {
+      this->queuedBytes -= this->queue.front().frame.size();
+      frames.push_back(std::move(this->queue.front().frame));
+      this->queue.pop_front();
+    }
+    for (const std::string& frame : frames) {
+      buffers.push_back(asio::buffer(frame));
+    }
+    stuck.Set(kStuckTime);
+    const std::size_t sent =
+      co_await asio::async_write(this->stream, buffers, Into(error));
+    stuck.Clear();
+    this->metrics->Add(Counter::PeerBytesSent, sent);
+  }
+  this->writing = false;
+  if (error) {
+    this->Close();
+  }
+}
+
+} // namespace hyssoppaddle::shell
--- /dev/null
+++ b/src/shell/PeerLink.h
@@ -0,0 +1,100 @@
+// One connection to another entry instance: greeting, frames in both
+// directions, a bounded send queue.
+#ifndef hyssoppaddle_shell_PeerLink_h
+#define hyssoppaddle_shell_PeerLink_h
+
+#include "shell/Deadlines.h"
+#include "shell/KeyToken.h"
+#include "shell/Metrics.h"
+#include "shell/Stream.h"
+#include "wire/FrameReader.h"
+#include "wire/PeerMessage.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssoppaddle::shell {
+
+inline constexpr std::uint32_t kPeerProtocol = 1;
+
+// What all links of one daemon share.
+struct PeerIdentity
+{
+  std::string cluster;
+  InstanceId instance;
+  std::string boot;
+  ClusterSecret secret;
+};
+
+// The proof that the sender of aFrom holds the secret. It covers both
+// greetings, so it is of no use on another connection or in the other
+// direction.
+std::string
+GreetingProofOf(const ClusterSecret& aSecret,
+                const wire::Greeting& aFrom,
+                const wire::Greeting& aTo);
+
+class PeerLink : public std::enable_shared_from_this<PeerLink>
+{
+public:
+  PeerLink(std::shared_ptr<const PeerIdentity> aIdentity,
+           Socket aSocket,
+           asio::ssl::context* aTls,
+           std::shared_ptr<DeadlineQueue> aDeadlines,
+           std::shared_ptr<Metrics> aMetrics);
+
+  // Greets. aExpected is empty on an accepted connection. Returns the reason
+  // when the connection must be closed.
+  Awaitable<std::optional<std::string>> Greet(
+    asio::ssl::stream_base::handshake_type aRole,
+    const InstanceId& aExpected);
+  // Reads messages until the connection ends; returns the reason.
+  Awaitable<std::string> Receive(
+    const std::function<void(wire::PeerMessage)>& aReceived);
+
+  void Send(const wire::PeerMessage& aMessage);
+  void Close();
+
+  [[nodiscard]] const InstanceId& Peer() const { return this->peer; }
+  [[nodiscard]] const std::string& PeerBoot() const { return this->peerBoot; }
+  [[nodiscard]] std::size_t QueuedBytes() const { return this->queuedBytes; }
+
+private:
+  struct Item
+  {
+    std::string frame;
+    bool droppable = false; // the log repeats its own messages
+  };
+
+  Awaitable<ErrorValue> WriteNow(const wire::PeerMessage& aMessage);
+  Awaitable<std::optional<wire::PeerMessage>> ReadNext();
+  Awaitable<std::optional<std::string>> ExchangeGreetings(
+    const InstanceId& aExpected);
+  [[nodiscard]] std::optional<std::string> Refusal(
+    const wire::Greeting& aGreeting,
+    const InstanceId& aExpected) const;
+  void MakeRoom();
+  void StartWriting();
+  Awaitable<void> WriteQueue();
+
+  std::shared_ptr<const PeerIdentity> identity;
+  Stream stream;
+  std::shared_ptr<DeadlineQueue> deadlines;
+  std::shared_ptr<Metrics> metrics;
+  wire::FrameReader reader;
+  std::string problem; // why ReadNext returned nothing
+  InstanceId peer;
+  std::string peerBoot;
+  std::deque<Item> queue;
+  std::size_t queuedBytes = 0;
+  bool writing = false;
+  bool closed = false;
+};
+
+} // namespace hyssoppaddle::shell
+
+#endif
