--- a/src/request/Engine.h
+++ b/src/request/Engine.h
@@ -108,7 +108,6 @@
 
   // Attempts (EngineAttempts.cpp).
   bool Reserve(Request& aRequest, ServiceGroup& aGroup);
-  [[nodiscard]] bool IsListed(const Upstream& aUpstream) const;
   void FreeUpstream(Request& aRequest);
   void FreePermit(const TeamId& aTeam);
   void StartAttempt(Request& aRequest);
@@ -122,6 +121,7 @@
   bool Retry(Request& aRequest);
   void HoldPermit(Request& aRequest);
   void FreeHold(std::uint64_t aNumber);
+  void LowerLimit(Upstream& aUpstream);
   void ReportFailure(Upstream& aUpstream, std::string_view aReason);
   void ReportSuccess(Upstream& aUpstream, Duration aLatency, bool aBusy);
 
