--- /dev/null
+++ b/src/cli/ExitCode.h
@@ -0,0 +1,18 @@
+// Exit codes of the command line, documented in docs/operations.md.
+#ifndef hyssoppaddle_cli_ExitCode_h
+#define hyssoppaddle_cli_ExitCode_h
+
+namespace hyssoppaddle::cli {
+
+enum ExitCode : int
+{
+  Done = 0,
+  Refused = 1,       // the system or a check said no
+  Usage = 2,         // wrong options or arguments
+  CannotReach = 3,   // no answer from the server
+  DaemonFailure = 4, // the daemon could not start or had to stop
+};
+
+} // namespace hyssoppaddle::cli
+
+#endif
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -1,9 +1,12 @@
 // Entry point of the one binary.
-#include <iostream>
+#include "cli/Subcommands.h"
+
+#include <string>
+#include <vector>
 
 int
-main()
+main(int aCount, char** aValues)
 {
-  std::cout << "hyssoppaddle " << HYSSOPPADDLE_VERSION << '\n';
-  return 0;
+  const std::vector<std::string> arguments(aValues + 1, aValues + aCount);
+  return hyssoppaddle::cli::Main(arguments);
 }
