--- a/src/cli/Table.cpp
+++ b/src/cli/Table.cpp
@@ -63,6 +63,7 @@
   std::vector<std::vector<std::string>> lines{ columns };
   for (const nlohmann::json& row : aRows) {
     std::vector<std::string> line;
+    line.reserve(columns.size());
     for (const std::string& column : columns) {
       line.push_back(row.contains(column) ? CellText(row[column]) : "-");
     }
