--- a/src/state/BundleTable.cpp
+++ b/src/state/BundleTable.cpp
@@ -118,6 +118,7 @@
   next->second.acceptedAt = aContext.now;
   this->Activate(next->second.bundle);
   this->DropOldRecords();
+  this->TrimSuperseded();
   aContext.changes.bundle = true;
   return true;
 }
@@ -212,4 +213,25 @@
   }
 }
 
+void
+BundleTable::TrimSuperseded()
+{
+  std::size_t kept = 0;
+  for (auto entry = this->records.rbegin(); entry != this->records.rend();
+       ++entry) {
+    auto& [version, record] = *entry;
+    if (version >= this->active->version) {
+      continue;
+    }
+    kept += record.content.size();
+    if (kept > kMaxSupersededBytes) {
+      auto stub = std::make_shared<Bundle>();
+      stub->version = version;
+      stub->base = record.bundle->base;
+      record.bundle = std::move(stub);
+      record.content = std::string();
+    }
+  }
+}
+
 } // namespace hyssoppaddle::state
--- a/src/state/BundleTable.h
+++ b/src/state/BundleTable.h
@@ -10,13 +10,17 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <unordered_map>
 #include <vector>
 
 namespace hyssoppaddle::state {
 
 // Accepted bundles that are kept for display and for repeated proposals.
 inline constexpr std::size_t kKeptBundles = 16;
+// Superseded bundles keep their content, newest first, up to this sum; of the
+// others only the approvals and the digest stay. A bundle of 6,100 workers
+// takes about 1.6 MB in memory, so 16 of them would not fit into the 64 MB of a
+// daemon.
+inline constexpr std::size_t kMaxSupersededBytes = 256 * 1024;
 
 class BundleTable
 {
@@ -33,6 +37,10 @@
   bool AcceptIfComplete(const MemberTable& aMembers, Context& aContext);
 
   [[nodiscard]] const Bundle& Active() const { return *this->active; }
+  [[nodiscard]] const std::shared_ptr<const Bundle>& ActivePointer() const
+  {
+    return this->active;
+  }
   [[nodiscard]] const TeamSpec* FindTeam(const TeamId& aTeam) const;
   [[nodiscard]] const ServiceSpec* FindService(const ServiceId& aService) const;
   [[nodiscard]] const PoolSpec* FindPool(const PoolId& aPool) const;
@@ -53,6 +61,7 @@
   void Activate(std::shared_ptr<const Bundle> aBundle);
   void IndexActive();
   void DropOldRecords();
+  void TrimSuperseded();
 
   std::map<std::uint64_t, BundleRecord> records;
   std::shared_ptr<const Bundle> active; // never null
--- a/src/state/CommandHandler.cpp
+++ b/src/state/CommandHandler.cpp
@@ -1,6 +1,7 @@
 // Commands that touch several tables, and the dispatch of the others.
 #include "state/CommandHandler.h"
 
+#include <memory>
 #include <string>
 
 namespace hyssoppaddle::state {
@@ -62,14 +63,15 @@
 CommandHandler::FollowApprovals()
 {
   Tables& all = this->tables;
+  const std::shared_ptr<const Bundle> old = all.bundles.ActivePointer();
   if (!all.bundles.AcceptIfComplete(all.members, this->context)) {
     return false;
   }
   for (const InstanceId& instance :
-       all.instances.Reconcile(all.bundles.Active(), this->context)) {
+       all.instances.Reconcile(*old, all.bundles.Active(), this->context)) {
     all.upstreams.Remove(instance, this->context);
   }
-  all.jobs.Reconcile(all.bundles, this->context);
+  all.jobs.Reconcile(*old, all.bundles, this->context);
   return true;
 }
 
--- a/src/state/InstanceReconcile.cpp
+++ b/src/state/InstanceReconcile.cpp
@@ -8,14 +8,20 @@
 namespace hyssoppaddle::state {
 
 std::vector<InstanceId>
-InstanceTable::Reconcile(const Bundle& aBundle, Context& aContext)
+InstanceTable::Reconcile(const Bundle& aOld,
+                         const Bundle& aBundle,
+                         Context& aContext)
 {
+  // Most bundles change teams or limits only.
+  if (aOld.pools == aBundle.pools) {
+    return {};
+  }
   std::set<InstanceId> listed;
   for (const PoolSpec& pool : aBundle.pools) {
     for (const InstanceSpec& spec : pool.instances) {
       listed.insert(spec.name);
-      const Entry known = this->records.find(spec.name);
-      if (known == this->records.end()) {
+      const Entry known = this->records.FindEntry(spec.name);
+      if (known == this->records.End()) {
         this->AddListed(spec, pool.name, aContext);
       } else {
         this->UpdateListed(known, spec, pool.name, aContext);
@@ -23,7 +29,7 @@
     }
   }
   std::vector<InstanceId> left;
-  for (Entry entry = this->records.begin(); entry != this->records.end();) {
+  for (Entry entry = this->records.Begin(); entry != this->records.End();) {
     const Entry current = entry++;
     if (listed.contains(current->first) || current->second.retired) {
       continue;
@@ -32,7 +38,7 @@
     aContext.changes.instances.push_back(instance);
     current->second.retired = true;
     this->DropIfRetired(current);
-    if (!this->records.contains(instance)) {
+    if (this->records.Find(instance) == nullptr) {
       left.push_back(instance);
     }
   }
@@ -52,8 +58,7 @@
   record.capacity = aSpec.capacity;
   record.since = aContext.now;
   record.lastMaintained = aContext.now;
-  this->AddToIndexes(
-    this->records.emplace(aSpec.name, std::move(record)).first);
+  this->AddToIndexes(this->records.Add(aSpec.name, std::move(record)));
   aContext.changes.instances.push_back(aSpec.name);
 }
 
--- a/src/state/InstanceTable.cpp
+++ b/src/state/InstanceTable.cpp
@@ -36,8 +36,8 @@
                         const std::string& aBoot,
                         Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.instance);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.instance);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound,
                   "no instance is named " + aCommand.instance.value);
   }
@@ -97,8 +97,8 @@
                     const BundleTable& aBundles,
                     Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.instance);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.instance);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound,
                   "no instance is named " + aCommand.instance.value);
   }
@@ -127,8 +127,8 @@
                        const BundleTable& aBundles,
                        Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.instance);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.instance);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound,
                   "no instance is named " + aCommand.instance.value);
   }
@@ -158,8 +158,8 @@
                               bool aIsNewBoot,
                               Context& aContext)
 {
-  const Entry entry = this->records.find(aAnnouncement.instance);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aAnnouncement.instance);
+  if (entry == this->records.End()) {
     return;
   }
   InstanceRecord& record = entry->second;
@@ -189,8 +189,8 @@
 void
 InstanceTable::OnSilent(const InstanceId& aInstance, Context& aContext)
 {
-  const Entry entry = this->records.find(aInstance);
-  if (entry == this->records.end() || !IsLostWhenSilent(entry->second.phase)) {
+  const Entry entry = this->records.FindEntry(aInstance);
+  if (entry == this->records.End() || !IsLostWhenSilent(entry->second.phase)) {
     return;
   }
   this->SetPhase(entry,
@@ -232,15 +232,14 @@
 {
   if (aEntry->second.retired && IsOut(aEntry->second.phase)) {
     this->RemoveFromIndexes(aEntry);
-    this->records.erase(aEntry);
+    this->records.Erase(aEntry);
   }
 }
 
 const InstanceRecord*
 InstanceTable::Find(const InstanceId& aInstance) const
 {
-  const auto found = this->records.find(aInstance);
-  return found == this->records.end() ? nullptr : &found->second;
+  return this->records.Find(aInstance);
 }
 
 const std::set<InstanceId>&
@@ -261,10 +260,10 @@
 void
 InstanceTable::Load(std::map<InstanceId, InstanceRecord> aRecords)
 {
-  this->records = std::move(aRecords);
+  this->records.Load(std::move(aRecords));
   this->byPool.clear();
   this->available.clear();
-  for (Entry entry = this->records.begin(); entry != this->records.end();
+  for (Entry entry = this->records.Begin(); entry != this->records.End();
        ++entry) {
     this->AddToIndexes(entry);
   }
--- a/src/state/InstanceTable.h
+++ b/src/state/InstanceTable.h
@@ -4,6 +4,7 @@
 
 #include "state/BundleTable.h"
 #include "state/Context.h"
+#include "state/RecordMap.h"
 #include "state/Records.h"
 
 #include <cstdint>
@@ -17,9 +18,12 @@
 class InstanceTable
 {
 public:
-  // Follows a new bundle: adds instances, retires those it no longer lists and
-  // records changed pools as wishes. Returns the instances that left at once.
-  std::vector<InstanceId> Reconcile(const Bundle& aBundle, Context& aContext);
+  // Follows aBundle, the successor of aOld: adds instances, retires those it no
+  // longer lists and records changed pools as wishes. Returns the instances
+  // that left at once.
+  std::vector<InstanceId> Reconcile(const Bundle& aOld,
+                                    const Bundle& aBundle,
+                                    Context& aContext);
 
   // aBoot is the last announced boot ID of the instance.
   Outcome SetPhase(const SetInstancePhase& aCommand,
@@ -42,14 +46,14 @@
   [[nodiscard]] const InstanceRecord* Find(const InstanceId& aInstance) const;
   [[nodiscard]] const std::map<InstanceId, InstanceRecord>& Records() const
   {
-    return this->records;
+    return this->records.Records();
   }
   [[nodiscard]] const std::set<InstanceId>& Of(const PoolId& aPool) const;
   [[nodiscard]] std::uint32_t AvailableIn(const PoolId& aPool) const;
   void Load(std::map<InstanceId, InstanceRecord> aRecords);
 
 private:
-  using Entry = std::map<InstanceId, InstanceRecord>::iterator;
+  using Entry = RecordMap<InstanceId, InstanceRecord>::Entry;
 
   void AddListed(const InstanceSpec& aSpec,
                  const PoolId& aPool,
@@ -73,7 +77,7 @@
   void AddToIndexes(Entry aEntry);
   void RemoveFromIndexes(Entry aEntry);
 
-  std::map<InstanceId, InstanceRecord> records;
+  RecordMap<InstanceId, InstanceRecord> records;
   std::map<PoolId, std::set<InstanceId>> byPool;
   std::map<PoolId, std::uint32_t> available; // in phase Serving
 };
--- a/src/state/JobTable.cpp
+++ b/src/state/JobTable.cpp
@@ -77,9 +77,9 @@
                  const BundleTable& aBundles,
                  Context& aContext)
 {
-  const auto known = this->records.find(aCommand.job);
-  if (known != this->records.end()) {
-    return IsSameJob(known->second, aCommand)
+  const JobRecord* known = this->records.Find(aCommand.job);
+  if (known != nullptr) {
+    return IsSameJob(*known, aCommand)
              ? AcceptAgain("the job was already submitted")
              : Refuse(ErrorCode::Conflict, "another job has this ID");
   }
@@ -88,9 +88,7 @@
   }
   const PoolId& pool = aBundles.FindService(aCommand.service)->pool;
   const auto added =
-    this->records
-      .emplace(aCommand.job, MakeRecord(aCommand, pool, aContext.now))
-      .first;
+    this->records.Add(aCommand.job, MakeRecord(aCommand, pool, aContext.now));
   this->AddToIndexes(added);
   aContext.changes.jobs.push_back(aCommand.job);
   return Accept("the job waits in pool " + pool.value);
@@ -125,7 +123,7 @@
                   "cannot_run: the job fits no instance of pool " +
                     service->pool.value);
   }
-  if (this->records.size() >= this->bounds.jobs) {
+  if (this->records.Count() >= this->bounds.jobs) {
     return Refuse(ErrorCode::Unavailable,
                   "not run: " + std::to_string(this->bounds.jobs) +
                     " jobs are kept already");
@@ -141,9 +139,9 @@
   std::size_t ended = 0;
   std::size_t unknown = 0;
   for (const JobId& job : aCommand.jobs) {
-    const Entry entry = this->records.find(job);
+    const Entry entry = this->records.FindEntry(job);
     // A job of another team is not revealed.
-    if (entry == this->records.end() || entry->second.team != aCommand.team) {
+    if (entry == this->records.End() || entry->second.team != aCommand.team) {
       ++unknown;
     } else if (entry->second.state == JobState::Waiting) {
       entry->second.reason = "cancelled by its team";
@@ -166,8 +164,8 @@
 Outcome
 JobTable::EndWaiting(const EndJob& aCommand, Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.job);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound, "no job has this ID");
   }
   if (entry->second.state != JobState::Waiting) {
@@ -181,12 +179,18 @@
 }
 
 void
-JobTable::Reconcile(const BundleTable& aBundles, Context& aContext)
+JobTable::Reconcile(const Bundle& aOld,
+                    const BundleTable& aBundles,
+                    Context& aContext)
 {
+  const Bundle& bundle = aBundles.Active();
+  if (aOld.pools == bundle.pools && aOld.services == bundle.services) {
+    return;
+  }
   std::vector<JobId> affected;
   for (const auto& [pool, jobs] : this->waiting) {
     for (const auto& [submittedAt, job] : jobs) {
-      const JobRecord& record = this->records.at(job);
+      const JobRecord& record = *this->records.Find(job);
       const ServiceSpec* service = aBundles.FindService(record.service);
       if (service == nullptr || service->pool != pool ||
           !aBundles.FitsPool(record.size, pool)) {
@@ -195,7 +199,7 @@
     }
   }
   for (const JobId& job : affected) {
-    const Entry entry = this->records.find(job);
+    const Entry entry = this->records.FindEntry(job);
     JobRecord& record = entry->second;
     const ServiceSpec* service = aBundles.FindService(record.service);
     if (service != nullptr && aBundles.FitsPool(record.size, service->pool)) {
@@ -230,8 +234,7 @@
 const JobRecord*
 JobTable::Find(const JobId& aJob) const
 {
-  const auto found = this->records.find(aJob);
-  return found == this->records.end() ? nullptr : &found->second;
+  return this->records.Find(aJob);
 }
 
 const JobTable::WaitingSet&
@@ -260,13 +263,13 @@
 void
 JobTable::Load(std::map<JobId, JobRecord> aRecords)
 {
-  this->records = std::move(aRecords);
+  this->records.Load(std::move(aRecords));
   this->waiting.clear();
   this->onInstance.clear();
   this->slots.clear();
   this->endedIdempotent.clear();
   this->endedOther.clear();
-  for (Entry entry = this->records.begin(); entry != this->records.end();
+  for (Entry entry = this->records.Begin(); entry != this->records.End();
        ++entry) {
     this->AddToIndexes(entry);
   }
@@ -332,9 +335,9 @@
 void
 JobTable::Erase(const JobId& aJob)
 {
-  const Entry entry = this->records.find(aJob);
+  const Entry entry = this->records.FindEntry(aJob);
   this->RemoveFromIndexes(entry);
-  this->records.erase(entry);
+  this->records.Erase(entry);
 }
 
 } // namespace hyssoppaddle::state
--- a/src/state/JobTable.h
+++ b/src/state/JobTable.h
@@ -4,6 +4,7 @@
 
 #include "state/BundleTable.h"
 #include "state/Context.h"
+#include "state/RecordMap.h"
 #include "state/Records.h"
 
 #include <cstddef>
@@ -54,14 +55,16 @@
                  Context& aContext);
   Outcome End(const EndTask& aCommand, Context& aContext);
   Outcome EndWaiting(const EndJob& aCommand, Context& aContext);
-  // Follows a new bundle: jobs wait in the new pool of their service, and jobs
-  // that no shape fits any more are marked.
-  void Reconcile(const BundleTable& aBundles, Context& aContext);
+  // Follows the new bundle, the successor of aOld: jobs wait in the new pool of
+  // their service, and jobs that no shape fits any more are marked.
+  void Reconcile(const Bundle& aOld,
+                 const BundleTable& aBundles,
+                 Context& aContext);
   void Expire(WallTime aNow);
 
   [[nodiscard]] const std::map<JobId, JobRecord>& Records() const
   {
-    return this->records;
+    return this->records.Records();
   }
   [[nodiscard]] const JobRecord* Find(const JobId& aJob) const;
   [[nodiscard]] const WaitingSet& WaitingIn(const PoolId& aPool) const;
@@ -70,7 +73,7 @@
   void Load(std::map<JobId, JobRecord> aRecords);
 
 private:
-  using Entry = std::map<JobId, JobRecord>::iterator;
+  using Entry = RecordMap<JobId, JobRecord>::Entry;
 
   [[nodiscard]] Outcome CheckSubmit(const SubmitJob& aCommand,
                                     const BundleTable& aBundles) const;
@@ -91,7 +94,7 @@
   void Erase(const JobId& aJob);
 
   JobBounds bounds;
-  std::map<JobId, JobRecord> records;
+  RecordMap<JobId, JobRecord> records;
   std::map<PoolId, WaitingSet> waiting;
   std::map<InstanceId, std::set<JobId>> onInstance;
   std::map<TeamId, std::uint32_t> slots; // of live tasks
--- a/src/state/JobTasks.cpp
+++ b/src/state/JobTasks.cpp
@@ -87,7 +87,7 @@
 Outcome
 JobTable::Place(const PlaceTask& aCommand, Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
+  const Entry entry = this->records.FindEntry(aCommand.job);
   JobRecord& job = entry->second;
   this->RemoveFromIndexes(entry);
   TaskRecord task;
@@ -109,8 +109,8 @@
 Outcome
 JobTable::Stop(const StopTask& aCommand, Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.job);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound, "no job has this ID");
   }
   JobRecord& job = entry->second;
@@ -145,8 +145,8 @@
                       bool aIsCurrentBoot,
                       Context& aContext)
 {
-  const Entry entry = this->records.find(aReport.job);
-  if (entry == this->records.end() || !entry->second.task.has_value()) {
+  const Entry entry = this->records.FindEntry(aReport.job);
+  if (entry == this->records.End() || !entry->second.task.has_value()) {
     return;
   }
   const TaskRecord& task = *entry->second.task;
@@ -179,8 +179,8 @@
 Outcome
 JobTable::End(const EndTask& aCommand, Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.job);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound, "no job has this ID");
   }
   const JobRecord& job = entry->second;
--- a/src/state/Records.h
+++ b/src/state/Records.h
@@ -29,6 +29,8 @@
 
 struct BundleRecord
 {
+  // Empty for an old bundle whose content is no longer kept; its parsed bundle
+  // then holds only version and base.
   std::string content;
   std::string digest;
   std::string proposer;
--- a/src/state/UpstreamTable.cpp
+++ b/src/state/UpstreamTable.cpp
@@ -29,12 +29,13 @@
 Outcome
 UpstreamTable::Update(const Announcement& aAnnouncement, Context& aContext)
 {
-  const auto known = this->records.find(aAnnouncement.instance);
-  if (known == this->records.end()) {
-    this->Store(this->records[aAnnouncement.instance], aAnnouncement, aContext);
+  UpstreamRecord* known = this->records.Find(aAnnouncement.instance);
+  if (known == nullptr) {
+    known = &this->records.Add(aAnnouncement.instance, {})->second;
+    this->Store(*known, aAnnouncement, aContext);
     return Accept();
   }
-  UpstreamRecord& record = known->second;
+  UpstreamRecord& record = *known;
   if (record.announcement == aAnnouncement) {
     return AcceptAgain("the announcement is already recorded");
   }
@@ -57,22 +58,22 @@
   }
   if (aRecord.announcement.service != aAnnouncement.service) {
     this->RemoveFromIndex(aRecord.announcement.service, aAnnouncement.instance);
+    this->byService[aAnnouncement.service].insert(aAnnouncement.instance);
   }
   aRecord.announcement = aAnnouncement;
   aRecord.state = aAnnouncement.state;
   aRecord.changedAt = aContext.now;
-  this->byService[aAnnouncement.service].insert(aAnnouncement.instance);
   aContext.changes.upstreams.push_back(aAnnouncement.instance);
 }
 
 Outcome
 UpstreamTable::MarkSilent(const MarkUpstreamSilent& aCommand, Context& aContext)
 {
-  const auto known = this->records.find(aCommand.instance);
-  if (known == this->records.end()) {
+  UpstreamRecord* known = this->records.Find(aCommand.instance);
+  if (known == nullptr) {
     return Refuse(ErrorCode::NotFound, "no such upstream has announced itself");
   }
-  UpstreamRecord& record = known->second;
+  UpstreamRecord& record = *known;
   if (record.announcement.boot != aCommand.boot ||
       record.announcement.sequence > aCommand.sequence) {
     return Refuse(ErrorCode::Conflict, DescribeStored(record.announcement));
@@ -91,12 +92,12 @@
 void
 UpstreamTable::Remove(const InstanceId& aInstance, Context& aContext)
 {
-  const auto known = this->records.find(aInstance);
-  if (known == this->records.end()) {
+  const auto known = this->records.FindEntry(aInstance);
+  if (known == this->records.End()) {
     return;
   }
   this->RemoveFromIndex(known->second.announcement.service, aInstance);
-  this->records.erase(known);
+  this->records.Erase(known);
   aContext.changes.upstreams.push_back(aInstance);
 }
 
@@ -104,16 +105,15 @@
 UpstreamTable::BootOf(const InstanceId& aInstance) const
 {
   static const std::string kNone;
-  const auto known = this->records.find(aInstance);
-  return known == this->records.end() ? kNone : known->second.announcement.boot;
+  const UpstreamRecord* known = this->records.Find(aInstance);
+  return known == nullptr ? kNone : known->announcement.boot;
 }
 
 bool
 UpstreamTable::IsServing(const InstanceId& aInstance) const
 {
-  const auto known = this->records.find(aInstance);
-  return known != this->records.end() &&
-         known->second.state == UpstreamState::Serving;
+  const UpstreamRecord* known = this->records.Find(aInstance);
+  return known != nullptr && known->state == UpstreamState::Serving;
 }
 
 const std::set<InstanceId>&
@@ -127,9 +127,9 @@
 void
 UpstreamTable::Load(std::map<InstanceId, UpstreamRecord> aRecords)
 {
-  this->records = std::move(aRecords);
+  this->records.Load(std::move(aRecords));
   this->byService.clear();
-  for (const auto& [instance, record] : this->records) {
+  for (const auto& [instance, record] : this->records.Records()) {
     this->byService[record.announcement.service].insert(instance);
   }
 }
--- a/src/state/UpstreamTable.h
+++ b/src/state/UpstreamTable.h
@@ -3,6 +3,7 @@
 #define hyssoppaddle_state_UpstreamTable_h
 
 #include "state/Context.h"
+#include "state/RecordMap.h"
 #include "state/Records.h"
 
 #include <map>
@@ -26,7 +27,7 @@
   [[nodiscard]] bool IsServing(const InstanceId& aInstance) const;
   [[nodiscard]] const std::map<InstanceId, UpstreamRecord>& Records() const
   {
-    return this->records;
+    return this->records.Records();
   }
   [[nodiscard]] const std::set<InstanceId>& Of(const ServiceId& aService) const;
   void Load(std::map<InstanceId, UpstreamRecord> aRecords);
@@ -37,7 +38,7 @@
              Context& aContext);
   void RemoveFromIndex(const ServiceId& aService, const InstanceId& aInstance);
 
-  std::map<InstanceId, UpstreamRecord> records;
+  RecordMap<InstanceId, UpstreamRecord> records;
   std::map<ServiceId, std::set<InstanceId>> byService;
 };
 
--- a/test/state/Fleet.h
+++ b/test/state/Fleet.h
@@ -51,6 +51,21 @@
   return bundle;
 }
 
+// Error code of a refusal; nothing when the command was accepted.
+inline std::optional<ErrorCode>
+CodeOf(const state::Outcome& aOutcome)
+{
+  return aOutcome.Ok() ? std::nullopt : std::optional(aOutcome.error->code);
+}
+
+// Whether the command was refused with a message that contains aPart.
+inline bool
+RefusedWith(const state::Outcome& aOutcome, std::string_view aPart)
+{
+  return !aOutcome.Ok() &&
+         aOutcome.error->message.find(aPart) != std::string::npos;
+}
+
 class Fleet
 {
 public:
