--- a/src/request/EngineAttempts.cpp
+++ b/src/request/EngineAttempts.cpp
@@ -11,12 +11,16 @@
 Engine::Reserve(Request& aRequest, ServiceGroup& aGroup)
 {
   const bool heardOnly = !this->leases.DirectoryFresh(this->now);
-  Router::Choice choice = this->router.Pick(aGroup, heardOnly, aRequest.avoid);
-  while (choice.upstream != nullptr && !this->IsListed(*choice.upstream)) {
+  const bool mayProbe = aRequest.arrival.idempotent &&
+                        aRequest.arrival.replayable && aRequest.attempt == 0;
+  Router::Choice choice =
+    this->router.Pick(aGroup, heardOnly, mayProbe, aRequest.avoid);
+  while (choice.upstream != nullptr &&
+         !this->view->Upstreams().contains(choice.upstream->id)) {
     // A restored snapshot can miss records without naming them as changed.
     this->OnDirectory(
       this->directory.OnRecordChanged(choice.upstream->id, this->now));
-    choice = this->router.Pick(aGroup, heardOnly, aRequest.avoid);
+    choice = this->router.Pick(aGroup, heardOnly, mayProbe, aRequest.avoid);
   }
   if (choice.upstream == nullptr || !this->permits.Acquire(aRequest.team)) {
     return false;
@@ -31,14 +35,6 @@
   return true;
 }
 
-bool
-Engine::IsListed(const Upstream& aUpstream) const
-{
-  const auto record = this->view->Upstreams().find(aUpstream.id);
-  return record != this->view->Upstreams().end() &&
-         record->second.state != state::UpstreamState::Departing;
-}
-
 void
 Engine::StartAttempt(Request& aRequest)
 {
@@ -118,7 +114,7 @@
     return;
   }
   Upstream& upstream = *request->upstream;
-  upstream.limit.OnRejected(this->now);
+  this->LowerLimit(upstream);
   request->avoid = upstream.id;
   const bool retry = this->MayRetry(*request, request->phase, true);
   this->LeaveStage(*request);
@@ -263,7 +259,7 @@
 void
 Engine::ReportFailure(Upstream& aUpstream, std::string_view aReason)
 {
-  aUpstream.limit.OnRejected(this->now);
+  this->LowerLimit(aUpstream);
   if (const auto delay = this->ejector.OnFailure(aUpstream)) {
     aUpstream.probeTimer = this->timers.Add(
       this->now + *delay, { TimerKind::Probe, 0, aUpstream.id });
@@ -271,13 +267,23 @@
   }
 }
 
+void
+Engine::LowerLimit(Upstream& aUpstream)
+{
+  if (this->options.adaptiveConcurrency) {
+    aUpstream.limit.OnRejected(this->now);
+  }
+}
+
 void
 Engine::ReportSuccess(Upstream& aUpstream, Duration aLatency, bool aBusy)
 {
   if (aUpstream.group != nullptr) {
     LatencyBaseline& baseline = aUpstream.group->baseline;
     baseline.Add(aLatency, this->now);
-    aUpstream.limit.OnAnswer(aLatency, baseline.Usual(), aBusy, this->now);
+    if (this->options.adaptiveConcurrency) {
+      aUpstream.limit.OnAnswer(aLatency, baseline.Usual(), aBusy, this->now);
+    }
   }
   if (Ejector::OnSuccess(aUpstream)) {
     this->BeginRamp(aUpstream, Duration(0));
