--- a/src/state/JobTasks.cpp
+++ b/src/state/JobTasks.cpp
@@ -89,7 +89,7 @@
                 const std::string& aBoot,
                 Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
+  const Entry entry = this->records.FindEntry(aCommand.job);
   JobRecord& job = entry->second;
   this->RemoveFromIndexes(entry);
   TaskRecord task;
@@ -112,8 +112,8 @@
 Outcome
 JobTable::Stop(const StopTask& aCommand, Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.job);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound, "no job has this ID");
   }
   JobRecord& job = entry->second;
@@ -148,8 +148,8 @@
                       bool aIsCurrentBoot,
                       Context& aContext)
 {
-  const Entry entry = this->records.find(aReport.job);
-  if (entry == this->records.end() || !entry->second.task.has_value()) {
+  const Entry entry = this->records.FindEntry(aReport.job);
+  if (entry == this->records.End() || !entry->second.task.has_value()) {
     return;
   }
   const TaskRecord& task = *entry->second.task;
@@ -199,8 +199,8 @@
 Outcome
 JobTable::End(const EndTask& aCommand, Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.job);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound, "no job has this ID");
   }
   const JobRecord& job = entry->second;
