Lower concurrency limits in proportion to the overload

At the start of a peak 11 entry instances sent 8 requests each to upstreams that take 64, and the fixed step of 0.8 lowered the limits too slowly. A decrease now aims at twice the usual latency, and a refusal halves the limit.

--- a/src/request/Concurrency.cpp
+++ b/src/request/Concurrency.cpp
@@ -78,8 +78,11 @@
   if (!aUsual) {
     return;
   }
-  if (this->latency > kTolerance * static_cast<double>(aUsual->count())) {
-    this->Decrease(aNow);
+  const double slowdown =
+    this->latency / (kTolerance * static_cast<double>(aUsual->count()));
+  if (slowdown > 1) {
+    this->Decrease(std::clamp(1 / slowdown, kMostDecrease, kLeastDecrease),
+                   aNow);
   } else if (aBusy) {
     this->value = std::min(this->value + 1 / this->value,
                            static_cast<double>(this->ceiling));
@@ -89,11 +92,11 @@
 void
 ConcurrencyLimit::OnRejected(Time aNow)
 {
-  this->Decrease(aNow);
+  this->Decrease(kMostDecrease, aNow);
 }
 
 void
-ConcurrencyLimit::Decrease(Time aNow)
+ConcurrencyLimit::Decrease(double aFactor, Time aNow)
 {
   // One decrease per answer time: the requests already under way report the
   // same overload again.
@@ -103,7 +106,7 @@
     return;
   }
   this->decreasedAt = aNow;
-  this->value = std::max(1.0, this->value * kDecrease);
+  this->value = std::max(1.0, this->value * aFactor);
 }
 
 } // namespace hyssoppaddle::request
--- a/src/request/Concurrency.h
+++ b/src/request/Concurrency.h
@@ -58,11 +58,14 @@
 private:
   // An upstream this many times slower than usual is taken for overloaded.
   static constexpr double kTolerance = 2.0;
-  static constexpr double kDecrease = 0.8;
+  // A decrease aims at the usual latency, within these bounds. A refusal says
+  // that the upstream is full, whatever its latency.
+  static constexpr double kLeastDecrease = 0.9;
+  static constexpr double kMostDecrease = 0.5;
   static constexpr double kSmoothing = 0.2;
   static constexpr Duration kMinDecreaseGap{ 20000 };
 
-  void Decrease(Time aNow);
+  void Decrease(double aFactor, Time aNow);
 
   double value = 1;
   std::uint32_t ceiling = 1;
