Weigh the load of an upstream by its latency

An entry instance sees only its own requests, about a tenth of what an upstream runs, so that the number in flight says little about the load there. The load of a candidate is now multiplied by its slowdown against the usual latency of the service; the benchmark also reports the time to the answer.

--- a/bench/RequestBench.cpp
+++ b/bench/RequestBench.cpp
@@ -35,11 +35,12 @@
 void
 PrintRouting(const char* aName, const SimResult& aResult)
 {
-  std::printf("  %-22s wait p50 %8.1f ms  p99 %8.1f ms  imbalance %.2f"
-              "  done %llu  refused %llu  rejected %llu\n",
+  std::printf("  %-22s wait p50 %6.1f p99 %7.1f ms  answer p99 %7.1f ms"
+              "  imbalance %.2f  done %llu  refused %llu  rejected %llu\n",
               aName,
               aResult.Wait(0.5),
               aResult.Wait(0.99),
+              aResult.Answer(0.99),
               aResult.imbalance,
               static_cast<unsigned long long>(aResult.done),
               static_cast<unsigned long long>(aResult.refused),
--- a/bench/RequestSim.h
+++ b/bench/RequestSim.h
@@ -60,19 +60,28 @@
 
 struct SimResult
 {
-  std::vector<double> waits; // arrival to start at the upstream, ms, sorted
+  std::vector<double> waits;   // arrival to start at the upstream, ms, sorted
+  std::vector<double> answers; // arrival to end, ms, sorted
   std::uint64_t done = 0;
   std::uint64_t refused = 0;
   std::uint64_t rejected = 0; // attempts above the connections of an upstream
   double imbalance = 0;       // highest use of a healthy upstream over the mean
 
-  [[nodiscard]] double Wait(double aQuantile) const
+  static double At(const std::vector<double>& aSorted, double aQuantile)
   {
-    if (this->waits.empty()) {
+    if (aSorted.empty()) {
       return 0;
     }
-    const auto last = static_cast<double>(this->waits.size() - 1);
-    return this->waits[static_cast<std::size_t>(aQuantile * last)];
+    const auto last = static_cast<double>(aSorted.size() - 1);
+    return aSorted[static_cast<std::size_t>(aQuantile * last)];
+  }
+  [[nodiscard]] double Wait(double aQuantile) const
+  {
+    return At(this->waits, aQuantile);
+  }
+  [[nodiscard]] double Answer(double aQuantile) const
+  {
+    return At(this->answers, aQuantile);
   }
 };
 
@@ -366,6 +375,8 @@
   Server& server = this->servers[aServer];
   --server.busy;
   ++this->result.done;
+  this->result.answers.push_back(
+    static_cast<double>((this->now - aJob.arrived).count()) / 1000);
   if (!server.queue.empty()) {
     const Job next = server.queue.front();
     server.queue.pop_front();
@@ -418,6 +429,7 @@
       std::max(this->result.imbalance, most * healthy / std::max(sum, 1e-9));
   }
   std::ranges::sort(this->result.waits);
+  std::ranges::sort(this->result.answers);
   return this->result;
 }
 
--- a/src/request/Router.cpp
+++ b/src/request/Router.cpp
@@ -45,14 +45,20 @@
   return aUpstream.sameDataCentre ? aGroup.ready : aGroup.readyRemote;
 }
 
-// Share of the limit in use once this request runs there. Failures that have
-// not yet led to an ejection count like load: at most 30% of a service can be
-// ejected, and a lost rack can be more than that.
+// Share of the limit in use once this request runs there, times the slowdown
+// against the service's usual latency. The own requests are about a tenth of
+// what an upstream runs, so that its latency tells more about its load than
+// their number. Failures that have not yet led to an ejection count like load:
+// at most 30% of a service can be ejected, and a lost rack can be more.
 double
-Load(const Upstream& aUpstream)
+Load(const Upstream& aUpstream, std::optional<Duration> aUsual)
 {
   const double used = static_cast<double>(aUpstream.inFlight) + 1;
-  return used * (1.0 + aUpstream.failures) / aUpstream.limit.Value();
+  const double slowdown =
+    aUsual ? aUpstream.limit.Latency() / static_cast<double>(aUsual->count())
+           : 1;
+  return used * std::max(1.0, slowdown) * (1.0 + aUpstream.failures) /
+         aUpstream.limit.Value();
 }
 
 } // namespace
@@ -127,7 +133,7 @@
 void
 Router::Consider(Upstream& aUpstream, Choice& aChoice, double& aLeast)
 {
-  const double load = Load(aUpstream);
+  const double load = Load(aUpstream, aUpstream.group->baseline.Usual());
   aChoice.candidates.push_back(
     { aUpstream.id, load, aUpstream.sameDataCentre });
   if (load < aLeast) {
