Compare other data centres when the own one is loaded

With two or three upstreams of a service in a data centre, its callers queued there while others were idle. Above half of the limit, three candidates of the other data centres are compared with a penalty of 1.25 for the longer way. Failing upstreams then lost every comparison and were neither ejected nor tried again, so failures now weigh on the load for 1 s and do not lower the limit, which is about overload. The ejection test keeps 60 requests running, so that failing upstreams are needed.

--- a/src/request/Concurrency.h
+++ b/src/request/Concurrency.h
@@ -47,7 +47,7 @@
                 std::optional<Duration> aUsual,
                 bool aBusy,
                 Time aNow);
-  // The upstream refused or failed.
+  // The upstream refused because it is full.
   void OnRejected(Time aNow);
 
   [[nodiscard]] double Value() const { return this->value; }
--- a/src/request/Ejector.cpp
+++ b/src/request/Ejector.cpp
@@ -17,9 +17,10 @@
 }
 
 std::optional<Duration>
-Ejector::OnFailure(Upstream& aUpstream)
+Ejector::OnFailure(Upstream& aUpstream, Time aNow)
 {
   ++aUpstream.failures;
+  aUpstream.failedAt = aNow;
   ServiceGroup* group = aUpstream.group;
   if (group == nullptr || aUpstream.health == Health::Ejected) {
     return std::nullopt;
--- a/src/request/Ejector.h
+++ b/src/request/Ejector.h
@@ -20,7 +20,7 @@
   explicit Ejector(std::uint64_t aSeed);
 
   // Returns the delay until the next probe when the upstream is ejected now.
-  std::optional<Duration> OnFailure(Upstream& aUpstream);
+  std::optional<Duration> OnFailure(Upstream& aUpstream, Time aNow);
   // Returns true when the success ends an ejection.
   static bool OnSuccess(Upstream& aUpstream);
   // The probe delay is over.
--- a/src/request/Engine.h
+++ b/src/request/Engine.h
@@ -121,7 +121,6 @@
   bool Retry(Request& aRequest);
   void HoldPermit(Request& aRequest);
   void FreeHold(std::uint64_t aNumber);
-  void LowerLimit(Upstream& aUpstream);
   void ReportFailure(Upstream& aUpstream, std::string_view aReason);
   void ReportSuccess(Upstream& aUpstream, Duration aLatency, bool aBusy);
 
--- a/src/request/EngineAttempts.cpp
+++ b/src/request/EngineAttempts.cpp
@@ -10,17 +10,19 @@
 bool
 Engine::Reserve(Request& aRequest, ServiceGroup& aGroup)
 {
-  const bool heardOnly = !this->leases.DirectoryFresh(this->now);
-  const bool mayProbe = aRequest.arrival.idempotent &&
-                        aRequest.arrival.replayable && aRequest.attempt == 0;
-  Router::Choice choice =
-    this->router.Pick(aGroup, heardOnly, mayProbe, aRequest.avoid);
+  Router::Wish wish;
+  wish.now = this->now;
+  wish.heardOnly = !this->leases.DirectoryFresh(this->now);
+  wish.mayProbe = aRequest.arrival.idempotent && aRequest.arrival.replayable &&
+                  aRequest.attempt == 0;
+  wish.avoid = aRequest.avoid;
+  Router::Choice choice = this->router.Pick(aGroup, wish);
   while (choice.upstream != nullptr &&
          !this->view->Upstreams().contains(choice.upstream->id)) {
     // A restored snapshot can miss records without naming them as changed.
     this->OnDirectory(
       this->directory.OnRecordChanged(choice.upstream->id, this->now));
-    choice = this->router.Pick(aGroup, heardOnly, mayProbe, aRequest.avoid);
+    choice = this->router.Pick(aGroup, wish);
   }
   if (choice.upstream == nullptr || !this->permits.Acquire(aRequest.team)) {
     return false;
@@ -114,7 +116,9 @@
     return;
   }
   Upstream& upstream = *request->upstream;
-  this->LowerLimit(upstream);
+  if (this->options.adaptiveConcurrency) {
+    upstream.limit.OnRejected(this->now);
+  }
   request->avoid = upstream.id;
   const bool retry = this->MayRetry(*request, request->phase, true);
   this->LeaveStage(*request);
@@ -259,22 +263,13 @@
 void
 Engine::ReportFailure(Upstream& aUpstream, std::string_view aReason)
 {
-  this->LowerLimit(aUpstream);
-  if (const auto delay = this->ejector.OnFailure(aUpstream)) {
+  if (const auto delay = this->ejector.OnFailure(aUpstream, this->now)) {
     aUpstream.probeTimer = this->timers.Add(
       this->now + *delay, { TimerKind::Probe, 0, aUpstream.id });
     this->LogUpstream("eject", aUpstream, aReason);
   }
 }
 
-void
-Engine::LowerLimit(Upstream& aUpstream)
-{
-  if (this->options.adaptiveConcurrency) {
-    aUpstream.limit.OnRejected(this->now);
-  }
-}
-
 void
 Engine::ReportSuccess(Upstream& aUpstream, Duration aLatency, bool aBusy)
 {
--- a/src/request/Router.cpp
+++ b/src/request/Router.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace hyssoppaddle::request {
 
@@ -48,16 +47,19 @@
 // Share of the limit in use once this request runs there, times the slowdown
 // against the service's usual latency. The own requests are about a tenth of
 // what an upstream runs, so that its latency tells more about its load than
-// their number. Failures that have not yet led to an ejection count like load:
-// at most 30% of a service can be ejected, and a lost rack can be more.
+// their number. Late failures count like load: at most 30% of a service can be
+// ejected, and a lost rack can be more.
 double
-Load(const Upstream& aUpstream, std::optional<Duration> aUsual)
+Load(const Upstream& aUpstream, Time aNow)
 {
+  const std::optional<Duration> usual = aUpstream.group->baseline.Usual();
   const double used = static_cast<double>(aUpstream.inFlight) + 1;
   const double slowdown =
-    aUsual ? aUpstream.limit.Latency() / static_cast<double>(aUsual->count())
-           : 1;
-  return used * std::max(1.0, slowdown) * (1.0 + aUpstream.failures) /
+    usual ? aUpstream.limit.Latency() / static_cast<double>(usual->count()) : 1;
+  const bool failedLately = aUpstream.failures > 0 &&
+                            aNow - aUpstream.failedAt < Router::kFailureWeighs;
+  const double failures = failedLately ? aUpstream.failures : 0;
+  return used * std::max(1.0, slowdown) * (1 + failures) /
          aUpstream.limit.Value();
 }
 
@@ -79,40 +81,42 @@
 }
 
 Router::Choice
-Router::Pick(const ServiceGroup& aGroup,
-             bool aHeardOnly,
-             bool aMayProbe,
-             const InstanceId& aAvoid)
+Router::Pick(const ServiceGroup& aGroup, const Wish& aWish)
 {
   Choice choice;
-  if (aMayProbe && !aHeardOnly && !aGroup.toProbe.empty()) {
+  if (aWish.mayProbe && !aWish.heardOnly && !aGroup.toProbe.empty()) {
     choice.rule = "probe of an ejected upstream";
     choice.upstream = aGroup.toProbe.back();
     return choice;
   }
-  if (aHeardOnly) {
+  if (aWish.heardOnly) {
     choice.rule = "least loaded of those heard here";
-    this->Sample(aGroup.readyHeard, aAvoid, choice);
+    this->Sample(aGroup.readyHeard, aWish, 1, choice);
   } else {
     choice.rule = "least loaded in own data centre";
-    this->Sample(aGroup.ready, aAvoid, choice);
-    if (choice.upstream == nullptr) {
+    this->Sample(aGroup.ready, aWish, 1, choice);
+    if (choice.load > kSpillLoad &&
+        this->Sample(aGroup.readyRemote, aWish, kRemotePenalty, choice)) {
       choice.rule = "least loaded in other data centres";
-      this->Sample(aGroup.readyRemote, aAvoid, choice);
     }
   }
-  if (choice.upstream == nullptr && !aAvoid.empty()) {
-    return this->Pick(aGroup, aHeardOnly, aMayProbe, InstanceId());
+  if (choice.upstream == nullptr && !aWish.avoid.empty()) {
+    Wish any = aWish;
+    any.avoid = InstanceId();
+    return this->Pick(aGroup, any);
   }
   return choice;
 }
 
-void
-Router::Sample(const List& aList, const InstanceId& aAvoid, Choice& aChoice)
+bool
+Router::Sample(const List& aList,
+               const Wish& aWish,
+               double aPenalty,
+               Choice& aChoice)
 {
   constexpr std::size_t kSamples = 3;
-  double least = std::numeric_limits<double>::infinity();
   std::array<std::size_t, kSamples> drawn{};
+  bool chosen = false;
   const std::size_t count = std::min(kSamples, aList.size());
   for (std::size_t draw = 0; draw < count; ++draw) {
     // Floyd's sampling: distinct places without a shuffle.
@@ -124,22 +128,20 @@
       place = top;
     }
     drawn.at(draw) = place;
-    if (aList[place]->id != aAvoid) {
-      Consider(*aList[place], aChoice, least);
+    Upstream& upstream = *aList[place];
+    if (upstream.id == aWish.avoid) {
+      continue;
+    }
+    const double load = aPenalty * Load(upstream, aWish.now);
+    aChoice.candidates.push_back(
+      { upstream.id, load, upstream.sameDataCentre });
+    if (load < aChoice.load) {
+      aChoice.load = load;
+      aChoice.upstream = &upstream;
+      chosen = true;
     }
   }
-}
-
-void
-Router::Consider(Upstream& aUpstream, Choice& aChoice, double& aLeast)
-{
-  const double load = Load(aUpstream, aUpstream.group->baseline.Usual());
-  aChoice.candidates.push_back(
-    { aUpstream.id, load, aUpstream.sameDataCentre });
-  if (load < aLeast) {
-    aLeast = load;
-    aChoice.upstream = &aUpstream;
-  }
+  return chosen;
 }
 
 void
--- a/src/request/Router.h
+++ b/src/request/Router.h
@@ -9,6 +9,7 @@
 #include "request/Upstream.h"
 
 #include <cstdint>
+#include <limits>
 #include <string_view>
 #include <vector>
 
@@ -24,16 +25,20 @@
     Upstream* upstream = nullptr; // null: none can take work
     std::vector<Candidate> candidates;
     std::string_view rule;
+    double load = std::numeric_limits<double>::infinity(); // of upstream
   };
 
-  // aHeardOnly: consider only upstreams heard here. aAvoid was tried before and
-  // is chosen only when there is no other. aMayProbe: a failed probe costs the
-  // request nothing but a retry, so that it may be the one that probes. Without
-  // this, an upstream that waits for its probe loses every comparison of load.
-  Choice Pick(const ServiceGroup& aGroup,
-              bool aHeardOnly,
-              bool aMayProbe,
-              const InstanceId& aAvoid);
+  struct Wish
+  {
+    Time now;
+    bool heardOnly = false; // only upstreams heard here
+    // A failed probe costs the request nothing but a retry, so that it may be
+    // the one that probes. Without this, an upstream that waits for its probe
+    // loses every comparison of load.
+    bool mayProbe = false;
+    InstanceId avoid; // tried before; chosen only when there is no other
+  };
+  Choice Pick(const ServiceGroup& aGroup, const Wish& aWish);
   [[nodiscard]] static bool CanPick(const ServiceGroup& aGroup,
                                     bool aHeardOnly);
 
@@ -51,13 +56,25 @@
   [[nodiscard]] static std::uint32_t LimitNow(const Upstream& aUpstream,
                                               Time aNow);
 
+  // Above this load in the own data centre, others are compared too: with few
+  // upstreams of a service there, the own data centre can be full while others
+  // are idle. The penalty stands for the longer way.
+  static constexpr double kSpillLoad = 0.5;
+  static constexpr double kRemotePenalty = 1.25;
+  // Failures weigh on the load only for this time, so that the upstream is
+  // tried again and either recovers or is ejected.
+  static constexpr Duration kFailureWeighs{ 1000000 };
   static constexpr Duration kSlowStart{ 10000000 };
   static constexpr Duration kRampStep{ 1000000 };
 
 private:
   using List = std::vector<Upstream*>;
-  void Sample(const List& aList, const InstanceId& aAvoid, Choice& aChoice);
-  static void Consider(Upstream& aUpstream, Choice& aChoice, double& aLeast);
+  // Samples the list; a candidate must be below aChoice.load after it is
+  // multiplied by aPenalty. Returns whether one was chosen.
+  bool Sample(const List& aList,
+              const Wish& aWish,
+              double aPenalty,
+              Choice& aChoice);
 
   DataCentreId own;
   Random random;
--- a/src/request/Upstream.h
+++ b/src/request/Upstream.h
@@ -55,7 +55,8 @@
 
   // Ejector.
   Health health = Health::Healthy;
-  std::uint32_t failures = 0;  // consecutive
+  std::uint32_t failures = 0; // consecutive
+  Time failedAt;
   std::uint32_t ejections = 0; // consecutive, for the probe delay
   std::optional<Timers::Handle> probeTimer;
 
--- a/test/request/RoutingTest.cpp
+++ b/test/request/RoutingTest.cpp
@@ -3,6 +3,7 @@
 #include "request/Fleet.h"
 #include "request/RetryBudget.h"
 
+#include <deque>
 #include <set>
 
 using namespace hyssoppaddle;
@@ -18,6 +19,10 @@
       int aCount,
       std::set<std::string> aEjected = {})
 {
+  // Enough to need the failing upstreams too: an idle service avoids them by
+  // their load before they are ejected.
+  constexpr std::size_t kRunning = 60;
+  std::deque<StartAttempt> running;
   for (int number = 0; number < aCount; ++number) {
     aFleet.Pass(Seconds(0.02));
     Effects effects = aFleet.Renew();
@@ -27,9 +32,16 @@
       Effects more;
       if (const auto* start = std::get_if<StartAttempt>(&effects[at])) {
         const StartAttempt attempt = *start;
-        more = aBad.contains(attempt.upstream.value)
-                 ? aFleet.Fail(attempt, AttemptPhase::Connecting)
-                 : aFleet.Finish(attempt);
+        if (aBad.contains(attempt.upstream.value)) {
+          more = aFleet.Fail(attempt, AttemptPhase::Connecting);
+        } else {
+          running.push_back(attempt);
+        }
+      }
+      if (running.size() > kRunning) {
+        const Effects ended = aFleet.Finish(running.front());
+        running.pop_front();
+        more.insert(more.end(), ended.begin(), ended.end());
       }
       if (const auto* line = std::get_if<LogDecision>(&effects[at])) {
         if (line->kind == "eject") {
@@ -41,6 +53,9 @@
       effects.insert(effects.end(), more.begin(), more.end());
     }
   }
+  for (const StartAttempt& attempt : running) {
+    aFleet.Finish(attempt);
+  }
   return aEjected;
 }
 
@@ -53,6 +68,7 @@
   Story story;
   FleetOptions options;
   options.upstreams = 20;
+  options.permits = 100;
   Fleet fleet(options);
   const std::set<std::string> rack{ "u0",  "u3",  "u6", "u9", "u12",
                                     "u15", "u18", "u1", "u4" };
@@ -97,11 +113,12 @@
   upstream.group = &group;
   for (std::uint32_t failure = 1; failure < Ejector::kFailuresToEject;
        ++failure) {
-    EXPECT_THAT(story, !ejector.OnFailure(upstream).has_value());
+    EXPECT_THAT(story,
+                !ejector.OnFailure(upstream, Time(Seconds(1))).has_value());
   }
   Duration expected = Ejector::kFirstProbe;
   for (int probe = 0; probe < 8; ++probe) {
-    const auto delay = ejector.OnFailure(upstream);
+    const auto delay = ejector.OnFailure(upstream, Time(Seconds(1)));
     EXPECT_THAT(story, delay >= expected && *delay <= expected * 5 / 4);
     EXPECT_EQUAL(story, group.ejected.size(), 1U);
     Ejector::BeginProbe(upstream);
