--- /dev/null
+++ b/test/planner/RandomFleetTest.cpp
@@ -0,0 +1,193 @@
+// Planner and state machine against fake upstreams under random faults, with a
+// checker that looks from outside.
+#include "planner/EntryDriver.h"
+#include "planner/FleetChecker.h"
+#include "planner/FleetDriver.h"
+#include "planner/Fleets.h"
+#include "support/Story.h"
+
+#include <array>
+#include <string>
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+
+namespace {
+
+class RandomRun
+{
+public:
+  RandomRun(std::uint64_t aSeed, const state::Bundle& aBundle)
+    : random(aSeed)
+    , fleet(aBundle)
+    , checker(this->fleet, aBundle)
+    , entries(this->fleet, 5)
+  {
+    for (const auto& [instance, record] : this->fleet.state.Instances()) {
+      this->names.push_back(instance);
+    }
+  }
+
+  void Run(int aSteps)
+  {
+    for (int step = 0; step < aSteps; ++step) {
+      this->Act();
+      this->fleet.Run(this->random.Between(Duration(0), 2 * kSecond));
+    }
+  }
+
+  FleetChecker& Checker() { return this->checker; }
+  FleetDriver& Fleet() { return this->fleet; }
+
+private:
+  using Action = void (RandomRun::*)();
+
+  void Act()
+  {
+    static constexpr std::array<Action, 16> kActions{
+      &RandomRun::SubmitJobs, &RandomRun::SubmitJobs, &RandomRun::SubmitJobs,
+      &RandomRun::SubmitJobs, &RandomRun::SubmitJobs, &RandomRun::MoveLoad,
+      &RandomRun::MoveLoad,   &RandomRun::MoveLoad,   &RandomRun::KillOne,
+      &RandomRun::KillRack,   &RandomRun::BootAll,    &RandomRun::CutOffOne,
+      &RandomRun::Cancel,     &RandomRun::Request,    &RandomRun::ChangeLeader,
+      &RandomRun::BootAll,
+    };
+    (this->*kActions.at(this->random.Below(kActions.size())))();
+  }
+
+  [[nodiscard]] InstanceId AnyInstance()
+  {
+    return this->names[this->random.Below(this->names.size())];
+  }
+
+  void SubmitJobs()
+  {
+    const std::uint64_t count = this->random.Below(30);
+    for (std::uint64_t index = 0; index < count; ++index) {
+      state::SubmitJob job;
+      job.job = JobId("job" + std::to_string(++this->serial));
+      job.team = TeamName(this->random.Below(6));
+      job.service = ServiceName(this->random.Below(5));
+      job.workClass = static_cast<state::WorkClass>(this->random.Below(3));
+      job.size = { this->Amount(4000), this->Amount(4000), 0 };
+      job.slots = this->random.Below(10) == 0 ? 4 : 1;
+      job.idempotent = this->random.Below(3) != 0;
+      JobTruth truth;
+      truth.runTime = this->random.Between(kSecond / 10, 90 * kSecond);
+      truth.usage = { this->Amount(8000), this->Amount(8000), 0 };
+      truth.fails = this->random.Below(40) == 0;
+      this->recent.push_back(job);
+      this->fleet.SubmitJob(job, truth);
+    }
+  }
+
+  [[nodiscard]] std::int64_t Amount(std::uint64_t aBound)
+  {
+    return static_cast<std::int64_t>(this->random.Below(aBound));
+  }
+
+  void MoveLoad()
+  {
+    this->entries.SetLoad(this->random.Below(5),
+                          TeamName(this->random.Below(6)),
+                          static_cast<std::uint32_t>(this->random.Below(150)));
+  }
+
+  void KillOne()
+  {
+    const InstanceId instance = this->AnyInstance();
+    if (this->fleet.upstreams[instance].up) {
+      this->fleet.Kill(instance);
+    }
+  }
+
+  void KillRack()
+  {
+    if (this->random.Below(6) != 0) {
+      return;
+    }
+    const RackId rack = this->fleet.Instance(this->AnyInstance()).rack;
+    for (const InstanceId& instance : this->names) {
+      if (this->fleet.Instance(instance).rack == rack &&
+          this->fleet.upstreams[instance].up) {
+        this->fleet.Kill(instance);
+      }
+    }
+  }
+
+  void BootAll()
+  {
+    for (const InstanceId& instance : this->names) {
+      FakeUpstream& upstream = this->fleet.upstreams[instance];
+      const bool isLost =
+        this->fleet.Instance(instance).phase == state::InstancePhase::Lost;
+      if (upstream.up && upstream.cutOff && isLost) {
+        this->fleet.Reconnect(instance);
+      } else if (!upstream.up && isLost) {
+        this->fleet.Boot(instance);
+      }
+    }
+  }
+
+  void CutOffOne() { this->fleet.CutOff(this->AnyInstance()); }
+
+  void Cancel()
+  {
+    if (this->recent.empty()) {
+      return;
+    }
+    const TeamId team = this->recent.back().team;
+    state::CancelJobs cancel{ team, {} };
+    for (const state::SubmitJob& job : this->recent) {
+      if (job.team == team) {
+        cancel.jobs.push_back(job.job);
+      }
+    }
+    this->recent.clear();
+    this->fleet.ApplyNow(cancel);
+  }
+
+  void Request()
+  {
+    const auto kind =
+      static_cast<state::InstanceRequest>(this->random.Below(3));
+    this->fleet.ApplyNow(state::RequestInstance{
+      this->AnyInstance(), kind, PoolId(PoolName(this->random.Below(5))) });
+  }
+
+  void ChangeLeader() { this->fleet.Lead(); }
+
+  Random random;
+  FleetDriver fleet;
+  FleetChecker checker;
+  EntryDriver entries;
+  std::vector<InstanceId> names;
+  std::vector<state::SubmitJob> recent;
+  std::uint64_t serial = 0;
+};
+
+} // namespace
+
+// Guards against broken budgets, instances in two pools, exceeded limits, two
+// live tasks of a job and planned stops that interrupt work, under faults in
+// any combination.
+Test(RandomFleet, InvariantsHoldUnderRandomFaults)
+{
+  Story story;
+  state::Bundle bundle = MakeBundle(PayrollShape());
+  bundle.policy.maintenanceInterval = 40 * kMinute;
+  bundle.policy.soakTime = 20 * kSecond;
+  bundle.policy.drainTime = 10 * kSecond;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    RandomRun run(seed, bundle);
+    run.Run(2000);
+    story.Section("seed " + std::to_string(seed), [&] {
+      EXPECT_EQUAL(story,
+                   run.Checker().problems.empty()
+                     ? std::string()
+                     : run.Checker().problems.front(),
+                   std::string());
+      EXPECT_THAT(story, run.Checker().drains > 0);
+    });
+  }
+}
