Lend from the spare pool only when it stays less loaded than the receiver

Every lost instance was replaced at once, although the spare pool serves work of its own: with half of its instances lent, its queue dominated the p99 wait. Moves and repairs now compare the load of both pools after the loan; a receiver below its min_available may always borrow within the budget.

--- a/src/planner/Moves.cpp
+++ b/src/planner/Moves.cpp
@@ -26,6 +26,8 @@
 constexpr double kShortByNearness = 0.1;
 constexpr double kIdleAt = 0.8;
 constexpr double kIdleByNearness = 0.2;
+// Below this load the spare pool lends whatever the receiver's load is.
+constexpr double kQuiet = 0.3;
 // A backlog counts at most this many times the capacity.
 constexpr double kLargestDemand = 2.0;
 
@@ -139,15 +141,22 @@
 }
 
 bool
-Moves::SpareCanLend(const Context& aContext) const
+Moves::MayLend(const Context& aContext, const PoolId& aPool) const
 {
-  const PoolLoad& load = this->loads.PoolOf(this->spare);
-  if (load.instances == 0 || this->budget.Spare(aContext, this->spare) == 0) {
+  const PoolLoad& lender = this->loads.PoolOf(this->spare);
+  if (lender.instances == 0 || this->budget.Spare(aContext, this->spare) == 0) {
     return false;
   }
-  const double after =
-    static_cast<double>(load.slots) * (load.instances - 1) / load.instances;
-  return this->Smoothed(this->spare) < after * kIdleAt;
+  const state::PoolSpec* spec = aContext.state.FindPool(aPool);
+  if (spec != nullptr &&
+      aContext.state.AvailableIn(aPool) < spec->minAvailable) {
+    return true;
+  }
+  const double left = static_cast<double>(lender.slots) *
+                      (lender.instances - 1) / lender.instances;
+  const auto own = static_cast<double>(this->loads.PoolOf(aPool).slots);
+  const double receiver = own > 0 ? this->Smoothed(aPool) / own : 1.0;
+  return this->Smoothed(this->spare) < left * std::max(receiver, kQuiet);
 }
 
 void
@@ -164,7 +173,8 @@
     aWaveWaits && spec != nullptr &&
     aContext.state.InstancesOf(aPool).size() <= spec->minAvailable;
   if ((!isShort && !hasNoSlack) || this->transfers.To(aPool) > 0 ||
-      this->transfers.From(this->spare) > 0 || !this->SpareCanLend(aContext)) {
+      this->transfers.From(this->spare) > 0 ||
+      !this->MayLend(aContext, aPool)) {
     return;
   }
   const std::string reason =
--- a/src/planner/Moves.h
+++ b/src/planner/Moves.h
@@ -31,6 +31,10 @@
   // aBlocked: pools whose budget a wave waits for; they may borrow as well.
   void OnTick(Context& aContext, const std::set<PoolId>& aBlocked);
 
+  // True when the spare pool may give one instance to aPool: it stays less
+  // loaded than the receiver is, or the receiver is below its budget.
+  [[nodiscard]] bool MayLend(const Context& aContext,
+                             const PoolId& aPool) const;
   [[nodiscard]] const PoolId& SparePool() const { return this->spare; }
   // Smoothed demand for slots, up to the capacity.
   [[nodiscard]] double Smoothed(const PoolId& aPool) const;
@@ -53,7 +57,6 @@
                    Trend& aTrend,
                    bool aWaveWaits);
   void MaybeReturn(Context& aContext, const PoolId& aPool, Trend& aTrend);
-  [[nodiscard]] bool SpareCanLend(const Context& aContext) const;
   [[nodiscard]] std::uint32_t Borrowed(const Context& aContext,
                                        const PoolId& aPool) const;
   void Log(Context& aContext,
--- a/src/planner/Planner.cpp
+++ b/src/planner/Planner.cpp
@@ -69,7 +69,7 @@
   , maintenance(this->budget, this->history)
   , transfers(this->budget, this->lifecycle)
   , moves(this->demand, this->loads, this->budget, this->transfers)
-  , repair(this->history, this->transfers)
+  , repair(this->history, this->moves, this->transfers)
 {
 }
 
@@ -226,7 +226,7 @@
   this->reclaimer.OnTick(aContext);
   this->lifecycle.OnTick(aContext);
   this->transfers.OnTick(aContext);
-  this->repair.OnTick(aContext, this->moves.SparePool());
+  this->repair.OnTick(aContext);
   this->maintenance.OnTick(aContext);
   this->moves.OnTick(aContext, this->maintenance.BlockedPools());
 }
--- a/src/planner/Repair.cpp
+++ b/src/planner/Repair.cpp
@@ -17,8 +17,11 @@
 
 } // namespace
 
-Repair::Repair(const DomainHistory& aHistory, Transfers& aTransfers)
+Repair::Repair(const DomainHistory& aHistory,
+               const Moves& aMoves,
+               Transfers& aTransfers)
   : history(aHistory)
+  , moves(aMoves)
   , transfers(aTransfers)
 {
 }
@@ -31,13 +34,13 @@
 }
 
 void
-Repair::OnTick(Context& aContext, const PoolId& aSpare)
+Repair::OnTick(Context& aContext)
 {
   const std::set<InstanceId>& lost = this->history.Lost();
   std::erase_if(this->cases, [&](const auto& aEntry) {
     return !lost.contains(aEntry.first);
   });
-  if (aSpare.empty() || lost.empty()) {
+  if (this->moves.SparePool().empty() || lost.empty()) {
     return;
   }
   auto next = lost.upper_bound(this->cursor);
@@ -47,7 +50,7 @@
       next = lost.begin();
     }
     this->cursor = *next++;
-    this->Attempt(aContext, this->cursor, aSpare);
+    this->Attempt(aContext, this->cursor);
   }
 }
 
@@ -66,15 +69,14 @@
 }
 
 void
-Repair::Attempt(Context& aContext,
-                const InstanceId& aInstance,
-                const PoolId& aSpare)
+Repair::Attempt(Context& aContext, const InstanceId& aInstance)
 {
+  const PoolId& spare = this->moves.SparePool();
   const auto record = aContext.state.Instances().find(aInstance);
   const std::optional<Time> since = this->history.LostSince(aInstance);
   if (record == aContext.state.Instances().end() || !since ||
       aContext.now - *since < kRepairAfter || record->second.retired ||
-      record->second.pool == aSpare) {
+      record->second.pool == spare) {
     return;
   }
   Case& repair = this->cases[aInstance];
@@ -86,9 +88,12 @@
     this->Stop(aContext, aInstance, repair);
     return;
   }
+  if (!this->moves.MayLend(aContext, record->second.pool)) {
+    return;
+  }
   const std::string reason = "replaces the lost " + aInstance.value;
   repair.replacement = this->transfers.Start(
-    aContext, aSpare, record->second.pool, state::StopPurpose::Repair, reason);
+    aContext, spare, record->second.pool, state::StopPurpose::Repair, reason);
   if (repair.replacement) {
     repair.arrived = false;
     aContext.Log(LogDecision{ .kind = "repair",
@@ -152,7 +157,9 @@
                                   : "it is being replaced by ") +
            found->second.replacement->value;
   }
-  return "its replacement waits for the budget of the spare pool";
+  return "its replacement waits until the spare pool can lend: its budget and "
+         "its "
+         "own load come first";
 }
 
 } // namespace hyssoppaddle::planner
--- a/src/planner/Repair.h
+++ b/src/planner/Repair.h
@@ -5,6 +5,7 @@
 
 #include "planner/Context.h"
 #include "planner/DomainHistory.h"
+#include "planner/Moves.h"
 #include "planner/Transfers.h"
 
 #include <cstdint>
@@ -18,10 +19,12 @@
 class Repair
 {
 public:
-  Repair(const DomainHistory& aHistory, Transfers& aTransfers);
+  Repair(const DomainHistory& aHistory,
+         const Moves& aMoves,
+         Transfers& aTransfers);
 
   void Clear();
-  void OnTick(Context& aContext, const PoolId& aSpare);
+  void OnTick(Context& aContext);
   // Empty when the instance is not being replaced.
   [[nodiscard]] std::string Explain(const InstanceId& aInstance) const;
 
@@ -33,15 +36,14 @@
     bool stopped = false;
   };
 
-  void Attempt(Context& aContext,
-               const InstanceId& aInstance,
-               const PoolId& aSpare);
+  void Attempt(Context& aContext, const InstanceId& aInstance);
   void Follow(Context& aContext, const InstanceId& aInstance, Case& aCase);
   [[nodiscard]] std::size_t Failures(const Context& aContext,
                                      const InstanceId& aInstance);
   void Stop(Context& aContext, const InstanceId& aInstance, Case& aCase);
 
   const DomainHistory& history;
+  const Moves& moves;
   Transfers& transfers;
   std::map<InstanceId, Case> cases;
   std::map<InstanceId, std::set<Time>> failures; // of replacements
