Charge the share by the expected size and correct the window by usage

A team that declares four times what it uses was charged four times until its usage was reported, and for short jobs always. The share is now charged by the learned mean, up or down, and the window is corrected by the reported usage for the time that was charged wrongly; the fit still uses the larger size. What remains is that jobs declared too large find no room while smaller ones fill every gap.

--- a/src/planner/JobTracker.cpp
+++ b/src/planner/JobTracker.cpp
@@ -133,8 +133,10 @@
   entry.declared = aRecord.size;
   entry.charged = task.charged;
   entry.reserved = task.charged;
-  entry.held = task.charged;
+  entry.held =
+    this->sizes.Expected(aRecord.service, aRecord.team, aRecord.size);
   entry.startedAt = aContext.now;
+  entry.heldSince = aContext.now;
   this->queue.Remove(aJob);
   this->loads.Add(entry.instance, entry.team, entry.reserved, entry.slots);
   this->ledger.Charge(entry.team, entry.held);
@@ -162,7 +164,7 @@
   }
   if (aRecord.task->state != state::TaskState::Placed) {
     task.started = true;
-    this->ApplyUsage(task, aRecord.task->usage);
+    this->ApplyUsage(task, aRecord.task->usage, aContext.now);
   }
   this->OweFor(aContext, aJob, aRecord);
 }
@@ -180,7 +182,9 @@
 // The share is charged what is used once that is known; the instance keeps
 // what was charged at start free, since usage may still rise.
 void
-JobTracker::ApplyUsage(LiveTask& aTask, const state::Resources& aUsage)
+JobTracker::ApplyUsage(LiveTask& aTask,
+                       const state::Resources& aUsage,
+                       Time aNow)
 {
   if (IsZero(aUsage)) {
     return;
@@ -193,9 +197,12 @@
     aTask.reserved = reserved;
   }
   if (!(aUsage == aTask.held)) {
-    this->ledger.Charge(aTask.team, Negative(aTask.held));
-    this->ledger.Charge(aTask.team, aUsage);
+    state::Resources error = aUsage;
+    error -= aTask.held;
+    this->ledger.Charge(aTask.team, error);
+    this->ledger.Correct(aTask.team, error, aNow - aTask.heldSince);
     aTask.held = aUsage;
+    aTask.heldSince = aNow;
   }
 }
 
@@ -295,7 +302,7 @@
       continue;
     }
     this->Renew(aContext, report.job, found->second);
-    this->ApplyUsage(found->second, report.usage);
+    this->ApplyUsage(found->second, report.usage, aContext.now);
     if (aContext.now - found->second.startedAt > kSettledUsage &&
         !IsZero(report.usage) && !IsZero(found->second.declared)) {
       this->sizes.Learn(found->second.service,
@@ -312,14 +319,20 @@
                      const state::JobRecord& aRecord,
                      const state::PlaceTask& aPlacement)
 {
-  Proposal proposal{ aPlacement.instance, aPlacement.epoch,
-                     aRecord.team,        aRecord.slots,
-                     aPlacement.charged,  aContext.now + kProposalTimeout };
+  Proposal proposal{ aPlacement.instance,
+                     aPlacement.epoch,
+                     aRecord.team,
+                     aRecord.slots,
+                     aPlacement.charged,
+                     {},
+                     aContext.now + kProposalTimeout };
+  proposal.held =
+    this->sizes.Expected(aRecord.service, aRecord.team, aRecord.size);
   this->queue.Remove(aJob);
   this->loads.Add(
     proposal.instance, proposal.team, proposal.size, proposal.slots);
   this->reservations.Add(proposal.team, proposal.slots);
-  this->ledger.Charge(proposal.team, proposal.size);
+  this->ledger.Charge(proposal.team, proposal.held);
   this->proposalEnds.emplace(proposal.until, aJob);
   ++this->proposalsOn[proposal.instance];
   this->proposals.insert_or_assign(aJob, std::move(proposal));
@@ -336,7 +349,7 @@
   this->loads.Remove(
     proposal.instance, proposal.team, proposal.size, proposal.slots);
   this->reservations.Remove(proposal.team, proposal.slots);
-  this->ledger.Charge(proposal.team, Negative(proposal.size));
+  this->ledger.Charge(proposal.team, Negative(proposal.held));
   this->proposalEnds.erase({ proposal.until, aJob });
   const auto count = this->proposalsOn.find(proposal.instance);
   if (--count->second == 0) {
--- a/src/planner/JobTracker.h
+++ b/src/planner/JobTracker.h
@@ -38,6 +38,7 @@
   state::Resources peak;     // highest usage reported
   WallTime leaseEnd;
   Time startedAt{};
+  Time heldSince{}; // last change of `held`
   Time expiresAt{}; // lease and margin by this process's clock
   bool started = false;
 };
@@ -95,7 +96,8 @@
     std::uint64_t epoch = 0;
     TeamId team;
     std::uint32_t slots = 0;
-    state::Resources size;
+    state::Resources size; // reserved on the instance
+    state::Resources held; // charged to the share
     Time until{};
   };
 
@@ -117,7 +119,7 @@
                const state::JobRecord& aRecord);
   void DropProposal(const JobId& aJob);
   void Renew(Context& aContext, const JobId& aJob, LiveTask& aTask);
-  void ApplyUsage(LiveTask& aTask, const state::Resources& aUsage);
+  void ApplyUsage(LiveTask& aTask, const state::Resources& aUsage, Time aNow);
   void OweFor(Context& aContext,
               const JobId& aJob,
               const state::JobRecord& aRecord);
--- a/src/planner/LearnedSizes.cpp
+++ b/src/planner/LearnedSizes.cpp
@@ -13,6 +13,7 @@
 
 constexpr double kRise = 0.5;
 constexpr double kFall = 0.05;
+constexpr double kMeanWeight = 0.05;
 // Declared sizes are wrong by up to 4; a report far above that is a fault of
 // the report.
 constexpr double kLargestFactor = 8.0;
@@ -50,14 +51,18 @@
                     const state::Resources& aDeclared,
                     const state::Resources& aUsage)
 {
-  std::array<double, 3>& factor =
-    this->factors
-      .try_emplace(Key{ aService, aTeam },
-                   std::array<double, 3>{ 1.0, 1.0, 1.0 })
-      .first->second;
-  Follow(factor[0], Ratio(aUsage.milliCpus, aDeclared.milliCpus));
-  Follow(factor[1], Ratio(aUsage.memoryMb, aDeclared.memoryMb));
-  Follow(factor[2], Ratio(aUsage.accelerators, aDeclared.accelerators));
+  Learned& learned = this->factors[Key{ aService, aTeam }];
+  const std::array<double, 3> seen{
+    Ratio(aUsage.milliCpus, aDeclared.milliCpus),
+    Ratio(aUsage.memoryMb, aDeclared.memoryMb),
+    Ratio(aUsage.accelerators, aDeclared.accelerators),
+  };
+  ++learned.samples;
+  const double weight = std::max(kMeanWeight, 1.0 / learned.samples);
+  for (std::size_t kind = 0; kind < seen.size(); ++kind) {
+    Follow(learned.largest[kind], seen[kind]);
+    learned.mean[kind] += (seen[kind] - learned.mean[kind]) * weight;
+  }
 }
 
 state::Resources
@@ -70,11 +75,29 @@
     return aDeclared;
   }
   state::Resources size = aDeclared;
-  size.milliCpus = Scale(aDeclared.milliCpus, found->second[0]);
-  size.memoryMb = Scale(aDeclared.memoryMb, found->second[1]);
+  const Learned& learned = found->second;
+  size.milliCpus =
+    std::max(size.milliCpus, Scale(aDeclared.milliCpus, learned.largest[0]));
+  size.memoryMb =
+    std::max(size.memoryMb, Scale(aDeclared.memoryMb, learned.largest[1]));
   // Devices are whole and given to a task exclusively: usage cannot exceed
   // them.
   return size;
 }
 
+state::Resources
+LearnedSizes::Expected(const ServiceId& aService,
+                       const TeamId& aTeam,
+                       const state::Resources& aDeclared) const
+{
+  const auto found = this->factors.find(Key{ aService, aTeam });
+  if (found == this->factors.end()) {
+    return aDeclared;
+  }
+  const Learned& learned = found->second;
+  return { Scale(aDeclared.milliCpus, learned.mean[0]),
+           Scale(aDeclared.memoryMb, learned.mean[1]),
+           aDeclared.accelerators };
+}
+
 } // namespace hyssoppaddle::planner
--- a/src/planner/LearnedSizes.h
+++ b/src/planner/LearnedSizes.h
@@ -27,7 +27,21 @@
                                       const TeamId& aTeam,
                                       const state::Resources& aDeclared) const;
 
+  // What a task is expected to use: the share is charged this at start, so that
+  // neither too small nor too large declarations change what a team gets.
+  [[nodiscard]] state::Resources Expected(
+    const ServiceId& aService,
+    const TeamId& aTeam,
+    const state::Resources& aDeclared) const;
+
 private:
+  struct Learned
+  {
+    std::array<double, 3> largest{ 1.0, 1.0, 1.0 };
+    std::array<double, 3> mean{ 1.0, 1.0, 1.0 };
+    int samples = 0;
+  };
+
   struct Key
   {
     ServiceId service;
@@ -35,7 +49,7 @@
     auto operator<=>(const Key&) const = default;
   };
 
-  std::map<Key, std::array<double, 3>> factors;
+  std::map<Key, Learned> factors;
 };
 
 } // namespace hyssoppaddle::planner
--- a/src/planner/ShareLedger.cpp
+++ b/src/planner/ShareLedger.cpp
@@ -75,6 +75,22 @@
   this->accounts[aTeam].held += aAmount;
 }
 
+void
+ShareLedger::Correct(const TeamId& aTeam,
+                     const state::Resources& aAmount,
+                     Duration aTime)
+{
+  Account& account = this->accounts[aTeam];
+  const Duration window = this->bucketLength * static_cast<int>(kBuckets);
+  const double seconds = Seconds(std::min(aTime, window));
+  account.open[0] +=
+    Fraction(aAmount.milliCpus, this->capacity.milliCpus) * seconds;
+  account.open[1] +=
+    Fraction(aAmount.memoryMb, this->capacity.memoryMb) * seconds;
+  account.open[2] +=
+    Fraction(aAmount.accelerators, this->capacity.accelerators) * seconds;
+}
+
 void
 ShareLedger::SetRequests(const TeamId& aTeam, const state::Resources& aAmount)
 {
--- a/src/planner/ShareLedger.h
+++ b/src/planner/ShareLedger.h
@@ -29,6 +29,10 @@
 
   // Adds to (or, with negative amounts, takes from) what the team holds now.
   void Charge(const TeamId& aTeam, const state::Resources& aAmount);
+  // Corrects the window by an amount that was charged wrongly for aTime.
+  void Correct(const TeamId& aTeam,
+               const state::Resources& aAmount,
+               Duration aTime);
   // What relayed requests of the team occupy now; replaces the last value.
   void SetRequests(const TeamId& aTeam, const state::Resources& aAmount);
 
