Keep an instance free for the team that goes first but finds no room

Jobs declared too large never fitted while smaller jobs of other teams took every gap; only jobs above half an instance were protected, after 30 s. Now the next job of the team furthest below its share gets an instance kept free after 1 s, at most one in four of a pool.

--- a/src/planner/Placement.cpp
+++ b/src/planner/Placement.cpp
@@ -37,6 +37,7 @@
   this->pending.clear();
   this->heldByLimit.clear();
   this->holds.clear();
+  this->noRoomSince.clear();
   this->lastServed.clear();
 }
 
@@ -62,6 +63,7 @@
 Placement::PlacePool(Context& aContext, const PoolId& aPool)
 {
   Blocked blocked;
+  this->CleanHolds(aPool);
   if (const auto* queue = this->jobs.Queue().Find(aPool); queue != nullptr) {
     for (const auto& [workClass, teams] : queue->classes) {
       this->lastServed.try_emplace(std::pair(aPool, workClass), aContext.now);
@@ -77,6 +79,9 @@
       return true;
     }
     if (!this->PlaceOne(aContext, aPool, *pick)) {
+      if (blocked.empty()) {
+        this->OnNoRoom(aContext, aPool, *pick);
+      }
       blocked.emplace(pick->workClass, pick->team);
     }
   }
@@ -142,6 +147,7 @@
   for (const JobId& job : tried) {
     if (this->TryJob(aContext, aPool, job)) {
       this->lastServed[std::pair(aPool, aPick.workClass)] = aContext.now;
+      this->noRoomSince.erase(std::pair(aPool, aPick.team));
       return true;
     }
   }
@@ -208,10 +214,12 @@
   if (aRecord.failedOn.contains(aInstance)) {
     return false;
   }
-  const auto hold = this->holds.find(aPool);
-  if (hold != this->holds.end() && hold->second.instance == aInstance &&
-      hold->second.job != aJob) {
-    return false;
+  if (const auto ofPool = this->holds.find(aPool);
+      ofPool != this->holds.end()) {
+    const auto hold = ofPool->second.find(aInstance);
+    if (hold != ofPool->second.end() && hold->second != aJob) {
+      return false;
+    }
   }
   const WorkerTrust trust =
     this->jobs.Failures().TrustOf(aInstance, aContext.now);
@@ -284,10 +292,6 @@
     .chosen = aChoice.instance.value,
     .rule = "class, share deficit, age; spread over racks",
     .reason = "fewest tasks of the team in its rack, then most free" });
-  const auto hold = this->holds.find(aRecord.pool);
-  if (hold != this->holds.end() && hold->second.job == aJob) {
-    this->holds.erase(hold);
-  }
   this->jobs.Proposed(aContext, aJob, aRecord, placement);
 }
 
--- a/src/planner/Placement.h
+++ b/src/planner/Placement.h
@@ -60,12 +60,8 @@
     std::vector<std::string> candidates;
   };
 
-  // One instance kept free for a large job.
-  struct Hold
-  {
-    JobId job;
-    InstanceId instance;
-  };
+  // Instances of a pool that are kept free, each for one job.
+  using Holds = std::map<InstanceId, JobId>;
 
   bool PlacePool(Context& aContext, const PoolId& aPool);
   [[nodiscard]] std::optional<Pick> Next(const Context& aContext,
@@ -100,6 +96,8 @@
   [[nodiscard]] std::string WhyNever(const Context& aContext,
                                      const state::JobRecord& aRecord,
                                      std::uint32_t aLargestSlots) const;
+  void CleanHolds(const PoolId& aPool);
+  void OnNoRoom(Context& aContext, const PoolId& aPool, const Pick& aPick);
   void HoldFor(Context& aContext,
                const PoolId& aPool,
                const JobId& aJob,
@@ -115,7 +113,9 @@
   PoolId cursor;      // of Run
   PoolId sweepCursor; // of Sweep
   std::map<TeamId, std::uint32_t> heldByLimit;
-  std::map<PoolId, Hold> holds;
+  std::map<PoolId, Holds> holds;
+  // Since when the first team of a pool finds no room for its next job.
+  std::map<std::pair<PoolId, TeamId>, Time> noRoomSince;
   std::map<std::pair<PoolId, state::WorkClass>, Time> lastServed;
 };
 
--- a/src/planner/PlacementSweep.cpp
+++ b/src/planner/PlacementSweep.cpp
@@ -9,9 +9,12 @@
 namespace {
 
 constexpr int kSweptPerLine = 16;
-// A job that fits an empty instance but found no room for this long gets one
-// kept free.
-constexpr Duration kHoldAfter{ 30000000 };
+// A job of the team that goes first gets an instance kept free when it found no
+// room for this long. Shorter times leave slots idle for nothing: the next end
+// of a task usually makes the room.
+constexpr Duration kHoldForShareAfter{ 1000000 };
+// At most one instance in this number, and one, is kept free in a pool.
+constexpr std::size_t kHoldsPerInstances = 4;
 
 } // namespace
 
@@ -38,10 +41,6 @@
   // Tasks of the pool may fit again for reasons that no change reports, such
   // as a limit that other pools freed.
   this->jobs.MarkDirty(aPool);
-  const auto hold = this->holds.find(aPool);
-  if (hold != this->holds.end() && !this->jobs.Queue().Has(hold->second.job)) {
-    this->holds.erase(hold);
-  }
   const std::uint32_t largest = this->LargestSlots(aContext, aPool);
   // Collected first, because a finding takes jobs out of the queue.
   std::vector<JobId> heads;
@@ -113,7 +112,6 @@
   const state::JobRecord& record = found->second;
   const std::string reason = this->WhyNever(aContext, record, aLargestSlots);
   if (reason.empty()) {
-    this->HoldFor(aContext, aPool, aJob, record);
     return;
   }
   aContext.Take();
@@ -130,32 +128,59 @@
   this->jobs.Defer(aContext, aJob);
 }
 
+void
+Placement::CleanHolds(const PoolId& aPool)
+{
+  const auto found = this->holds.find(aPool);
+  if (found == this->holds.end()) {
+    return;
+  }
+  std::erase_if(found->second, [this](const auto& aHold) {
+    return !this->jobs.Queue().Has(aHold.second);
+  });
+  if (found->second.empty()) {
+    this->holds.erase(found);
+  }
+}
+
+// The team furthest below its share goes first, so smaller jobs of others must
+// not take every gap for ever.
+void
+Placement::OnNoRoom(Context& aContext, const PoolId& aPool, const Pick& aPick)
+{
+  const JobId job = aPick.line->begin()->second;
+  const auto found = aContext.state.Jobs().find(job);
+  const Time since =
+    this->noRoomSince.try_emplace(std::pair(aPool, aPick.team), aContext.now)
+      .first->second;
+  if (found != aContext.state.Jobs().end() &&
+      aContext.now - since >= kHoldForShareAfter) {
+    this->HoldFor(aContext, aPool, job, found->second);
+  }
+}
+
 void
 Placement::HoldFor(Context& aContext,
                    const PoolId& aPool,
                    const JobId& aJob,
                    const state::JobRecord& aRecord)
 {
-  const bool isLong = aContext.state.Now() - aRecord.submittedAt > kHoldAfter;
-  if (!isLong || this->holds.contains(aPool) ||
+  const PoolLoad& pool = this->loads.PoolOf(aPool);
+  const Holds& held = this->holds[aPool];
+  const bool isHeld = std::ranges::any_of(
+    held, [&](const auto& aHold) { return aHold.second == aJob; });
+  if (isHeld || held.size() > pool.instances / kHoldsPerInstances ||
       this->reservations.Free(aContext.state, aRecord.team) < aRecord.slots ||
       this->Choose(aContext, aPool, aJob, aRecord)) {
     return;
   }
-  for (const auto& [minusFree, instance] : this->loads.PoolOf(aPool).byFree) {
+  for (const auto& [minusFree, instance] : pool.byFree) {
     InstanceLoad empty = *this->loads.Find(instance);
     empty.used = {};
     empty.usedSlots = 0;
-    const bool wouldFit =
-      empty.Fits(this->SizeOn(aRecord, empty), aRecord.slots) &&
-      this->MayUse(aContext, aPool, aJob, aRecord, instance);
-    // A job of the usual size only waits for its turn.
-    const bool isLarge =
-      aRecord.slots > 1 ||
-      aRecord.size.milliCpus * 2 > empty.capacity.milliCpus ||
-      aRecord.size.memoryMb * 2 > empty.capacity.memoryMb;
-    if (wouldFit && isLarge) {
-      this->holds.emplace(aPool, Hold{ aJob, instance });
+    if (empty.Fits(this->SizeOn(aRecord, empty), aRecord.slots) &&
+        this->MayUse(aContext, aPool, aJob, aRecord, instance)) {
+      this->holds[aPool].emplace(instance, aJob);
       return;
     }
   }
