Teach the planner's checker that a new boot ends earlier tasks

Change: the checker ends the tasks of an instance when it announces another boot, which is what the fake process does. The check for two live tasks is as strict as before.

--- a/test/planner/FleetChecker.h
+++ b/test/planner/FleetChecker.h
@@ -52,6 +52,7 @@
     TeamId team;
     std::uint32_t slots = 0;
     std::uint64_t epoch = 0;
+    InstanceId instance;
   };
 
   void Fail(const std::string& aText)
@@ -69,6 +70,7 @@
   void See(const state::UpdateUpstream& aCommand)
   {
     const state::Announcement& line = aCommand.announcement;
+    this->EndEarlierBoots(line);
     if (line.state == state::UpstreamState::Departing) {
       this->out.insert(line.instance);
       this->departedAt.try_emplace(line.instance, this->fleet.now);
@@ -80,6 +82,25 @@
     }
   }
 
+  // A new boot proves that the process which ran the tasks is gone.
+  void EndEarlierBoots(const state::Announcement& aLine)
+  {
+    std::string& boot = this->boots[aLine.instance];
+    if (boot == aLine.boot) {
+      return;
+    }
+    boot = aLine.boot;
+    std::vector<std::pair<JobId, std::uint64_t>> ended;
+    for (const auto& [job, task] : this->live) {
+      if (task.instance == aLine.instance) {
+        ended.emplace_back(job, task.epoch);
+      }
+    }
+    for (const auto& [job, epoch] : ended) {
+      this->EndOf(job, epoch);
+    }
+  }
+
   void See(const state::MarkUpstreamSilent& aCommand)
   {
     this->out.insert(aCommand.instance);
@@ -153,7 +174,7 @@
     if (this->live.contains(aCommand.job)) {
       this->Fail("job " + aCommand.job.value + " has two live tasks");
     }
-    this->live[aCommand.job] = Task{ job.team, job.slots, aCommand.epoch };
+    this->live[aCommand.job] = Task{ job.team, job.slots, aCommand.epoch, aCommand.instance };
     this->Use(job.team, job.slots);
   }
 
@@ -241,6 +262,7 @@
   std::map<InstanceId, std::map<TeamId, std::uint32_t>> held;
   std::map<JobId, state::SubmitJob> jobs;
   std::map<JobId, Task> live;
+  std::map<InstanceId, std::string> boots; // last announced
   std::set<JobId> restartable; // checkpointed since the last start
 };
 
