Explore all interleavings of three replicas to a stated depth

Cause: seeded runs meet rare orders of messages, writes and crashes by chance only. Change: a test explores every order from a fresh and from a led cluster and tells states apart by a hash; Raft offers Copy and Fingerprint for it.

--- a/src/agreement/Raft.h
+++ b/src/agreement/Raft.h
@@ -47,6 +47,10 @@
   bool remembersVotes = true;
 };
 
+// Hash of a message, as for Raft::Fingerprint.
+std::uint64_t
+FingerprintOf(const Message& aMessage);
+
 class Raft
 {
 public:
@@ -79,8 +83,16 @@
   // On the leader: durable index of that replica, 0 when unknown.
   [[nodiscard]] LogIndex MatchIndex(const InstanceId& aReplica) const;
 
+  // For the exploration of interleavings: a copy that goes on independently,
+  // and a hash of all state that can affect a later step, with times relative
+  // to the last step. The seeded generator is left out: with equal shortest and
+  // longest election timeouts it decides nothing.
+  [[nodiscard]] Raft Copy() const;
+  [[nodiscard]] std::uint64_t Fingerprint() const;
+
 private:
   struct Impl;
+  explicit Raft(std::unique_ptr<Impl> aImpl);
   std::unique_ptr<Impl> impl;
 };
 
--- a/src/agreement/RaftImpl.h
+++ b/src/agreement/RaftImpl.h
@@ -108,6 +108,9 @@
        RaftTimes aTimes,
        RaftLimits aLimits);
 
+  // RaftInspect.cpp
+  [[nodiscard]] std::uint64_t Fingerprint() const;
+
   // Raft.cpp: dispatch, durable state, roles.
   Effects Step(const Event& aEvent, Time aNow);
   [[nodiscard]] Time NextTick() const;
