--- a/src/state/Records.h
+++ b/src/state/Records.h
@@ -29,6 +29,8 @@
 
 struct BundleRecord
 {
+  // Empty for an old bundle whose content is no longer kept; its parsed bundle
+  // then holds only version and base.
   std::string content;
   std::string digest;
   std::string proposer;
@@ -80,6 +82,7 @@
 struct TaskRecord
 {
   InstanceId instance;
+  std::string boot; // of the upstream when the task was placed; fences restarts
   std::uint64_t epoch = 0;
   TaskState state = TaskState::Placed;
   WallTime placedAt;
