--- a/src/agreement/Raft.cpp
+++ b/src/agreement/Raft.cpp
@@ -51,6 +51,9 @@
   // No leader is known yet: the lease on votes must not hold.
   this->lastLeaderContact = aNow - this->times.maxElectionTimeout;
   this->ResetElectionDeadline();
+  if (this->IsVoter(this->self) && this->Majority() == 1) {
+    this->electionDeadline = aNow; // there is no other leader to wait for
+  }
 }
 
 Effects
--- a/src/agreement/RaftElection.cpp
+++ b/src/agreement/RaftElection.cpp
@@ -23,6 +23,9 @@
   if (this->IsBlank()) {
     this->AnnounceBlank();
   }
+  if (this->MayCampaign()) {
+    this->StartPreVote(); // the only voter, or the last to learn of the others
+  }
 }
 
 bool
