Test the promises of a single replica step by step

Change: tests feed one replica with chosen messages and check what it says before and after Persisted, and what it refuses.

--- a/test/agreement/ConfigurationTest.cpp
+++ b/test/agreement/ConfigurationTest.cpp
@@ -127,7 +127,7 @@
     const auto term = cluster.At(next).CurrentTerm();
     cluster.Run(20 * kSecond);
     EXPECT_EQUAL(story, cluster.At(next).CurrentTerm(), term);
-    EXPECT_EQUAL(story, *cluster.LeaderNode(), next);
+    EXPECT_THAT(story, cluster.LeaderNode() == next);
   });
   EXPECT_EQUAL(story, cluster.violation, "");
 }
--- /dev/null
+++ b/test/agreement/PromiseTest.cpp
@@ -0,0 +1,180 @@
+// Single steps of one replica: what it must not say before it is durable, and
+// what it must refuse.
+#include "agreement/ConfigurationCodec.h"
+#include "agreement/Raft.h"
+#include "support/Story.h"
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::agreement;
+using hyssoppaddle::test::Story;
+
+namespace {
+
+const InstanceId kSelf("n0");
+const InstanceId kFirst("n1");
+const InstanceId kSecond("n2");
+
+Raft
+Replica(RecoveredLog aRecovered = {})
+{
+  return Raft(kSelf,
+              Configuration{ { kSelf, kFirst, kSecond }, {} },
+              std::move(aRecovered),
+              1,
+              Time());
+}
+
+template<typename T>
+const T*
+Sent(const Effects& aEffects)
+{
+  for (const Effect& effect : aEffects) {
+    const auto* send = std::get_if<SendMessage>(&effect);
+    if (send != nullptr && std::holds_alternative<T>(send->message)) {
+      return &std::get<T>(send->message);
+    }
+  }
+  return nullptr;
+}
+
+Effects
+Receive(Raft& aRaft, const InstanceId& aFrom, Message aMessage)
+{
+  return aRaft.Step(MessageReceived{ aFrom, std::move(aMessage) }, Time());
+}
+
+} // namespace
+
+// Guards against a vote that a crash makes the replica forget, so that it votes
+// twice in one term.
+Test(RaftPromise, VoteLeavesOnlyWhenDurable)
+{
+  Story story;
+  Raft raft = Replica();
+  const Effects asked =
+    Receive(raft, kFirst, VoteRequest{ 1, false, 0, 0, false });
+  EXPECT_THAT(story, Sent<VoteReply>(asked) == nullptr);
+  const Effects durable = raft.Step(Persisted{ 1 }, Time());
+  EXPECT_THAT(story, Sent<VoteReply>(durable) != nullptr);
+  EXPECT_EQUAL(story, Sent<VoteReply>(durable)->granted, true);
+  story.Section("another candidate of the same term asks", [&] {
+    const Effects other =
+      Receive(raft, kSecond, VoteRequest{ 1, false, 9, 1, false });
+    EXPECT_THAT(story, Sent<VoteReply>(other) != nullptr);
+    EXPECT_EQUAL(story, Sent<VoteReply>(other)->granted, false);
+  });
+}
+
+// Guards against a leader elected by its own vote that a crash makes it forget.
+Test(RaftPromise, OwnVoteCountsOnlyWhenDurable)
+{
+  Story story;
+  Raft raft = Replica();
+  raft.Step(Tick{}, raft.NextTick());
+  const Effects candidate = Receive(raft, kFirst, VoteReply{ 1, true, true });
+  EXPECT_EQUAL(story, raft.CurrentRole(), Role::Candidate);
+  EXPECT_THAT(story, Sent<VoteRequest>(candidate) == nullptr);
+  Receive(raft, kFirst, VoteReply{ 1, false, true });
+  EXPECT_EQUAL(story, raft.CurrentRole(), Role::Candidate);
+  raft.Step(Persisted{ 1 }, Time());
+  EXPECT_EQUAL(story, raft.CurrentRole(), Role::Leader);
+}
+
+// Guards against a leader that lacks committed entries, and against a replica
+// that votes after it lost its storage.
+Test(RaftPromise, VoteIsRefused)
+{
+  Story story;
+  RecoveredLog log;
+  log.hardState.term = 2;
+  log.entries = { { 1, 1, EntryKind::Empty, "" },
+                  { 2, 2, EntryKind::Empty, "" } };
+  const auto isGranted = [&](RecoveredLog aLog, LogIndex aIndex, Term aTerm) {
+    Raft raft = Replica(std::move(aLog));
+    Effects effects =
+      Receive(raft, kFirst, VoteRequest{ 3, false, aIndex, aTerm, false });
+    if (Sent<VoteReply>(effects) == nullptr) {
+      effects = raft.Step(Persisted{ 1 }, Time());
+    }
+    return Sent<VoteReply>(effects)->granted;
+  };
+  story.Section("to a shorter log",
+                [&] { EXPECT_EQUAL(story, isGranted(log, 1, 2), false); });
+  story.Section("to a longer log of an earlier term",
+                [&] { EXPECT_EQUAL(story, isGranted(log, 9, 1), false); });
+  story.Section("not to an equal log",
+                [&] { EXPECT_EQUAL(story, isGranted(log, 2, 2), true); });
+  story.Section("after the storage was lost", [&] {
+    log.remembersVotes = false;
+    EXPECT_EQUAL(story, isGranted(log, 2, 2), false);
+  });
+}
+
+// Guards against a replica that keeps a configuration which was never
+// committed, and against one that drops what it knows to be committed.
+Test(RaftPromise, TruncationRestoresTheConfiguration)
+{
+  Story story;
+  Raft raft = Replica();
+  const std::string other =
+    PackConfiguration(Configuration{ { kFirst, kSecond }, {} });
+  AppendRequest append;
+  append.term = 1;
+  append.entries = { { 1, 1, EntryKind::Empty, "" },
+                     { 2, 1, EntryKind::Configuration, other } };
+  append.commitIndex = 1;
+  Receive(raft, kFirst, append);
+  EXPECT_EQUAL(story, raft.ActiveConfiguration().voters.size(), 2U);
+  story.Section("another leader replaces the entry", [&] {
+    append.term = 2;
+    append.previousIndex = 1;
+    append.previousTerm = 1;
+    append.entries = { { 2, 2, EntryKind::Empty, "" } };
+    Receive(raft, kSecond, append);
+    EXPECT_EQUAL(story, raft.ActiveConfiguration().voters.size(), 3U);
+  });
+  story.Section("a leader contradicts a committed entry", [&] {
+    append.term = 3;
+    append.previousIndex = 0;
+    append.previousTerm = 0;
+    append.entries = { { 1, 3, EntryKind::Empty, "" } };
+    const Effects refused = Receive(raft, kFirst, append);
+    EXPECT_EQUAL(story, raft.LastIndex(), 2U);
+    EXPECT_EQUAL(story, raft.CommitIndex(), 1U);
+  });
+}
+
+// Guards against an entry of an earlier term that is committed by counting
+// copies and can still be replaced, and against a change of the configuration
+// before an entry of the own term is committed.
+Test(RaftPromise, EarlierTermsCommitOnlyWithTheOwn)
+{
+  Story story;
+  RecoveredLog log;
+  log.hardState.term = 1;
+  log.entries = { { 1, 1, EntryKind::Empty, "" } };
+  Raft raft = Replica(log);
+  raft.Step(Tick{}, raft.NextTick());
+  Receive(raft, kFirst, VoteReply{ 2, true, true });
+  raft.Step(Persisted{ 1 }, Time());
+  Receive(raft, kFirst, VoteReply{ 2, false, true });
+  EXPECT_EQUAL(story, raft.CurrentRole(), Role::Leader);
+  story.Section("a majority has the entry of term 1 only", [&] {
+    Receive(raft, kFirst, AppendReply{ 2, true, 1, 0, 0, 0 });
+    EXPECT_EQUAL(story, raft.CommitIndex(), 0U);
+    const Effects refused =
+      raft.Step(ChangeConfiguration{ 1, ChangeKind::Remove, kSecond }, Time());
+    EXPECT_EQUAL(story, raft.LastIndex(), 2U);
+  });
+  story.Section("a replica that lost its storage has both", [&] {
+    AppendReply reply{ 2, true, 2, 0, 0, 0 };
+    reply.recovery = 77;
+    raft.Step(Persisted{ 2 }, Time());
+    Receive(raft, kSecond, reply);
+    EXPECT_EQUAL(story, raft.CommitIndex(), 0U);
+  });
+  story.Section("a majority has the entry of term 2", [&] {
+    Receive(raft, kFirst, AppendReply{ 2, true, 2, 0, 0, 0 });
+    EXPECT_EQUAL(story, raft.CommitIndex(), 2U);
+  });
+}
