--- a/src/request/Directory.cpp
+++ b/src/request/Directory.cpp
@@ -1,6 +1,7 @@
 // Merges records of the replicated state with announcements heard here.
 #include "request/Directory.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace hyssoppaddle::request {
@@ -67,8 +68,15 @@
     return update;
   }
   update.rebooted = upstream.facts.boot != aAnnouncement.boot;
-  upstream.facts = aAnnouncement;
+  const bool wasHeard = this->IsHeardHere(upstream, aNow);
   upstream.heardAt = aNow;
+  upstream.facts.sequence = aAnnouncement.sequence;
+  if (wasHeard && upstream.facts == aAnnouncement) {
+    update.upstream = &upstream;
+    update.repeated = true;
+    return update;
+  }
+  upstream.facts = aAnnouncement;
   this->Reconsider(upstream, aNow, update);
   return update;
 }
@@ -115,6 +123,22 @@
   return found == this->groups.end() ? nullptr : found->second.get();
 }
 
+std::vector<InstanceId>
+Directory::FindRemoved() const
+{
+  std::vector<InstanceId> removed;
+  if (this->inLog == this->view->Upstreams().size()) {
+    return removed;
+  }
+  for (const auto& [name, upstream] : this->upstreams) {
+    if (upstream->inLog && !this->view->Upstreams().contains(upstream->id)) {
+      removed.push_back(upstream->id);
+    }
+  }
+  std::ranges::sort(removed);
+  return removed;
+}
+
 void
 Directory::DropIfUnused(const InstanceId& aInstance)
 {
@@ -142,7 +166,9 @@
 Directory::ReadRecords(Upstream& aUpstream)
 {
   const auto record = this->view->Upstreams().find(aUpstream.id);
+  this->inLog -= aUpstream.inLog ? 1 : 0;
   aUpstream.inLog = record != this->view->Upstreams().end();
+  this->inLog += aUpstream.inLog ? 1 : 0;
   aUpstream.silentInLog = false;
   if (aUpstream.inLog) {
     const state::UpstreamRecord& known = record->second;
--- a/src/request/Directory.h
+++ b/src/request/Directory.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace hyssoppaddle::request {
 
@@ -24,6 +25,7 @@
     Upstream* upstream = nullptr;
     bool rebooted = false;     // another boot ID than before
     bool becameUsable = false; // joined its group
+    bool repeated = false;     // an announcement that says nothing new
     ServiceGroup* left = nullptr;
   };
 
@@ -38,6 +40,10 @@
   [[nodiscard]] Upstream* Find(const InstanceId& aInstance) const;
   ServiceGroup& Group(const ServiceId& aService);
   [[nodiscard]] const ServiceGroup* FindGroup(const ServiceId& aService) const;
+  // Upstreams that were in the replicated state and no longer are. Costs a scan
+  // only when their number shows that some were removed without being named, as
+  // a restored snapshot can do.
+  [[nodiscard]] std::vector<InstanceId> FindRemoved() const;
   // Forgets an upstream that is in no record and has nothing running.
   void DropIfUnused(const InstanceId& aInstance);
 
@@ -47,6 +53,7 @@
   void Reconsider(Upstream& aUpstream, Time aNow, Update& aUpdate);
 
   const state::FleetState* view;
+  std::size_t inLog = 0; // upstreams with a record
   Duration heardFor;
   // Never iterated, so their order decides nothing.
   std::unordered_map<std::string, std::unique_ptr<Upstream>> upstreams;
--- a/src/request/EngineAttempts.cpp
+++ b/src/request/EngineAttempts.cpp
@@ -17,13 +17,6 @@
                   aRequest.attempt == 0;
   wish.avoid = aRequest.avoid;
   Router::Choice choice = this->router.Pick(aGroup, wish);
-  while (choice.upstream != nullptr &&
-         !this->view->Upstreams().contains(choice.upstream->id)) {
-    // A restored snapshot can miss records without naming them as changed.
-    this->OnDirectory(
-      this->directory.OnRecordChanged(choice.upstream->id, this->now));
-    choice = this->router.Pick(aGroup, wish);
-  }
   if (choice.upstream == nullptr || !this->permits.Acquire(aRequest.team)) {
     return false;
   }
@@ -257,7 +250,9 @@
     this->freedServices.insert(upstream.group->service);
   }
   this->RefreshUpstream(upstream);
-  this->directory.DropIfUnused(upstream.id);
+  if (!upstream.inLog) {
+    this->directory.DropIfUnused(InstanceId(upstream.id));
+  }
 }
 
 void
--- a/src/request/EngineView.cpp
+++ b/src/request/EngineView.cpp
@@ -74,6 +74,9 @@
   for (const InstanceId& instance : changes.instances) {
     this->OnDirectory(this->directory.OnRecordChanged(instance, this->now));
   }
+  for (const InstanceId& instance : this->directory.FindRemoved()) {
+    this->OnDirectory(this->directory.OnRecordChanged(instance, this->now));
+  }
   const bool own = std::ranges::find(changes.entries, this->options.self) !=
                    changes.entries.end();
   if (own) {
@@ -98,7 +101,9 @@
   if (update.upstream != nullptr) {
     this->WatchHeard(*update.upstream);
   }
-  this->OnDirectory(update);
+  if (!update.repeated) {
+    this->OnDirectory(update);
+  }
 }
 
 void
@@ -153,7 +158,9 @@
   if (upstream.group != nullptr) {
     this->freedServices.insert(upstream.group->service);
   }
-  this->directory.DropIfUnused(InstanceId(upstream.id));
+  if (!upstream.inLog) {
+    this->directory.DropIfUnused(InstanceId(upstream.id));
+  }
 }
 
 void
@@ -214,14 +221,16 @@
     aUpstream, this->directory.IsHeardHere(aUpstream, this->now), this->now);
 }
 
+// A repeated announcement leaves the timer where it is; it is set anew when it
+// fires, so that an announcement changes no ordered set.
 void
 Engine::WatchHeard(Upstream& aUpstream)
 {
   if (aUpstream.heardTimer) {
-    this->timers.Cancel(*aUpstream.heardTimer);
+    return;
   }
   aUpstream.heardTimer =
-    this->timers.Add(this->now + this->options.heardFor,
+    this->timers.Add(*aUpstream.heardAt + this->options.heardFor,
                      { TimerKind::HeardLapsed, 0, aUpstream.id });
 }
 
@@ -268,6 +277,10 @@
   }
   if (aTimer.kind == TimerKind::HeardLapsed) {
     upstream->heardTimer.reset();
+    if (this->directory.IsHeardHere(*upstream, this->now)) {
+      this->WatchHeard(*upstream);
+      return;
+    }
     this->OnDirectory(this->directory.OnHeardLapsed(upstream->id, this->now));
     return;
   }
--- a/test/request/LeaseTest.cpp
+++ b/test/request/LeaseTest.cpp
@@ -248,3 +248,25 @@
   fleet.PassWithTicks(Seconds(2), Seconds(1));
   EXPECT_THAT(story, !Starts(fleet, fleet.Request("team-a")));
 }
+
+// Guards against work for an upstream that a restored snapshot no longer has:
+// the change names only the upstreams that it does have.
+Test(Directory, ARestoredSnapshotCanMissUpstreams)
+{
+  Story story;
+  FleetOptions options;
+  options.upstreams = 0;
+  Fleet fleet(options);
+  fleet.Serve(1);
+  const std::string snapshot = fleet.state.Snapshot();
+  fleet.Serve(0);
+  EXPECT_THAT(story, fleet.state.Restore(snapshot).has_value());
+  state::Changes changes;
+  changes.upstreams = { InstanceId("u1") };
+  fleet.Step(ViewChanged{ changes });
+  for (int number = 0; number < 4; ++number) {
+    const auto start = First<StartAttempt>(fleet.Step(fleet.Request("team-a")));
+    EXPECT_EQUAL(story, start.upstream, InstanceId("u1"));
+    fleet.Finish(start);
+  }
+}
