--- a/src/planner/JobTracker.h
+++ b/src/planner/JobTracker.h
@@ -38,6 +38,7 @@
   state::Resources peak;     // highest usage reported
   WallTime leaseEnd;
   Time startedAt{};
+  Time heldSince{}; // last change of `held`
   Time expiresAt{}; // lease and margin by this process's clock
   bool started = false;
 };
@@ -79,6 +80,8 @@
   {
     return this->live;
   }
+  // Slots of the live tasks of a team.
+  [[nodiscard]] std::uint32_t LiveSlots(const TeamId& aTeam) const;
   // Live tasks of a team, newest last.
   [[nodiscard]] const std::set<std::pair<Time, JobId>>& TasksOf(
     const TeamId& aTeam) const;
@@ -93,7 +96,8 @@
     std::uint64_t epoch = 0;
     TeamId team;
     std::uint32_t slots = 0;
-    state::Resources size;
+    state::Resources size; // reserved on the instance
+    state::Resources held; // charged to the share
     Time until{};
   };
 
@@ -115,7 +119,7 @@
                const state::JobRecord& aRecord);
   void DropProposal(const JobId& aJob);
   void Renew(Context& aContext, const JobId& aJob, LiveTask& aTask);
-  void ApplyUsage(LiveTask& aTask, const state::Resources& aUsage);
+  void ApplyUsage(LiveTask& aTask, const state::Resources& aUsage, Time aNow);
   void OweFor(Context& aContext,
               const JobId& aJob,
               const state::JobRecord& aRecord);
@@ -132,6 +136,7 @@
   std::map<JobId, Proposal> proposals;
   std::map<InstanceId, std::uint32_t> proposalsOn;
   std::map<TeamId, std::set<std::pair<Time, JobId>>> byTeam;
+  std::map<TeamId, std::uint32_t> liveSlots;
   std::set<std::pair<Time, JobId>> leases;
   std::set<std::pair<Time, JobId>> deferred; // refused placements
   std::set<std::pair<Time, JobId>> proposalEnds;
--- a/src/state/JobTasks.cpp
+++ b/src/state/JobTasks.cpp
@@ -85,13 +85,16 @@
 }
 
 Outcome
-JobTable::Place(const PlaceTask& aCommand, Context& aContext)
+JobTable::Place(const PlaceTask& aCommand,
+                const std::string& aBoot,
+                Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
+  const Entry entry = this->records.FindEntry(aCommand.job);
   JobRecord& job = entry->second;
   this->RemoveFromIndexes(entry);
   TaskRecord task;
   task.instance = aCommand.instance;
+  task.boot = aBoot;
   task.epoch = aCommand.epoch;
   task.placedAt = aContext.now;
   task.leaseEnd = aContext.now + aCommand.lease;
@@ -109,8 +112,8 @@
 Outcome
 JobTable::Stop(const StopTask& aCommand, Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.job);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound, "no job has this ID");
   }
   JobRecord& job = entry->second;
@@ -145,8 +148,8 @@
                       bool aIsCurrentBoot,
                       Context& aContext)
 {
-  const Entry entry = this->records.find(aReport.job);
-  if (entry == this->records.end() || !entry->second.task.has_value()) {
+  const Entry entry = this->records.FindEntry(aReport.job);
+  if (entry == this->records.End() || !entry->second.task.has_value()) {
     return;
   }
   const TaskRecord& task = *entry->second.task;
@@ -176,11 +179,28 @@
   aContext.changes.jobs.push_back(aEntry->first);
 }
 
+void
+JobTable::EndEarlierBoots(const InstanceId& aInstance,
+                          const std::string& aBoot,
+                          Context& aContext)
+{
+  const std::set<JobId> jobs = this->On(aInstance);
+  for (const JobId& job : jobs) {
+    const Entry entry = this->records.find(job);
+    if (entry->second.task->boot != aBoot) {
+      this->FinishTask(entry,
+                       TaskState::Unknown,
+                       "the upstream restarted while it had the task",
+                       aContext);
+    }
+  }
+}
+
 Outcome
 JobTable::End(const EndTask& aCommand, Context& aContext)
 {
-  const Entry entry = this->records.find(aCommand.job);
-  if (entry == this->records.end()) {
+  const Entry entry = this->records.FindEntry(aCommand.job);
+  if (entry == this->records.End()) {
     return Refuse(ErrorCode::NotFound, "no job has this ID");
   }
   const JobRecord& job = entry->second;
