--- a/src/shell/CallerLink.h
+++ b/src/shell/CallerLink.h
@@ -28,7 +28,8 @@
           std::size_t& aGot)
 {
   ErrorValue error;
-  aParser.eager(true);
+  // An eager parser would wait for the next chunk before it hands out this one.
+  aParser.eager(false);
   aParser.get().body().data = aTarget.data();
   aParser.get().body().size = aTarget.size();
   aGot = 0;
@@ -39,6 +40,16 @@
       error = {};
     }
   }
+  // Takes what has arrived already, so that a last chunk needs no second write.
+  while (!error && !aParser.is_done() && aBuffer.size() > 0 &&
+         aParser.get().body().size > 0) {
+    aBuffer.consume(aParser.put(aBuffer.data(), error));
+    if (error == http::error::need_more || error == http::error::need_buffer) {
+      error = {};
+      break;
+    }
+  }
+  aGot = aTarget.size() - aParser.get().body().size;
   co_return error;
 }
 
--- a/src/shell/CoreLoop.cpp
+++ b/src/shell/CoreLoop.cpp
@@ -95,7 +95,7 @@
 }
 
 void
-CoreLoop::Carry(core::SendPeer aEffect)
+CoreLoop::Carry(const core::SendPeer& aEffect)
 {
   this->targets.peers->Send(aEffect.to, aEffect.message);
 }
--- a/src/shell/CoreLoop.h
+++ b/src/shell/CoreLoop.h
@@ -71,7 +71,7 @@
 
   void Step(const core::Event& aEvent);
   void Carry(core::Effects aEffects);
-  void Carry(core::SendPeer aEffect);
+  void Carry(const core::SendPeer& aEffect);
   void Carry(core::WriteStorage aEffect);
   void Carry(core::SaveSnapshot aEffect);
   void Carry(const core::CommandDecided& aEffect);
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -272,6 +272,7 @@
       frames.push_back(std::move(this->queue.front().frame));
       this->queue.pop_front();
     }
+    buffers.reserve(frames.size());
     for (const std::string& frame : frames) {
       buffers.push_back(asio::buffer(frame));
     }
--- a/src/shell/PeerNetwork.cpp
+++ b/src/shell/PeerNetwork.cpp
@@ -64,7 +64,7 @@
     }
     this->tls = *context;
   }
-  const auto listening = this->Listen();
+  auto listening = this->Listen();
   if (!listening) {
     return listening;
   }
--- a/test/shell/RelayTest.cpp
+++ b/test/shell/RelayTest.cpp
@@ -254,10 +254,68 @@
     caller.Close();
     world.Await("gone");
   });
-  story.Section("a malformed chunk is refused before anything is sent", [&] {
-    RelayWorld world({ upstream.Address() });
+  story.Section("a malformed chunk ends in an error", [&] {
+    // Reads on, as an early answer would end the request first.
+    RawUpstream reading([](RawClient& aPeer, int) { aPeer.ReadAll(); });
+    RelayWorld world({ reading.Address() });
     RawClient caller(world.Port());
     caller.Send(Post("Transfer-Encoding: chunked\r\n", "zz\r\n"));
     EXPECT_THAT(story, Contains(caller.ReadAll(), "HTTP/1.1 400 "));
   });
 }
+
+// Guards against a chunk that is held back until the next one arrives: a caller
+// that acts on it first would wait forever.
+Test(Relay, PassesEachChunkOnAtOnce)
+{
+  Story story;
+  RawUpstream upstream([](RawClient& aPeer, int) {
+    aPeer.ReadUntil("\r\n\r\n");
+    aPeer.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "5\r\nfirst\r\n");
+    // Nothing follows while the caller waits.
+    aPeer.ReadAll();
+  });
+  RelayWorld world({ upstream.Address() });
+  RawClient caller(world.Port());
+  caller.Send(kGet);
+  EXPECT_THAT(story, Contains(caller.ReadUntil("first\r\n"), "first"));
+}
+
+// Guards against memory that grows with a caller that reads nothing.
+Test(Relay, WaitsForASlowReader)
+{
+  Story story;
+  constexpr std::size_t kBody = 64UL * 1024 * 1024;
+  std::atomic<std::size_t> sent{ 0 };
+  RawUpstream upstream([&](RawClient& aPeer, int) {
+    aPeer.ReadUntil("\r\n\r\n");
+    aPeer.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBody) +
+               "\r\n\r\n");
+    const std::string piece(1024UL * 1024, 'x');
+    for (std::size_t total = 0; total < kBody; total += piece.size()) {
+      aPeer.Send(piece);
+      sent += piece.size();
+    }
+  });
+  RelayWorld world({ upstream.Address() });
+  RawClient caller(world.Port());
+  const std::uint64_t before = shell::ResidentBytes();
+  caller.Send(kGet);
+  story.Section("the answer has begun and nothing reads it",
+                [&] { world.Await("relaying"); });
+  story.Section("all of it arrives once the caller reads", [&] {
+    caller.ReadUntil("\r\n\r\n");
+    std::size_t total = 0;
+    std::uint64_t most = before;
+    std::vector<char> piece(65536);
+    boost::system::error_code error;
+    total += caller.TakeBuffered().size();
+    while (total < kBody && !error) {
+      total += caller.Raw().read_some(asio::buffer(piece), error);
+      most = std::max(most, shell::ResidentBytes());
+    }
+    EXPECT_EQUAL(story, total, kBody);
+    EXPECT_THAT(story, most - before < 16UL * 1024 * 1024);
+  });
+}
--- a/test/shell/RelayWorld.h
+++ b/test/shell/RelayWorld.h
@@ -29,6 +29,8 @@
   std::string ReadUntil(std::string_view aMark);
   // One whole answer with Content-Length, header included.
   std::string ReadAnswer();
+  // What has been received and not yet taken.
+  std::string TakeBuffered() { return std::exchange(this->buffer, {}); }
   void Close() { this->socket.close(); }
   Tcp::socket& Raw() { return this->socket; }
 
--- /dev/null
+++ b/test/shell/StorageThreadTest.cpp
@@ -0,0 +1,153 @@
+// Batching and failure of the storage thread, and the rate of decision lines.
+#include "shell/StorageThread.h"
+#include "shell/DecisionLog.h"
+#include "support/Story.h"
+
+#include <nlohmann/json.hpp>
+
+#include <future>
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+using namespace hyssoppaddle::shell;
+
+namespace {
+
+struct FakeDisk
+{
+  std::promise<void> firstBegan;
+  std::promise<void> mayEnd;
+  std::vector<std::size_t> batches;
+  bool fails = false;
+};
+
+class FakeLog final : public DurableLog
+{
+public:
+  explicit FakeLog(FakeDisk& aDisk)
+    : disk(aDisk)
+  {
+  }
+  agreement::RecoveredLog TakeRecovered() override { return {}; }
+  Result<void> Write(std::span<const agreement::Persist> aBatch) override
+  {
+    this->disk.batches.push_back(aBatch.size());
+    if (this->disk.batches.size() == 1) {
+      this->disk.firstBegan.set_value();
+      this->disk.mayEnd.get_future().wait();
+    }
+    if (this->disk.fails) {
+      return Fail(ErrorCode::IoFailure, "sync failed");
+    }
+    return {};
+  }
+  Result<void> SaveSnapshot(const agreement::SnapshotMeta&,
+                            std::string_view) override
+  {
+    return {};
+  }
+
+private:
+  FakeDisk& disk;
+};
+
+agreement::Persist
+WorkNumber(std::uint64_t aSequence)
+{
+  agreement::Persist persist;
+  persist.sequence = aSequence;
+  return persist;
+}
+
+} // namespace
+
+// Guards against one sync per entry, and against acknowledgements out of order
+// or before the sync.
+Test(StorageThread, WritesWhatIsQueuedWithOneSync)
+{
+  Story story;
+  FakeDisk disk;
+  asio::io_context io;
+  std::vector<std::uint64_t> written;
+  StorageHooks hooks;
+  hooks.written = [&](std::uint64_t aSequence) {
+    written.push_back(aSequence);
+  };
+  hooks.saved = [](const SnapshotWork&) {};
+  hooks.synced = [](Duration) {};
+  {
+    StorageThread storage(
+      io, std::make_unique<FakeLog>(disk), hooks, [](const Error&) {});
+    storage.Enqueue(WorkNumber(1));
+    disk.firstBegan.get_future().wait();
+    for (std::uint64_t sequence = 2; sequence <= 5; ++sequence) {
+      storage.Enqueue(WorkNumber(sequence));
+    }
+    io.poll();
+    EXPECT_THAT(story, written.empty());
+    disk.mayEnd.set_value();
+  }
+  io.restart();
+  io.run();
+  EXPECT_THAT(story, (disk.batches == std::vector<std::size_t>{ 1, 4 }));
+  EXPECT_THAT(story, (written == std::vector<std::uint64_t>{ 1, 2, 3, 4, 5 }));
+}
+
+// Guards against an acknowledgement after a failed sync.
+Test(StorageThread, AcknowledgesNothingAfterAFailure)
+{
+  Story story;
+  FakeDisk disk;
+  disk.fails = true;
+  disk.mayEnd.set_value();
+  asio::io_context io;
+  int written = 0;
+  std::string problem;
+  StorageHooks hooks;
+  hooks.written = [&](std::uint64_t) { ++written; };
+  hooks.saved = [](const SnapshotWork&) {};
+  hooks.synced = [](Duration) {};
+  {
+    StorageThread storage(
+      io, std::make_unique<FakeLog>(disk), hooks, [&](const Error& aError) {
+        problem = aError.message;
+      });
+    storage.Enqueue(WorkNumber(1));
+    disk.firstBegan.get_future().wait();
+    storage.Enqueue(WorkNumber(2));
+  }
+  io.run();
+  EXPECT_EQUAL(story, written, 0);
+  EXPECT_EQUAL(story, problem, "sync failed");
+  EXPECT_EQUAL(story, disk.batches.size(), 1U);
+}
+
+// Guards against a flood of lines, and against refusals lost in it.
+Test(DecisionLog, DropsOnlyWhatIsNoRefusal)
+{
+  Story story;
+  std::vector<std::string> events;
+  std::vector<nlohmann::json> fields;
+  DecisionLog log(2,
+                  std::make_shared<Metrics>(),
+                  [&](std::string_view aEvent, const nlohmann::json& aFields) {
+                    events.emplace_back(aEvent);
+                    fields.push_back(aFields);
+                  });
+  const Time start{ Duration(5000000) };
+  request::LogDecision route;
+  route.kind = "route";
+  request::LogDecision refusal;
+  refusal.kind = "refuse";
+  refusal.refusal = true;
+  for (int i = 0; i < 5; ++i) {
+    log.Write(route, start);
+    log.Write(refusal, start);
+  }
+  EXPECT_EQUAL(story, events.size(), 7U);
+  log.Tick(start + Duration(999999));
+  EXPECT_EQUAL(story, events.size(), 7U);
+  log.Tick(start + Duration(1000000));
+  EXPECT_EQUAL(story, events.back(), "decisions_dropped");
+  EXPECT_EQUAL(story, fields.back().at("lines").get<int>(), 3);
+}
