--- a/src/core/ReducerUpstreams.cpp
+++ b/src/core/ReducerUpstreams.cpp
@@ -17,8 +17,9 @@
 // second.
 constexpr double kAnnouncementsPerSecondAndEntry = 50;
 // An entry instance that has missed two renewals may no longer hear upstreams.
-// What it heard is then suspected, which holds planned stops back: a data centre
-// that is lost takes upstreams and the entry instances that watch them together.
+// What it heard is then suspected, which holds planned stops back: a data
+// centre that is lost takes upstreams and the entry instances that watch them
+// together.
 constexpr Duration kEntrySilence{ 2500000 };
 // Usage that differs by less than this fraction from the record stays out of
 // the log.
--- a/test/state/WorkTest.cpp
+++ b/test/state/WorkTest.cpp
@@ -252,3 +252,20 @@
     EXPECT_EQUAL(story, fleet.state.CommittedSlots(kRed), 0U);
   });
 }
+
+// Guards against a task that is believed to run on after its process was
+// replaced, and a resent start that would run it twice.
+Test(Tasks, EndWhenTheirUpstreamRestarts)
+{
+  Story story;
+  Fleet fleet;
+  fleet.Start();
+  fleet.Submit("once", 1, false);
+  fleet.Submit("again", 1, true);
+  fleet.Place("once", "p1", 1);
+  fleet.Place("again", "p1", 1);
+  fleet.Announce("p1", 1, "boot2", UpstreamState::Serving, 2);
+  EXPECT_EQUAL(story, fleet.Job("once").state, JobState::OutcomeUnknown);
+  EXPECT_EQUAL(story, fleet.Job("again").state, JobState::Waiting);
+  EXPECT_EQUAL(story, fleet.state.CommittedSlots(kRed), 0U);
+}
