Ask only settled tasks to checkpoint, and look 8 s ahead in the share order

Right after its start a task counts with its declared size, so the tasks of a team that declares too much were asked to checkpoint 0.2 s after each start and never reported what they use. Tasks are now asked after 3 s with known use, 8 s without, and only when the window agrees. With 2 s of horizon, jobs that end together made two teams take a whole pool in turns (0.272 for a share of 0.25).

--- a/src/planner/ShareLedger.cpp
+++ b/src/planner/ShareLedger.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 // What a team holds now is counted for this many more seconds, about the run
-// time of a short job, so that a team does not overshoot its share before its
-// use shows in the window.
-constexpr double kHorizonSeconds = 2.0;
+// time of a short job. With 2 s, two teams whose jobs end together took the
+// whole pool in turns.
+constexpr double kHorizonSeconds = 8.0;
 constexpr Duration kShortestBucket{ 1000 };
 
 double
--- a/src/planner/ShareReclaimer.cpp
+++ b/src/planner/ShareReclaimer.cpp
@@ -14,6 +14,9 @@
 // patience this stays below the 10 s in which lent share must be recovered.
 constexpr Duration kThrottleAfter{ 4000000 };
 constexpr Duration kForgetAfter{ 30000000 };
+// Youngest task that is asked, with and without reported use.
+constexpr Duration kYoungest{ 3000000 };
+constexpr Duration kYoungestUnknown{ 8000000 };
 constexpr int kPoolsPerTick = 8;
 constexpr int kAsksPerPool = 8;
 constexpr int kScannedTasks = 32;
@@ -128,7 +131,9 @@
   double bestLevel = this->LevelAfter(aTaker) * kLevelMargin;
   for (const state::TeamSpec& team : aContext.state.ActiveBundle().teams) {
     const double level = this->LevelAfter(team.name);
-    if (team.name == aTaker || level <= bestLevel) {
+    const bool isBehind =
+      this->ledger.Key(team.name) <= this->ledger.Key(aTaker) * kLevelMargin;
+    if (team.name == aTaker || level <= bestLevel || isBehind) {
       continue;
     }
     const auto& tasks = this->jobs.TasksOf(team.name);
@@ -142,8 +147,8 @@
       const double takerAfter =
         this->LevelAfter(aTaker) + fraction / this->ledger.ShareOf(aTaker);
       // Only when the order of the two does not turn around.
-      if (live.pool == aPool && live.started &&
-          !this->asked.contains(task->second) && after >= takerAfter) {
+      if (live.pool == aPool && this->MayAsk(aContext, task->second, live) &&
+          after >= takerAfter) {
         best = task->second;
         bestLevel = level;
         break;
@@ -153,6 +158,19 @@
   return best;
 }
 
+// A task whose use is not yet known may be smaller than it was declared, and
+// asking it right after its start would stop the same work again and again.
+bool
+ShareReclaimer::MayAsk(const Context& aContext,
+                       const JobId& aJob,
+                       const LiveTask& aTask) const
+{
+  const bool isKnown = !(aTask.peak == state::Resources{});
+  const Duration age = aContext.now - aTask.startedAt;
+  return aTask.started && !this->asked.contains(aJob) &&
+         age >= (isKnown ? kYoungest : kYoungestUnknown);
+}
+
 void
 ShareReclaimer::Ask(Context& aContext, const JobId& aJob, const TeamId& aTaker)
 {
--- a/src/planner/ShareReclaimer.h
+++ b/src/planner/ShareReclaimer.h
@@ -46,6 +46,9 @@
   [[nodiscard]] std::optional<JobId> Victim(const Context& aContext,
                                             const PoolId& aPool,
                                             const TeamId& aTaker) const;
+  [[nodiscard]] bool MayAsk(const Context& aContext,
+                            const JobId& aJob,
+                            const LiveTask& aTask) const;
   void Ask(Context& aContext, const JobId& aJob, const TeamId& aTaker);
   void FollowUp(Context& aContext);
   // Dominant fraction per unit of share once the asked tasks have ended.
