--- a/test/planner/EntryDriver.h
+++ b/test/planner/EntryDriver.h
@@ -3,7 +3,7 @@
 #ifndef hyssoppaddle_test_planner_EntryDriver_h
 #define hyssoppaddle_test_planner_EntryDriver_h
 
-#include "planner/FleetDriver.h"
+#include "FleetDriver.h"
 
 #include <algorithm>
 #include <map>
--- a/test/planner/FleetDriver.h
+++ b/test/planner/FleetDriver.h
@@ -9,6 +9,7 @@
 #include "state/FleetState.h"
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <string>
@@ -187,8 +188,8 @@
   // Hands an event to the planner and carries out its effects.
   void Step(const planner::Event& aEvent)
   {
-    for (planner::Effect& effect :
-         this->planner->Step(aEvent, this->now, this->Wall())) {
+    planner::Effects effects = this->TimedStep(aEvent);
+    for (planner::Effect& effect : effects) {
       std::visit([this](auto& aConcrete) { this->Carry(aConcrete); }, effect);
     }
   }
@@ -208,7 +209,25 @@
   Observer observer;
   std::function<void(const JobId&, const InstanceId&)> onStart;
 
+  // Processor time of the planner, for measurements.
+  bool timed = false;
+  std::uint64_t steps = 0;
+  std::chrono::nanoseconds stepTime{ 0 };
+
 private:
+  planner::Effects TimedStep(const planner::Event& aEvent)
+  {
+    if (!this->timed) {
+      return this->planner->Step(aEvent, this->now, this->Wall());
+    }
+    const auto start = std::chrono::steady_clock::now();
+    planner::Effects effects =
+      this->planner->Step(aEvent, this->now, this->Wall());
+    this->stepTime += std::chrono::steady_clock::now() - start;
+    ++this->steps;
+    return effects;
+  }
+
   void ScheduleTick()
   {
     this->After(200 * kMillisecond, [this]() {
