--- a/src/planner/LearnedSizes.cpp
+++ b/src/planner/LearnedSizes.cpp
@@ -38,9 +38,8 @@
 std::int64_t
 Scale(std::int64_t aDeclared, double aFactor)
 {
-  return std::max(aDeclared,
-                  static_cast<std::int64_t>(
-                    std::ceil(static_cast<double>(aDeclared) * aFactor)));
+  return static_cast<std::int64_t>(
+    std::ceil(static_cast<double>(aDeclared) * aFactor));
 }
 
 } // namespace
