--- a/src/state/JobTasks.cpp
+++ b/src/state/JobTasks.cpp
@@ -186,7 +186,7 @@
 {
   const std::set<JobId> jobs = this->On(aInstance);
   for (const JobId& job : jobs) {
-    const Entry entry = this->records.find(job);
+    const Entry entry = this->records.FindEntry(job);
     if (entry->second.task->boot != aBoot) {
       this->FinishTask(entry,
                        TaskState::Unknown,
