--- a/test/planner/FleetChecker.h
+++ b/test/planner/FleetChecker.h
@@ -174,7 +174,8 @@
     if (this->live.contains(aCommand.job)) {
       this->Fail("job " + aCommand.job.value + " has two live tasks");
     }
-    this->live[aCommand.job] = Task{ job.team, job.slots, aCommand.epoch, aCommand.instance };
+    this->live[aCommand.job] =
+      Task{ job.team, job.slots, aCommand.epoch, aCommand.instance };
     this->Use(job.team, job.slots);
   }
 
@@ -263,7 +264,7 @@
   std::map<JobId, state::SubmitJob> jobs;
   std::map<JobId, Task> live;
   std::map<InstanceId, std::string> boots; // last announced
-  std::set<JobId> restartable; // checkpointed since the last start
+  std::set<JobId> restartable;             // checkpointed since the last start
 };
 
 } // namespace hyssoppaddle::test
