--- a/src/state/JobTasks.cpp
+++ b/src/state/JobTasks.cpp
@@ -234,7 +234,10 @@
   if (aState == TaskState::Checkpointed) {
     job.checkpointed = true;
   }
-  job.reason = aReason;
+  // `explain` has to say where a job ran after its task is gone.
+  job.reason = aReason.empty() ? "task " + std::to_string(job.task->epoch) +
+                                   " ended on " + job.task->instance.value
+                               : aReason;
   this->SetState(aEntry, StateAfter(aState, job), aContext);
 }
 
