--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -77,8 +77,12 @@
 "$bin" explain job job-1 "${operator[@]}"
 "$bin" status "${operator[@]}"
 
-echo "== graceful stop"
+echo "== graceful stop: the upstreams depart, then the daemon drains"
+for pid in "${pids[@]}"; do
+  [ "$pid" = "$daemon" ] || { kill -TERM "$pid"; wait "$pid"; }
+done
 kill -TERM "$daemon"
 wait "$daemon"
+pids=()
 "$bin" state verify "$work/data"
 echo "quickstart: done"
--- a/src/core/ReducerEffects.cpp
+++ b/src/core/ReducerEffects.cpp
@@ -50,9 +50,7 @@
 Reducer::Impl::Run(const request::SendReturnPermits& aEffect)
 {
   state::Command command;
-  state::ReturnPermits permits = aEffect.permits;
-  permits.sequence = this->nextReturn++;
-  command.body = std::move(permits);
+  command.body = aEffect.permits;
   this->Submit(Origin{}, std::move(command));
 }
 
--- a/src/core/ReducerImpl.h
+++ b/src/core/ReducerImpl.h
@@ -71,7 +71,6 @@
   InstanceId leader;
   bool leads = false;
   bool stopping = false;
-  std::uint64_t nextReturn = 1;
   std::uint64_t nextReadToken = 1;
 
   // Renewals and reads taken in one batch by the next read of the log.
--- a/src/planner/Planner.cpp
+++ b/src/planner/Planner.cpp
@@ -65,7 +65,7 @@
   , lifecycle(this->jobs, this->owed, this->budget)
   , demand(this->jobs, this->loads, this->permits)
   , caps(this->demand, this->loads, this->jobs, this->permits)
-  , reclaimer(this->jobs, this->loads, this->ledger)
+  , reclaimer(this->jobs, this->ledger)
   , maintenance(this->budget, this->history)
   , transfers(this->budget, this->lifecycle)
   , moves(this->demand, this->loads, this->budget, this->transfers)
--- a/src/planner/ShareReclaimer.cpp
+++ b/src/planner/ShareReclaimer.cpp
@@ -26,10 +26,8 @@
 } // namespace
 
 ShareReclaimer::ShareReclaimer(const JobTracker& aJobs,
-                               const InstanceLoads& aLoads,
                                const ShareLedger& aLedger)
   : jobs(aJobs)
-  , loads(aLoads)
   , ledger(aLedger)
 {
 }
--- a/src/planner/ShareReclaimer.h
+++ b/src/planner/ShareReclaimer.h
@@ -5,7 +5,6 @@
 #define hyssoppaddle_planner_ShareReclaimer_h
 
 #include "planner/Context.h"
-#include "planner/InstanceLoads.h"
 #include "planner/JobTracker.h"
 #include "planner/ShareLedger.h"
 
@@ -19,9 +18,7 @@
 class ShareReclaimer
 {
 public:
-  ShareReclaimer(const JobTracker& aJobs,
-                 const InstanceLoads& aLoads,
-                 const ShareLedger& aLedger);
+  ShareReclaimer(const JobTracker& aJobs, const ShareLedger& aLedger);
 
   void Clear();
   void OnTick(Context& aContext);
@@ -55,7 +52,6 @@
   [[nodiscard]] double LevelAfter(const TeamId& aTeam) const;
 
   const JobTracker& jobs;
-  const InstanceLoads& loads;
   const ShareLedger& ledger;
   std::map<JobId, Asked> asked;
   std::map<TeamId, double> losses;     // fractions asked back
--- a/test/standin/UpstreamStandin.h
+++ b/test/standin/UpstreamStandin.h
@@ -16,6 +16,9 @@
 
 namespace hyssoppaddle::standin {
 
+// Announcements of a departure that may go unanswered before the process ends.
+inline constexpr int kDepartureTries = 10;
+
 using namespace shell;
 using Json = nlohmann::json;
 using Request = http::request<http::string_body>;
@@ -110,10 +113,15 @@
   Awaitable<void> AnnounceLoop()
   {
     bool told = false;
+    int unheard = 0; // announcements of the departure without an answer
     while (!told || !this->departing || this->tasks.Busy()) {
       const std::string body = this->Announcement().dump();
       const bool answered = co_await this->Announce(body);
       told = this->departing && answered;
+      unheard += this->departing && !answered ? 1 : 0;
+      if (unheard > kDepartureTries) {
+        break; // nobody is left to tell
+      }
       const auto wait = answered ? this->intervalMs : 200;
       this->timer.expires_after(std::chrono::milliseconds(wait));
       ErrorValue ignored;
--- a/test/support/Story.h
+++ b/test/support/Story.h
@@ -64,8 +64,9 @@
 // value.
 #define EXPECT_EQUAL(story, actual, expected)                                  \
   do {                                                                         \
-    const auto& actualValue = (actual);                                        \
-    const auto& expectedValue = (expected);                                    \
+    /* Copies: a reference to an element of a temporary would dangle. */       \
+    const auto actualValue = (actual);                                         \
+    const auto expectedValue = (expected);                                     \
     cr_assert(actualValue == expectedValue,                                    \
               "%s: %s: expected %s, actual %s",                                \
               (story).Path().c_str(),                                          \
