Use one token parser and one time format; check pools in the matrix

Cause: the callers' listener and the JSON API parsed bearer tokens by two rules (first and last underscore), so a secret with an underscore had two digests; wall-clock text was formatted twice; a break that left an instance in two pools was not caught by the matrix. Change: api::ParseBearer serves both, base/WallTimeText serves logs and API, the matrix reads the lists of instances by pool. kill-rounds runs copies of the programs, because a rebuild had replaced a running one.

--- a/src/api/BundleApi.cpp
+++ b/src/api/BundleApi.cpp
@@ -1,7 +1,7 @@
 // Bundles: proposal, approval, status.
 #include "api/ControlApi.h"
 #include "api/Reply.h"
-#include "api/WallTimeText.h"
+#include "base/WallTimeText.h"
 #include "config/BundleParser.h"
 #include "core/Reducer.h"
 
--- a/src/api/Credentials.cpp
+++ b/src/api/Credentials.cpp
@@ -2,6 +2,7 @@
 #include "api/Credentials.h"
 
 #include "core/Reducer.h"
+#include "shell/HttpText.h"
 #include "state/FleetState.h"
 
 #include <sodium.h>
@@ -27,7 +28,7 @@
 } };
 
 constexpr std::string_view kTokenPrefix = "hp_";
-constexpr std::string_view kBearerPrefix = "Bearer ";
+constexpr std::string_view kScheme = "Bearer ";
 
 bool
 EqualDigests(std::string_view aLeft, std::string_view aRight)
@@ -95,6 +96,16 @@
                 std::string(aText.substr(keyEnd + 1)) };
 }
 
+std::optional<Token>
+ParseBearer(std::string_view aAuthorization)
+{
+  if (!shell::EqualIgnoringCase(aAuthorization.substr(0, kScheme.size()),
+                                kScheme)) {
+    return std::nullopt;
+  }
+  return ParseToken(shell::Trim(aAuthorization.substr(kScheme.size())));
+}
+
 std::string
 FormatToken(const Token& aToken)
 {
@@ -116,13 +127,12 @@
 Result<Principal>
 Credentials::Identify(const HttpRequest& aRequest) const
 {
-  std::string_view header = aRequest.Header("Authorization");
-  if (!header.starts_with(kBearerPrefix)) {
+  const std::string_view header = aRequest.Header("Authorization");
+  if (header.empty()) {
     return Fail(ErrorCode::Unauthorized,
                 "the header Authorization: Bearer <key> is missing");
   }
-  header.remove_prefix(kBearerPrefix.size());
-  const std::optional<Token> token = ParseToken(header);
+  const std::optional<Token> token = ParseBearer(header);
   if (!token) {
     return Fail(ErrorCode::Unauthorized, "the key is not valid");
   }
--- a/src/api/Credentials.h
+++ b/src/api/Credentials.h
@@ -29,6 +29,9 @@
 
 std::optional<Token>
 ParseToken(std::string_view aText);
+// The token of an `Authorization: Bearer ...` value.
+std::optional<Token>
+ParseBearer(std::string_view aAuthorization);
 std::string
 FormatToken(const Token& aToken);
 
--- a/src/api/InstanceApi.cpp
+++ b/src/api/InstanceApi.cpp
@@ -3,7 +3,7 @@
 #include "api/ControlApi.h"
 #include "api/Names.h"
 #include "api/Reply.h"
-#include "api/WallTimeText.h"
+#include "base/WallTimeText.h"
 #include "core/Reducer.h"
 
 #include <nlohmann/json.hpp>
--- a/src/api/StatusApi.cpp
+++ b/src/api/StatusApi.cpp
@@ -4,7 +4,7 @@
 #include "api/Names.h"
 #include "api/ObjectReader.h"
 #include "api/Reply.h"
-#include "api/WallTimeText.h"
+#include "base/WallTimeText.h"
 #include "core/Reducer.h"
 
 #include <nlohmann/json.hpp>
--- a/src/api/WallTimeText.cpp
+++ b/src/base/WallTimeText.cpp
@@ -1,11 +1,11 @@
 // Formats replicated times without the locale or the time zone of the process.
-#include "api/WallTimeText.h"
+#include "base/WallTimeText.h"
 
 #include <array>
 #include <cstdio>
 #include <ctime>
 
-namespace hyssoppaddle::api {
+namespace hyssoppaddle {
 
 std::string
 FormatWallTime(WallTime aTime)
@@ -26,4 +26,4 @@
   return text.data();
 }
 
-} // namespace hyssoppaddle::api
+} // namespace hyssoppaddle
--- a/src/cli/StateJson.cpp
+++ b/src/cli/StateJson.cpp
@@ -3,7 +3,7 @@
 
 #include "api/Credentials.h"
 #include "api/Names.h"
-#include "api/WallTimeText.h"
+#include "base/WallTimeText.h"
 #include "state/FleetState.h"
 
 #include <nlohmann/json.hpp>
@@ -73,7 +73,7 @@
   for (const auto& [member, record] : aState.Members()) {
     members.push_back(member.value);
   }
-  return { { "time", api::FormatWallTime(aState.Now()) },
+  return { { "time", FormatWallTime(aState.Now()) },
            { "bundle_version", aState.ActiveBundle().version },
            { "members", members },
            { "bundles", BundlesJson(aState) },
--- a/src/shell/JsonLog.cpp
+++ b/src/shell/JsonLog.cpp
@@ -2,14 +2,13 @@
 // switched off.
 #include "shell/JsonLog.h"
 
+#include "base/WallTimeText.h"
+
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-#include <array>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
-#include <ctime>
 #include <string>
 
 namespace hyssoppaddle::shell {
@@ -38,22 +37,8 @@
 Timestamp()
 {
   using std::chrono::duration_cast;
-  using std::chrono::microseconds;
-  constexpr long kMicrosecondsPerSecond = 1'000'000;
   const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  const auto total = duration_cast<microseconds>(sinceEpoch).count();
-  const std::time_t seconds = total / kMicrosecondsPerSecond;
-  std::tm parts{};
-  gmtime_r(&seconds, &parts);
-  std::array<char, 32> day{};
-  std::strftime(day.data(), day.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-  std::array<char, 48> text{};
-  std::snprintf(text.data(),
-                text.size(),
-                "%s.%06ldZ",
-                day.data(),
-                static_cast<long>(total % kMicrosecondsPerSecond));
-  return text.data();
+  return FormatWallTime(WallTime(duration_cast<Duration>(sinceEpoch)));
 }
 
 } // namespace
--- a/src/shell/KeyToken.cpp
+++ b/src/shell/KeyToken.cpp
@@ -1,8 +1,6 @@
 // libsodium behind the few operations that the shell needs.
 #include "shell/KeyToken.h"
 
-#include "shell/HttpText.h"
-
 #include <sodium.h>
 
 #include <array>
@@ -58,30 +56,6 @@
   return text;
 }
 
-std::optional<KeyToken>
-ParseBearer(std::string_view aAuthorization)
-{
-  constexpr std::string_view kScheme = "Bearer ";
-  constexpr std::string_view kPrefix = "hp_";
-  if (!EqualIgnoringCase(aAuthorization.substr(0, kScheme.size()), kScheme)) {
-    return std::nullopt;
-  }
-  std::string_view token = Trim(aAuthorization.substr(kScheme.size()));
-  if (token.substr(0, kPrefix.size()) != kPrefix) {
-    return std::nullopt;
-  }
-  token.remove_prefix(kPrefix.size());
-  const auto roleEnd = token.find('_');
-  const auto keyEnd = token.rfind('_');
-  if (roleEnd == std::string_view::npos || keyEnd <= roleEnd + 1 ||
-      keyEnd + 1 == token.size()) {
-    return std::nullopt;
-  }
-  return KeyToken{ std::string(token.substr(0, roleEnd)),
-                   std::string(token.substr(roleEnd + 1, keyEnd - roleEnd - 1)),
-                   std::string(token.substr(keyEnd + 1)) };
-}
-
 std::string
 RandomBytes(std::size_t aCount)
 {
--- a/src/shell/KeyToken.h
+++ b/src/shell/KeyToken.h
@@ -1,28 +1,14 @@
-// Bearer tokens `hp_<role>_<key id>_<secret>` and the keyed digests made with
-// the cluster secret.
+// Keyed digests made with the cluster secret, and random bytes.
 #ifndef hyssoppaddle_shell_KeyToken_h
 #define hyssoppaddle_shell_KeyToken_h
 
 #include "base/Result.h"
 
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace hyssoppaddle::shell {
 
-struct KeyToken
-{
-  std::string role; // "operator", "member", "upstream" or "team"
-  std::string key;
-  std::string secret; // without '_'
-};
-
-// The token of an `Authorization: Bearer ...` value; nothing when the value is
-// of another form.
-std::optional<KeyToken>
-ParseBearer(std::string_view aAuthorization);
-
 // Lower-case hexadecimal.
 std::string
 ToHex(std::string_view aBytes);
--- a/src/shell/RelayHeaders.cpp
+++ b/src/shell/RelayHeaders.cpp
@@ -1,6 +1,7 @@
 // Translation of header fields between caller and upstream.
 #include "shell/RelayHeaders.h"
 
+#include "api/Credentials.h"
 #include "shell/HttpText.h"
 #include "shell/KeyToken.h"
 
@@ -93,14 +94,15 @@
   if (aRequest.count(http::field::authorization) == 0) {
     return {};
   }
-  const auto token = ParseBearer(View(aRequest[http::field::authorization]));
+  const auto token =
+    api::ParseBearer(View(aRequest[http::field::authorization]));
   if (!token) {
     return Bad(401, "unknown_key", "the bearer token has an unknown form");
   }
-  if (token->role != "team") {
+  if (token->role != state::KeyRole::Team) {
     return Bad(403, "wrong_team", "requests need the key of a team");
   }
-  aHead.arrived.key = KeyId(token->key);
+  aHead.arrived.key = token->key;
   aHead.arrived.keyDigest = aKeyDigest(token->secret);
   return {};
 }
--- a/test/matrix/Fleet.cpp
+++ b/test/matrix/Fleet.cpp
@@ -86,6 +86,9 @@
       // A restarted instance reads nothing keyed before it has caught up, so
       // its view counts only once it is ready.
       if (node.reducer->IsReady(this->now)) {
+        if (node.reducer->State().ActiveBundle().version > 0) {
+          this->ObservePools(node);
+        }
         this->seen.BundleSeen(node.name.value,
                               node.reducer->State().ActiveBundle().version);
       }
@@ -93,6 +96,22 @@
   }
 }
 
+// The lists of instances by pool, as an operator reads them.
+void
+Fleet::ObservePools(const EntryNode& aNode)
+{
+  std::map<InstanceId, std::size_t> pools;
+  for (const char* pool : { "p1", "spare" }) {
+    for (const InstanceId& instance :
+         aNode.reducer->State().InstancesOf(PoolId(pool))) {
+      ++pools[instance];
+    }
+  }
+  for (const UpstreamNode& upstream : this->upstreams) {
+    this->seen.PoolsSeen(upstream.name, pools[upstream.name]);
+  }
+}
+
 void
 Fleet::Start(std::size_t aEntry)
 {
--- a/test/matrix/Fleet.h
+++ b/test/matrix/Fleet.h
@@ -181,6 +181,7 @@
   void Drain(std::size_t aUpstream);
   void Reboot(std::size_t aUpstream);
   void ObserveBundles();
+  void ObservePools(const EntryNode& aNode);
   void SendCommand(const state::Command& aCommand,
                    const std::shared_ptr<bool>& aDecided,
                    const std::function<void(const state::Outcome&)>& aDone);
--- a/test/matrix/Observations.cpp
+++ b/test/matrix/Observations.cpp
@@ -199,6 +199,15 @@
   seen = aVersion;
 }
 
+void
+Observations::PoolsSeen(const InstanceId& aInstance, std::size_t aPools)
+{
+  if (aPools != 1) {
+    this->Violate("instance " + aInstance.value + " is in " +
+                  std::to_string(aPools) + " pools");
+  }
+}
+
 void
 Observations::Settled(const std::string& aEntry,
                       std::uint64_t aVersion,
--- a/test/matrix/Observations.h
+++ b/test/matrix/Observations.h
@@ -82,6 +82,8 @@
 
   // A reader sees this bundle version in force at an entry instance.
   void BundleSeen(const std::string& aEntry, std::uint64_t aVersion);
+  // A reader finds the instance in this many pools.
+  void PoolsSeen(const InstanceId& aInstance, std::size_t aPools);
   // Everything has healed and settled.
   void Settled(const std::string& aEntry,
                std::uint64_t aVersion,
--- a/test/processes/kill-rounds.sh
+++ b/test/processes/kill-rounds.sh
@@ -8,9 +8,10 @@
 cd "$(dirname "$0")/../.."
 rounds=${1:-6}
 RANDOM=${2:-7}
-root=$PWD
-bin=$root/build/hyssoppaddle
 work=$(mktemp -d)
+# Copies, so that a build in the meantime does not replace a running program.
+cp build/hyssoppaddle build/upstream_standin "$work/"
+bin=$work/hyssoppaddle
 declare -A pid
 cleanup() {
   for each in "${pid[@]}"; do kill -CONT "$each" 2>/dev/null || true; kill -9 "$each" 2>/dev/null || true; done
@@ -56,7 +57,7 @@
 upstreams=()
 while read -r name dc rack; do
   [ "${#upstreams[@]}" -lt 4 ] || break
-  "$root/build/upstream_standin" --instance "$name" --service "$service" --pool "$pool" \
+  "$work/upstream_standin" --instance "$name" --service "$service" --pool "$pool" \
     --data-centre "$dc" --rack "$rack" --address 127.0.0.1:0 --control "$controls" \
     --token "$(cat upstream.token)" >"up-$name.log" 2>&1 &
   pid[$name]=$!
