--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -5,6 +5,7 @@
 #include "../test/planner/Fleets.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
@@ -37,17 +38,10 @@
 const char*
 NameOf(Strategy aStrategy)
 {
-  switch (aStrategy) {
-    case Strategy::Planner:
-      return "planner";
-    case Strategy::NeverMove:
-      return "never move";
-    case Strategy::FollowDemand:
-      return "always follow demand";
-    case Strategy::SlotShares:
-      return "shares by slot count";
-  }
-  return "";
+  constexpr std::array kNames{
+    "planner", "never move", "always follow demand", "shares by slot count"
+  };
+  return kNames.at(static_cast<std::size_t>(aStrategy));
 }
 
 struct Result
--- a/scripts/check-breaks.sh
+++ b/scripts/check-breaks.sh
@@ -21,8 +21,8 @@
   "end-forgotten|src/request/EngineEnds.cpp|s/aReason.notRun \&\& !aRequest.mayHaveRun/true/|6 not run"
   "claim-skipped|src/state/ClaimTable.cpp|s/return Answer(false, record);/return Answer(true, record);/|7 at most once"
   "boot-fence-off|src/core/ReducerEffects.cpp src/core/ReducerUpstreams.cpp src/state/JobTasks.cpp|s/deliver.instruction.boot = this->BootFor(aEffect.instruction);/deliver.instruction.boot = upstream->second.announcement.boot;/; s/instruction.boot = this->BootFor(instruction);/instruction.boot = aEvent.announcement.boot;/; s/entry->second.task->boot != aBoot/false/|7 at most once (tasks)"
-  "departure-ignored|src/request/Directory.cpp|s/aUpstream.facts.state == state::UpstreamState::Serving/true/; s/record == this->view/record != this->view/|8 departing"
-  "ready-too-early|src/core/Reducer.cpp|/^Reducer::IsReady/,/^}/ s/return !this->impl->stopping/return this->impl != nullptr || !this->impl->stopping/|10 never reverts"
+  "departure-ignored|src/request/Directory.cpp|s/aUpstream.facts.state == state::UpstreamState::Serving/true/; s/alive \&\& aUpstream.phaseAllows/alive/|8 departing"
+  "ready-too-early|src/core/Reducer.cpp|/^Reducer::IsReady/,/^}/ s/return !this->impl->stopping/return true; return !this->impl->stopping/|10 never reverts"
   "reboot-at-once|src/planner/Lifecycle.cpp|s/if (!this->IsDrained(aContext, aInstance, aRecord, aProgress))/if (false)/|9 planned stops"
 )
 wanted=("$@")
