Use the public version constants

Cause: the peer protocol and storage format versions were defined twice, and the public header was not used. Change: shell and storage use include/hyssoppaddle/Version.h.

--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -3,6 +3,8 @@
 
 #include "wire/Codec.h"
 
+#include <hyssoppaddle/Version.h>
+
 #include <array>
 
 #include <netinet/tcp.h>
@@ -99,7 +101,7 @@
 PeerLink::Refusal(const wire::Greeting& aGreeting,
                   const InstanceId& aExpected) const
 {
-  if (aGreeting.protocol != kPeerProtocol) {
+  if (aGreeting.protocol != kPeerProtocolVersion) {
     return "unknown protocol version " + std::to_string(aGreeting.protocol);
   }
   if (aGreeting.cluster != this->identity->cluster) {
@@ -121,7 +123,7 @@
 Awaitable<std::optional<std::string>>
 PeerLink::ExchangeGreetings(const InstanceId& aExpected)
 {
-  const wire::Greeting own{ kPeerProtocol,
+  const wire::Greeting own{ kPeerProtocolVersion,
                             this->identity->cluster,
                             this->identity->instance,
                             this->identity->boot,
--- a/src/shell/PeerLink.h
+++ b/src/shell/PeerLink.h
@@ -19,8 +19,6 @@
 
 namespace hyssoppaddle::shell {
 
-inline constexpr std::uint32_t kPeerProtocol = 1;
-
 // What all links of one daemon share.
 struct PeerIdentity
 {
--- a/src/storage/Format.cpp
+++ b/src/storage/Format.cpp
@@ -4,6 +4,8 @@
 #include "agreement/ConfigurationCodec.h"
 #include "storage/Bytes.h"
 
+#include <hyssoppaddle/Version.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -81,7 +83,7 @@
 {
   std::string bytes;
   PutNumber(bytes, aMagic);
-  PutNumber(bytes, kFormatVersion);
+  PutNumber(bytes, kStorageFormatVersion);
   bytes += aBody;
   PutNumber(bytes, Checksum(bytes, 0));
   return bytes;
@@ -101,7 +103,7 @@
   }
   ByteReader head{ sealed };
   const bool known = head.Number<std::uint32_t>() == aMagic &&
-                     head.Number<std::uint32_t>() == kFormatVersion;
+                     head.Number<std::uint32_t>() == kStorageFormatVersion;
   return known ? std::optional(head.rest) : std::nullopt;
 }
 
--- a/src/storage/Format.h
+++ b/src/storage/Format.h
@@ -20,7 +20,6 @@
 
 namespace hyssoppaddle::storage {
 
-inline constexpr std::uint32_t kFormatVersion = 1;
 inline constexpr std::size_t kSegmentHeaderBytes = 24;
 inline constexpr std::string_view kOwnerName = "owner";
 inline constexpr std::string_view kTemporarySuffix = ".tmp";
--- a/test/shell/PeerNetworkTest.cpp
+++ b/test/shell/PeerNetworkTest.cpp
@@ -5,6 +5,8 @@
 #include "support/Story.h"
 #include "wire/Codec.h"
 
+#include <hyssoppaddle/Version.h>
+
 #include <future>
 
 using namespace hyssoppaddle;
@@ -110,7 +112,7 @@
 wire::Greeting
 GoodGreeting()
 {
-  return { shell::kPeerProtocol,
+  return { kPeerProtocolVersion,
            "test",
            InstanceId("a"),
            "boot-a",
