Ask the other entry instances when one that heard upstreams is lost

Change: AskEntries serves both the silence report and the loss of an entry instance; the two branches that built a RenewReply are one.

--- a/src/core/ReducerImpl.h
+++ b/src/core/ReducerImpl.h
@@ -151,6 +151,7 @@
   [[nodiscard]] bool NeedsUpdate(const state::Announcement& aNew) const;
   void FlushHeard();
   void On(const InstanceId& aFrom, const wire::Heard& aMessage);
+  void AskEntries(wire::Heard aQuestion);
   void CheckSilence();
   void CheckEntries();
   void StartLiveness();
--- a/src/core/ReducerLog.cpp
+++ b/src/core/ReducerLog.cpp
@@ -146,12 +146,12 @@
   const auto batch = this->renewalsAsked.find(aEffect.token);
   if (batch != this->renewalsAsked.end()) {
     for (const PendingRenewal& renewal : batch->second) {
-      wire::RenewReply reply{ renewal.nonce, aEffect.index, {} };
+      wire::RenewReply reply{ renewal.nonce,
+                              aEffect.index,
+                              this->planner.Recalls(renewal.entry) };
       if (renewal.entry == this->options.self) {
-        reply.recalls = this->planner.Recalls(this->options.self);
         this->On(this->options.self, reply);
       } else {
-        reply.recalls = this->planner.Recalls(renewal.entry);
         this->SendTo(renewal.entry, std::move(reply));
       }
     }
--- a/src/core/ReducerUpstreams.cpp
+++ b/src/core/ReducerUpstreams.cpp
@@ -197,15 +197,24 @@
   for (const wire::HeardUpstream& heard : aMessage.upstreams) {
     if (this->liveness.Report(aFrom, heard, this->now)) {
       question.upstreams.push_back(heard);
-      this->watch.Confirm(heard.instance, heard.boot, heard.sequence);
     }
   }
-  if (question.upstreams.empty()) {
+  this->AskEntries(std::move(question));
+}
+
+// Entry instances that still hear one of these upstreams answer with Heard.
+void
+Reducer::Impl::AskEntries(wire::Heard aQuestion)
+{
+  if (aQuestion.upstreams.empty()) {
     return;
   }
+  for (const wire::HeardUpstream& asked : aQuestion.upstreams) {
+    this->watch.Confirm(asked.instance, asked.boot, asked.sequence);
+  }
   for (const auto& [entry, contact] : this->contacts) {
     if (entry != this->options.self) {
-      this->SendTo(entry, question);
+      this->SendTo(entry, aQuestion);
     }
   }
 }
@@ -239,7 +248,7 @@
   }
   for (const auto& [entry, contact] : this->contacts) {
     if (this->now - contact.lastHeard > kEntrySilence) {
-      this->liveness.SuspectAllOf(entry, this->now);
+      this->AskEntries({ this->liveness.SuspectAllOf(entry, this->now) });
     }
   }
 }
