--- a/src/cli/Subcommands.cpp
+++ b/src/cli/Subcommands.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::array kSubcommands{
   Subcommand{ "run", "Run the daemon of an entry instance", &RunDaemon },
+  Subcommand{ "platform run", "Run a node on the platform", &RunPlatformNode },
   Subcommand{ "settings check", "Check a settings file", &CheckSettings },
   Subcommand{ "bundle check", "Check a bundle file", &CheckBundle },
   Subcommand{ "bundle propose", "Propose a bundle", &ProposeBundle },
--- a/src/cli/Subcommands.h
+++ b/src/cli/Subcommands.h
@@ -25,6 +25,8 @@
 int
 RunDaemon(Arguments aArguments);
 int
+RunPlatformNode(Arguments aArguments);
+int
 CheckSettings(Arguments aArguments);
 int
 CheckBundle(Arguments aArguments);
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -110,7 +110,11 @@
               0, agreement::ChangeKind::AddLearner, from }));
         }
       } else if constexpr (!std::is_same_v<T, wire::Greeting> &&
-                           !std::is_same_v<T, wire::GreetingProof>) {
+                           !std::is_same_v<T, wire::GreetingProof> &&
+                           !std::is_same_v<T, wire::RemoteCall> &&
+                           !std::is_same_v<T, wire::RemoteReply> &&
+                           !std::is_same_v<T, wire::NodeStatus>) {
+        // The last three belong to nodes, which learn of each other.
         this->On(from, aMessage);
       }
     },
--- /dev/null
+++ b/src/dispatch/Admission.cpp
@@ -0,0 +1,47 @@
+// Weighs the backlog against what a new job can still earn.
+#include "dispatch/Admission.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// A job is worth nothing after this multiple of its objective. Estimates are
+// off by half, so rejection starts only past it.
+constexpr double kHopelessAfter = 3.0;
+constexpr double kShortestRetryMs = 500.0;
+constexpr double kLongestRetryMs = 5000.0;
+
+} // namespace
+
+std::optional<Duration>
+RetryAfter(const ServiceLoad& aLoad,
+           const work::Queue& aQueue,
+           const work::JobSpec& aSpec)
+{
+  const bool lasts =
+    std::any_of(aSpec.steps.begin(),
+                aSpec.steps.end(),
+                [](const work::Step& aStep) { return aStep.lasting; });
+  if (lasts || aSpec.firstDue || aLoad.capacity <= 0) {
+    return std::nullopt; // they wait without losing what they are worth
+  }
+  double chainMs = 0;
+  for (const work::Step& step : aSpec.steps) {
+    chainMs +=
+      std::chrono::duration<double, std::milli>(step.estimate).count();
+  }
+  const double objectiveMs =
+    chainMs * aQueue.stretch +
+    std::chrono::duration<double, std::milli>(aQueue.targetCompletion).count();
+  const double waitMs = aLoad.backlog / aLoad.capacity;
+  const double excess = waitMs - objectiveMs * kHopelessAfter;
+  if (excess <= 0) {
+    return std::nullopt;
+  }
+  const double retry = std::clamp(excess, kShortestRetryMs, kLongestRetryMs);
+  return Duration(static_cast<std::int64_t>(retry * 1000.0));
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/Dispatcher.cpp
@@ -0,0 +1,482 @@
+// Leadership, committed commands and the views derived from them.
+#include "dispatch/Dispatcher.h"
+
+#include "dispatch/Text.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// An earlier leader may act for this long after the election that replaced it:
+// until its check of the quorum ends its role.
+constexpr Duration kOldLeaderActs = milliseconds(500);
+
+} // namespace
+
+Dispatcher::Dispatcher(Options aOptions, const work::WorkState& aState)
+  : options(std::move(aOptions))
+  , state(aState)
+{
+}
+
+void
+Dispatcher::BecomeLeader(std::uint64_t aTerm, Time aNow, WallTime aWall)
+{
+  this->LoseLeadership();
+  this->term = aTerm;
+  this->now = aNow;
+  this->wall = aWall;
+  this->electedAt = aNow;
+  this->AdoptRuns();
+  this->RefreshAllViews();
+  this->Note("leadership_gained",
+             {},
+             { { "term", Text(aTerm) },
+               { "upstreams", Text(this->sessions.size()) },
+               { "jobs", Text(this->views.size()) } });
+}
+
+void
+Dispatcher::LoseLeadership()
+{
+  this->term = 0;
+  this->output = {};
+  this->sessions.clear();
+  this->views.clear();
+  this->used.clear();
+  this->orders.clear();
+  this->failedOn.clear();
+  this->dirty.clear();
+  this->tickets.Clear();
+  this->owner = {};
+}
+
+// Everything on record may be executing: an earlier leader decided it.
+void
+Dispatcher::AdoptRuns()
+{
+  const Time floor = this->electedAt + this->options.maxLease +
+                     this->options.maxLease / 50 + kOldLeaderActs;
+  for (const auto& [id, record] : this->state.Tables().upstreams) {
+    this->sessions.emplace(id, UpstreamSession(record, floor, this->now));
+  }
+  for (const auto& [id, job] : this->state.Tables().jobs) {
+    for (std::uint32_t k = 0; k < job.tasks.size(); ++k) {
+      for (std::uint32_t s = 0; s < job.tasks[k].size(); ++s) {
+        const work::Step& step = job.spec.steps[s];
+        for (std::uint32_t i = 0; i < job.tasks[k][s].size(); ++i) {
+          for (const work::Run& run : job.tasks[k][s][i].runs) {
+            LiveRun live;
+            live.run = run;
+            live.workspace = job.workspace;
+            live.size = step.size;
+            live.phase = RunPhase::Unanswered;
+            live.since = this->now;
+            live.progressAt = this->now;
+            live.lasting = step.lasting;
+            live.fills = step.fills;
+            live.stopping = job.IsFinal();
+            this->AddRun(run.upstream, { { id, k, s, i }, run.number }, live);
+          }
+        }
+      }
+    }
+  }
+}
+
+void
+Dispatcher::AddRun(const InstanceId& aUpstream,
+                   const RunKey& aKey,
+                   LiveRun aRun)
+{
+  UpstreamSession* session = this->FindSession(aUpstream);
+  if (session == nullptr) {
+    return; // its removal ends the run in the same batch
+  }
+  if (!aRun.fills) {
+    session->used += aRun.size;
+  } else {
+    session->used.memoryMb += aRun.size.memoryMb;
+  }
+  this->used[aRun.workspace] += aRun.size;
+  session->runs[aKey] = std::move(aRun);
+}
+
+void
+Dispatcher::DropRun(const InstanceId& aUpstream, const RunKey& aKey)
+{
+  UpstreamSession* session = this->FindSession(aUpstream);
+  if (session == nullptr) {
+    return;
+  }
+  const auto found = session->runs.find(aKey);
+  if (found == session->runs.end()) {
+    return;
+  }
+  const LiveRun& run = found->second;
+  if (!run.fills) {
+    session->used -= run.size;
+  } else {
+    session->used.memoryMb -= run.size.memoryMb;
+  }
+  this->used[run.workspace] -= run.size;
+  session->runs.erase(found);
+  this->dirty.insert(session->record.service);
+}
+
+UpstreamSession*
+Dispatcher::FindSession(const InstanceId& aId)
+{
+  const auto found = this->sessions.find(aId);
+  return found == this->sessions.end() ? nullptr : &found->second;
+}
+
+const work::Job*
+Dispatcher::FindJob(const JobId& aId) const
+{
+  return this->state.FindJob(aId);
+}
+
+Destination
+Dispatcher::To(const InstanceId& aId, const UpstreamSession& aSession) const
+{
+  return { aId, aSession.record.address, this->term };
+}
+
+void
+Dispatcher::Note(
+  std::string_view aKind,
+  std::string aJob,
+  std::vector<std::pair<std::string_view, std::string>> aFields)
+{
+  this->output.decisions.push_back(
+    { aKind, std::move(aJob), std::move(aFields) });
+}
+
+void
+Dispatcher::RefreshView(const JobId& aJob)
+{
+  const work::Job* job = this->FindJob(aJob);
+  if (job == nullptr || job->IsFinal()) {
+    this->views.erase(aJob);
+    this->tickets.ForgetStep(aJob);
+    return;
+  }
+  const work::Queue* queue = this->state.CurrentSetup().FindQueue(job->queue);
+  JobView& view = this->views[aJob];
+  view = MakeView(aJob, *job, queue, this->wall);
+  this->dirty.insert(view.service);
+}
+
+void
+Dispatcher::RefreshAllViews()
+{
+  this->views.clear();
+  for (const auto& [id, job] : this->state.Tables().jobs) {
+    this->RefreshView(id);
+  }
+  for (const auto& [id, session] : this->sessions) {
+    this->dirty.insert(session.record.service);
+  }
+}
+
+void
+Dispatcher::Applied(const work::Batch& aBatch,
+                    std::span<const work::Verdict> aVerdicts,
+                    Time aNow,
+                    WallTime aWall)
+{
+  if (!this->Leads()) {
+    return;
+  }
+  this->now = aNow;
+  this->wall = aWall;
+  std::set<JobId> touched;
+  for (std::size_t i = 0; i < aBatch.commands.size(); ++i) {
+    std::visit(
+      [&](const auto& aConcrete) {
+        using T = std::decay_t<decltype(aConcrete)>;
+        if constexpr (std::is_same_v<T, work::StartRun> ||
+                      std::is_same_v<T, work::EndRun>) {
+          touched.insert(aConcrete.task.job);
+        } else if constexpr (std::is_same_v<T, work::SubmitJob> ||
+                             std::is_same_v<T, work::CancelJob>) {
+          touched.insert(aConcrete.id);
+        }
+        this->On(aConcrete, aVerdicts[i]);
+      },
+      aBatch.commands[i]);
+  }
+  for (const JobId& job : touched) {
+    this->RefreshView(job);
+  }
+  this->Plan();
+}
+
+void
+Dispatcher::On(const work::SetSetup& aCommand, work::Verdict aVerdict)
+{
+  if (aVerdict == work::Verdict::Done) {
+    this->Note("setup_in_force",
+               {},
+               { { "version", Text(aCommand.setup.version) },
+                 { "queues", Text(aCommand.setup.queues.size()) } });
+    this->RefreshAllViews();
+  }
+}
+
+void
+Dispatcher::On(const work::SubmitJob& aCommand, work::Verdict /*aVerdict*/)
+{
+  this->Note("job_accepted",
+             aCommand.id.value,
+             { { "queue", aCommand.queue.value },
+               { "workspace", aCommand.workspace.value },
+               { "steps", Text(aCommand.spec.steps.size()) },
+               { "setup", Text(this->state.CurrentSetup().version) } });
+}
+
+void
+Dispatcher::On(const work::CancelJob& aCommand, work::Verdict aVerdict)
+{
+  this->Note("job_cancelled",
+             aCommand.id.value,
+             { { "known", aVerdict == work::Verdict::Done ? "yes" : "no" } });
+  this->StopAllOf(aCommand.id, "job cancelled");
+}
+
+void
+Dispatcher::On(const work::StartRun& aCommand, work::Verdict aVerdict)
+{
+  const RunKey key{ aCommand.task, aCommand.run.number };
+  UpstreamSession* session = this->FindSession(aCommand.run.upstream);
+  const bool known = session != nullptr && session->runs.contains(key);
+  if (aVerdict != work::Verdict::Done) {
+    this->DropRun(aCommand.run.upstream, key);
+    return;
+  }
+  if (!known) {
+    // The upstream changed while the command was under way.
+    this->ProposeEnd(
+      aCommand.run.upstream, key, work::EndKind::NotStarted, {});
+    return;
+  }
+  if (session->runs[key].stopping) {
+    this->ProposeEnd(
+      aCommand.run.upstream, key, work::EndKind::NotStarted, {});
+    return;
+  }
+  this->SendStart(*session, key);
+}
+
+void
+Dispatcher::On(const work::EndRun& aCommand, work::Verdict aVerdict)
+{
+  const RunKey key{ aCommand.task, aCommand.run };
+  UpstreamSession* session = this->FindSession(aCommand.upstream);
+  if (session == nullptr) {
+    return;
+  }
+  session->recording.erase(key);
+  session->AdvanceSeen();
+  const auto found = session->runs.find(key);
+  if (found == session->runs.end()) {
+    return;
+  }
+  if (aVerdict == work::Verdict::Done) {
+    this->NoteEnd(aCommand, found->second);
+  }
+  session->nextHold = this->now; // the end is on record: tell the upstream
+  this->DropRun(aCommand.upstream, key);
+}
+
+void
+Dispatcher::NoteEnd(const work::EndRun& aCommand, const LiveRun& aRun)
+{
+  UpstreamSession& session = *this->FindSession(aCommand.upstream);
+  const work::Job* job = this->FindJob(aCommand.task.job);
+  const bool ended = job == nullptr || job->IsFinal();
+  if (aCommand.kind == work::EndKind::Done) {
+    session.recentFailures = 0;
+    this->failedOn.erase(aCommand.task);
+  }
+  if (aCommand.kind == work::EndKind::Failed) {
+    ++session.recentFailures;
+    this->failedOn[aCommand.task] = aCommand.upstream;
+    this->QuarantineIfFailing(aCommand.upstream, session);
+  }
+  const bool isNews = aCommand.kind != work::EndKind::Done || ended;
+  if (isNews) {
+    this->Note("run_ended",
+               aCommand.task.job.value,
+               { { "task", Text(aCommand.task) },
+                 { "run", Text(aCommand.run) },
+                 { "upstream", aCommand.upstream.value },
+                 { "how", std::string(Text(aCommand.kind)) },
+                 { "ran_ms", Text(this->now - aRun.since) },
+                 { "job", job == nullptr ? "unknown" : std::string(Text(job->state)) } });
+  }
+  if (!ended && !job->tasks.empty() &&
+      job->spec.steps[aCommand.task.step].gang &&
+      aCommand.kind != work::EndKind::Done) {
+    this->StopGang(aCommand.task);
+  }
+  if (ended) {
+    this->StopAllOf(aCommand.task.job, "job ended");
+  }
+}
+
+// An upstream that fails what others finish gets nothing for a while.
+void
+Dispatcher::QuarantineIfFailing(const InstanceId& aId,
+                                UpstreamSession& aSession)
+{
+  constexpr std::uint32_t kFailuresInRow = 3;
+  constexpr Duration kQuarantine = seconds(5);
+  if (aSession.recentFailures < kFailuresInRow) {
+    return;
+  }
+  std::size_t peers = 0;
+  std::size_t failing = 0;
+  for (const auto& [id, other] : this->sessions) {
+    if (other.record.service == aSession.record.service) {
+      ++peers;
+      failing += other.recentFailures > 0 ? 1 : 0;
+    }
+  }
+  if (failing * 3 > peers) {
+    return; // the jobs are at fault, not the upstream
+  }
+  aSession.avoidUntil = this->now + kQuarantine;
+  this->Note("upstream_quarantined",
+             {},
+             { { "upstream", aId.value },
+               { "failures", Text(aSession.recentFailures) },
+               { "failing_peers", Text(failing) } });
+}
+
+// The members of a gang only work together: one that ends takes the others.
+void
+Dispatcher::StopGang(const work::TaskRef& aTask)
+{
+  for (auto& [id, session] : this->sessions) {
+    std::vector<RunKey> members;
+    for (const auto& [key, run] : session.runs) {
+      if (StepOf(key.first) == StepOf(aTask)) {
+        members.push_back(key);
+      }
+    }
+    for (const RunKey& key : members) {
+      this->RequestStop(session, key, "gang broken");
+    }
+  }
+}
+
+void
+Dispatcher::On(const work::SetUpstream& aCommand, work::Verdict /*aVerdict*/)
+{
+  const auto& next = aCommand.upstream;
+  UpstreamSession* session = this->FindSession(aCommand.id);
+  if (session == nullptr || session->record.boot != next.boot) {
+    if (session != nullptr) {
+      while (!session->runs.empty()) {
+        this->DropRun(aCommand.id, session->runs.begin()->first);
+      }
+      this->sessions.erase(aCommand.id);
+    }
+    this->sessions.emplace(aCommand.id,
+                           UpstreamSession(next, this->now, this->now));
+  } else {
+    session->record = next;
+  }
+  this->dirty.insert(next.service);
+  this->Note("upstream_recorded",
+             {},
+             { { "upstream", aCommand.id.value },
+               { "boot", Text(next.boot) },
+               { "service", next.service.value },
+               { "instance", next.instance },
+               { "draining", next.draining ? "yes" : "no" } });
+}
+
+void
+Dispatcher::On(const work::RemoveUpstream& aCommand, work::Verdict /*aVerdict*/)
+{
+  UpstreamSession* session = this->FindSession(aCommand.id);
+  if (session == nullptr) {
+    return;
+  }
+  while (!session->runs.empty()) {
+    this->DropRun(aCommand.id, session->runs.begin()->first);
+  }
+  this->sessions.erase(aCommand.id);
+  this->Note("upstream_removed", {}, { { "upstream", aCommand.id.value } });
+}
+
+void
+Dispatcher::Tick(Time aNow, WallTime aWall)
+{
+  if (!this->Leads()) {
+    return;
+  }
+  this->now = aNow;
+  this->wall = aWall;
+  for (auto& [id, session] : this->sessions) {
+    this->CheckStops(session);
+    this->LeaveDraining(session);
+    this->PaceFilling(id, session);
+    this->Renew(id, session);
+    this->CheckLost(id, session);
+    this->CheckSilent(id, session);
+  }
+  this->RunWaves();
+  std::vector<JobId> due;
+  for (const auto& [id, view] : this->views) {
+    if (view.nextDue <= aWall) {
+      due.push_back(id);
+    }
+  }
+  for (const JobId& id : due) {
+    this->RefreshView(id);
+  }
+  this->Plan();
+}
+
+void
+Dispatcher::Handle(const Answer& aAnswer, Time aNow, WallTime aWall)
+{
+  if (!this->Leads()) {
+    return;
+  }
+  this->now = aNow;
+  this->wall = aWall;
+  std::visit([this](const auto& aConcrete) { this->On(aConcrete); }, aAnswer);
+  this->Plan();
+}
+
+std::optional<Duration>
+Dispatcher::RetryAfter(const work::Queue& aQueue,
+                       const work::JobSpec& aSpec) const
+{
+  return dispatch::RetryAfter(this->LoadOf(aQueue.service), aQueue, aSpec);
+}
+
+std::uint64_t
+Dispatcher::Pending(const work::Queue& aQueue) const
+{
+  std::uint64_t count = 0;
+  for (const auto& [id, job] : this->state.Tables().jobs) {
+    count += job.queue == aQueue.name && job.state == work::JobState::Queued;
+  }
+  return count;
+}
+
+Output
+Dispatcher::TakeOutput()
+{
+  return std::exchange(this->output, {});
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/Dispatcher.h
@@ -0,0 +1,212 @@
+// The leader's decisions on jobs of steps: which task runs where, which lease
+// is renewed, what is stopped, lost or started again. Pure: time, answers and
+// committed commands come in; commands, instructions and decisions go out.
+//
+// Safety rests on two facts. A run is on record before its start leaves, so a
+// later leader knows every place where a task may be executing. A run leaves
+// the record only when its end was listed, when the upstream can no longer
+// carry its start out, or when its lease has surely ended.
+#ifndef hyssoppaddle_dispatch_Dispatcher_h
+#define hyssoppaddle_dispatch_Dispatcher_h
+
+#include "dispatch/Admission.h"
+#include "dispatch/Announcement.h"
+#include "dispatch/Decision.h"
+#include "dispatch/InstanceOwner.h"
+#include "dispatch/JobView.h"
+#include "dispatch/Options.h"
+#include "dispatch/Placement.h"
+#include "dispatch/TicketBook.h"
+#include "work/WorkState.h"
+
+#include <set>
+#include <span>
+
+namespace hyssoppaddle::dispatch {
+
+struct Output
+{
+  std::vector<work::Command> commands; // to be proposed as one batch
+  std::vector<Instruction> instructions;
+  std::vector<Decision> decisions;
+};
+
+class Dispatcher
+{
+public:
+  // aState must outlive this object and already contain what Applied reports.
+  Dispatcher(Options aOptions, const work::WorkState& aState);
+
+  void BecomeLeader(std::uint64_t aTerm, Time aNow, WallTime aWall);
+  void LoseLeadership();
+  [[nodiscard]] bool Leads() const { return this->term != 0; }
+
+  // aVerdicts are those of WorkState::Apply for aBatch.
+  void Applied(const work::Batch& aBatch,
+               std::span<const work::Verdict> aVerdicts,
+               Time aNow,
+               WallTime aWall);
+  void Handle(const Answer& aAnswer, Time aNow, WallTime aWall);
+  void Tick(Time aNow, WallTime aWall);
+
+  // Commands that put aAnnouncement on record; empty when nothing has changed
+  // or the announcement is out of date. It may be acknowledged once they are
+  // committed.
+  std::vector<work::Command> Consider(const Announcement& aAnnouncement,
+                                      Time aNow);
+  // Commands that record the end of an upstream that said it leaves.
+  std::vector<work::Command> Depart(const InstanceId& aUpstream);
+
+  // Nothing when the job should be accepted, else after which time it is worth
+  // coming back.
+  [[nodiscard]] std::optional<Duration> RetryAfter(
+    const work::Queue& aQueue,
+    const work::JobSpec& aSpec) const;
+
+  // Accepted jobs of the queue of which no task has started.
+  [[nodiscard]] std::uint64_t Pending(const work::Queue& aQueue) const;
+
+  [[nodiscard]] Output TakeOutput();
+  [[nodiscard]] const Sessions& Upstreams() const { return this->sessions; }
+
+private:
+  // Dispatcher.cpp: committed commands and views.
+  void On(const work::SetSetup& aCommand, work::Verdict aVerdict);
+  void On(const work::SubmitJob& aCommand, work::Verdict aVerdict);
+  void On(const work::CancelJob& aCommand, work::Verdict aVerdict);
+  void On(const work::StartRun& aCommand, work::Verdict aVerdict);
+  void On(const work::EndRun& aCommand, work::Verdict aVerdict);
+  void On(const work::SetUpstream& aCommand, work::Verdict aVerdict);
+  void On(const work::RemoveUpstream& aCommand, work::Verdict aVerdict);
+  void On(const work::StartWave& aCommand, work::Verdict aVerdict);
+  void On(const work::AdvanceWave& aCommand, work::Verdict aVerdict);
+  void RefreshView(const JobId& aJob);
+  void RefreshAllViews();
+  void AdoptRuns();
+  void NoteEnd(const work::EndRun& aCommand, const LiveRun& aRun);
+  void StopGang(const work::TaskRef& aTask);
+  void QuarantineIfFailing(const InstanceId& aId, UpstreamSession& aSession);
+
+  // DispatcherRuns.cpp: one run from its start to its end.
+  void SendStart(UpstreamSession& aSession, const RunKey& aKey);
+  void RequestStop(UpstreamSession& aSession,
+                   const RunKey& aKey,
+                   std::string_view aReason);
+  void SendStop(UpstreamSession& aSession, const RunKey& aKey);
+  void StopAllOf(const JobId& aJob, std::string_view aReason);
+  void ProposeEnd(const InstanceId& aUpstream,
+                  const RunKey& aKey,
+                  work::EndKind aKind,
+                  std::string aCheckpoint);
+  void On(const OrderAnswer& aAnswer);
+  void OnStartAnswer(UpstreamSession& aSession,
+                     const RunKey& aKey,
+                     const OrderAnswer& aAnswer);
+  void OnStopAnswer(UpstreamSession& aSession,
+                    const RunKey& aKey,
+                    const OrderAnswer& aAnswer);
+
+  // DispatcherSessions.cpp: leases and the lists of upstreams.
+  void On(const LeaseAnswer& aAnswer);
+  void OnLists(const InstanceId& aId,
+               UpstreamSession& aSession,
+               const LeaseAnswer& aAnswer,
+               Time aAsked);
+  void MergeRunning(const InstanceId& aId,
+                    UpstreamSession& aSession,
+                    const LeaseAnswer& aAnswer,
+                    std::set<RunKey>& aListed);
+  void MergeEnded(const InstanceId& aId,
+                  UpstreamSession& aSession,
+                  const LeaseAnswer& aAnswer,
+                  std::set<RunKey>& aListed);
+  void CheckAbsent(const InstanceId& aId,
+                   UpstreamSession& aSession,
+                   const std::set<RunKey>& aListed,
+                   Time aAsked);
+  void OnReborn(const InstanceId& aId,
+                UpstreamSession& aSession,
+                std::uint64_t aBoot);
+  void Renew(const InstanceId& aId, UpstreamSession& aSession);
+  void CheckLost(const InstanceId& aId, UpstreamSession& aSession);
+  void CheckStops(UpstreamSession& aSession);
+  void CheckSilent(const InstanceId& aId, const UpstreamSession& aSession);
+  void EndAll(const InstanceId& aId, std::vector<work::Command>& aCommands);
+
+  // DispatcherPlan.cpp: what runs next and where.
+  void Plan();
+  void PlanService(const ServiceId& aService);
+  bool PlaceTask(JobView& aView, const work::TaskRef& aTask);
+  bool PlaceGang(JobView& aView, const work::TaskRef& aTask);
+  bool Decide(const JobView& aView,
+              const work::TaskRef& aTask,
+              std::uint32_t aNumber);
+  [[nodiscard]] bool IsWithinLimit(const WorkspaceId& aWorkspace,
+                                   const state::Resources& aSize) const;
+  [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
+  [[nodiscard]] double ShareOf(const WorkspaceId& aWorkspace) const;
+  [[nodiscard]] std::string RackOf(const work::Job& aJob,
+                                   const work::TaskRef& aTask,
+                                   const ServiceId& aService) const;
+
+  // DispatcherCare.cpp: tasks on upstreams that leave, and filling tasks that
+  // disturb serving ones.
+  void LeaveDraining(UpstreamSession& aSession);
+  void PaceFilling(const InstanceId& aId, UpstreamSession& aSession);
+
+  // DispatcherWaves.cpp: maintenance.
+  void On(const InstanceList& aAnswer);
+  void On(const InstanceAnswer& aAnswer);
+  void On(const AdviceAnswer& aAnswer);
+  void RunWaves();
+  void AdvanceOne(std::uint64_t aNumber, const work::Wave& aWave);
+  [[nodiscard]] Duration SlotOf(const work::Wave& aWave) const;
+  [[nodiscard]] bool MayEnd(const UpstreamSession& aSession) const;
+  bool IsBack(const std::string& aInstance, bool aPresent);
+  [[nodiscard]] bool IsOrdered(const std::string& aInstance) const;
+  void OrderMaintenance(std::uint64_t aWave, const std::string& aInstance);
+  void WatchMissing(std::uint64_t aWave, const std::string& aInstance);
+  void AskForTickets(const JobView& aView, const work::TaskRef& aTask);
+  [[nodiscard]] bool MayStopLasting(const work::TaskRef& aTask) const;
+  bool Empty(UpstreamSession& aSession);
+
+  void AddRun(const InstanceId& aUpstream, const RunKey& aKey, LiveRun aRun);
+  void DropRun(const InstanceId& aUpstream, const RunKey& aKey);
+  [[nodiscard]] UpstreamSession* FindSession(const InstanceId& aId);
+  [[nodiscard]] Destination To(const InstanceId& aId,
+                               const UpstreamSession& aSession) const;
+  [[nodiscard]] const work::Job* FindJob(const JobId& aId) const;
+  void Note(std::string_view aKind,
+            std::string aJob,
+            std::vector<std::pair<std::string_view, std::string>> aFields);
+
+  struct Order
+  {
+    InstanceId upstream;
+    RunKey key;
+    bool isStop = false;
+    bool isPace = false;
+  };
+
+  Options options;
+  const work::WorkState& state;
+  std::uint64_t term = 0; // 0: does not lead
+  Time now{};
+  WallTime wall{};
+  Time electedAt{};
+  std::uint64_t lastToken = 0;
+  Output output;
+
+  Sessions sessions;
+  std::map<JobId, JobView> views; // of jobs that have not ended
+  std::map<WorkspaceId, state::Resources> used; // by all live runs
+  std::map<std::uint64_t, Order> orders; // under way, by token
+  std::map<work::TaskRef, InstanceId> failedOn; // where a task failed last
+  std::set<ServiceId> dirty; // services whose plan may have changed
+  TicketBook tickets;
+  InstanceOwner owner;
+};
+
+} // namespace hyssoppaddle::dispatch
+
+#endif
--- /dev/null
+++ b/src/dispatch/DispatcherCare.cpp
@@ -0,0 +1,109 @@
+// Tasks on upstreams that leave, and filling tasks beside serving ones.
+#include "dispatch/Dispatcher.h"
+#include "dispatch/Text.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// A lasting or checkpointing task leaves a draining upstream this long before
+// the upstream may go: twice the longest stop, so that its checkpoint is saved.
+constexpr int kStopsBeforeLeaving = 2;
+// Of the tail target: above the first, filling tasks give way; below the
+// second, they get more.
+constexpr double kTailHigh = 0.7;
+constexpr double kTailLow = 0.4;
+constexpr std::uint32_t kPaceUp = 20; // percent a look
+constexpr Duration kPaceInterval = milliseconds(400); // between two looks
+constexpr std::uint32_t kFullPace = 100;
+
+} // namespace
+
+void
+Dispatcher::LeaveDraining(UpstreamSession& aSession)
+{
+  if (!aSession.record.draining || aSession.runs.empty()) {
+    return;
+  }
+  const Duration ahead = this->options.stopTime * kStopsBeforeLeaving;
+  if (aSession.leavesBy && this->now + ahead < *aSession.leavesBy) {
+    return;
+  }
+  std::vector<RunKey> leaving;
+  for (const auto& [key, live] : aSession.runs) {
+    const work::Job* job = this->FindJob(key.first.job);
+    const bool checkpoints = job != nullptr && !job->tasks.empty() &&
+                             job->spec.steps[key.first.step].checkpoints;
+    if (live.lasting || checkpoints) {
+      leaving.push_back(key);
+    }
+  }
+  for (const RunKey& key : leaving) {
+    this->RequestStop(aSession, key, "upstream leaves");
+  }
+}
+
+// Follows the tail of the serving tasks of one upstream: filling tasks give way
+// at once and come back in steps.
+void
+Dispatcher::PaceFilling(const InstanceId& aId, UpstreamSession& aSession)
+{
+  double worst = 0;
+  bool serving = false;
+  bool filling = false;
+  for (const auto& [key, live] : aSession.runs) {
+    filling = filling || live.fills;
+    const work::Job* job = this->FindJob(key.first.job);
+    if (live.fills || !live.lasting || job == nullptr || job->tasks.empty()) {
+      continue;
+    }
+    const Duration target = job->spec.steps[key.first.step].tailTarget;
+    if (target.count() > 0) {
+      serving = true;
+      const double tailMs = static_cast<double>(live.load.value_or(0));
+      worst = std::max(
+        worst, tailMs * 1000.0 / static_cast<double>(target.count()));
+    }
+  }
+  aSession.paced = serving && filling;
+  if (!filling || this->now - aSession.paceLooked < kPaceInterval) {
+    return;
+  }
+  aSession.paceLooked = this->now;
+  for (auto& [key, live] : aSession.runs) {
+    if (!live.fills || live.phase != RunPhase::Confirmed || live.stopping) {
+      continue;
+    }
+    std::uint32_t wanted = live.paceAsked;
+    if (worst > 1.0) {
+      wanted = 0;
+    } else if (worst > kTailHigh) {
+      wanted = live.paceAsked / 2;
+    } else if (worst < kTailLow) {
+      wanted = std::min(kFullPace, live.paceAsked + kPaceUp);
+    }
+    if (wanted == live.paceAsked) {
+      continue;
+    }
+    this->Note("task_paced",
+               key.first.job.value,
+               { { "task", Text(key.first) },
+                 { "upstream", aId.value },
+                 { "percent", Text(wanted) },
+                 { "tail_of_target",
+                   Text(static_cast<std::int64_t>(worst * 100.0)) } });
+    PaceTask pace;
+    pace.token = ++this->lastToken;
+    pace.to = this->To(aId, aSession);
+    pace.task = key.first;
+    pace.run = key.second;
+    pace.percent = wanted;
+    live.paceAsked = wanted;
+    this->orders[pace.token] = { aId, key, false, true };
+    this->output.instructions.emplace_back(std::move(pace));
+  }
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -0,0 +1,270 @@
+// What runs next and where.
+#include "dispatch/Dispatcher.h"
+#include "dispatch/Text.h"
+#include "dispatch/WorkOrder.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// Tasks that found no room before the rest of a plan is given up: the pool is
+// full, and the next end or upstream plans again.
+constexpr std::size_t kMissesPerPlan = 40;
+
+bool
+Exceeds(std::int64_t aUsed, std::int64_t aMore, std::int64_t aLimit)
+{
+  return aLimit > 0 && aMore > 0 && aUsed + aMore > aLimit;
+}
+
+} // namespace
+
+void
+Dispatcher::Plan()
+{
+  const std::set<ServiceId> services = std::exchange(this->dirty, {});
+  for (const ServiceId& service : services) {
+    this->PlanService(service);
+  }
+}
+
+void
+Dispatcher::PlanService(const ServiceId& aService)
+{
+  std::vector<std::pair<WorkRank, JobView*>> waiting;
+  for (auto& [id, view] : this->views) {
+    if (view.service == aService && !view.pending.empty()) {
+      const double share = this->ShareOf(view.workspace);
+      waiting.emplace_back(RankOf(view, share, this->wall), &view);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) {
+    if (const auto order = a.first <=> b.first; order != 0) {
+      return order < 0;
+    }
+    return a.second->id < b.second->id;
+  });
+  std::size_t misses = 0;
+  for (auto& [rank, view] : waiting) {
+    const std::vector<work::TaskRef> pending = view->pending;
+    for (const work::TaskRef& task : pending) {
+      const work::Job* job = this->FindJob(task.job);
+      const bool placed = job->spec.steps[task.step].gang
+                            ? this->PlaceGang(*view, task)
+                            : this->PlaceTask(*view, task);
+      misses += placed ? 0 : 1;
+      if (misses > kMissesPerPlan) {
+        return;
+      }
+    }
+  }
+}
+
+ServiceLoad
+Dispatcher::LoadOf(const ServiceId& aService) const
+{
+  ServiceLoad load;
+  for (const auto& [id, view] : this->views) {
+    if (view.service == aService && !view.lasting) {
+      load.backlog += view.remainingWork;
+    }
+  }
+  for (const auto& [id, session] : this->sessions) {
+    if (session.record.service != aService ||
+        !IsUsable(session, this->now)) {
+      continue;
+    }
+    ++load.upstreams;
+    std::int64_t milliCpus = session.record.capacity.milliCpus;
+    for (const auto& [key, live] : session.runs) {
+      milliCpus -= live.lasting && !live.fills ? live.size.milliCpus : 0;
+    }
+    load.capacity += static_cast<double>(milliCpus) / 1000.0;
+  }
+  return load;
+}
+
+bool
+Dispatcher::IsWithinLimit(const WorkspaceId& aWorkspace,
+                          const state::Resources& aSize) const
+{
+  const work::Workspace* workspace =
+    this->state.CurrentSetup().FindWorkspace(aWorkspace);
+  if (workspace == nullptr) {
+    return true;
+  }
+  const auto found = this->used.find(aWorkspace);
+  const state::Resources taken =
+    found == this->used.end() ? state::Resources{} : found->second;
+  const state::Resources& limit = workspace->limit;
+  return !Exceeds(taken.milliCpus, aSize.milliCpus, limit.milliCpus) &&
+         !Exceeds(taken.memoryMb, aSize.memoryMb, limit.memoryMb) &&
+         !Exceeds(taken.accelerators, aSize.accelerators, limit.accelerators);
+}
+
+double
+Dispatcher::ShareOf(const WorkspaceId& aWorkspace) const
+{
+  const work::Setup& setup = this->state.CurrentSetup();
+  const work::Workspace* workspace = setup.FindWorkspace(aWorkspace);
+  if (workspace == nullptr || workspace->weight <= 0) {
+    return 1.0;
+  }
+  double weights = 0;
+  for (const work::Workspace& other : setup.workspaces) {
+    weights += other.weight;
+  }
+  std::int64_t total = 0;
+  std::int64_t own = 0;
+  for (const auto& [name, taken] : this->used) {
+    total += taken.milliCpus;
+    own += name == aWorkspace ? taken.milliCpus : 0;
+  }
+  if (total == 0) {
+    return 1.0;
+  }
+  return static_cast<double>(own) / static_cast<double>(total) /
+         (workspace->weight / weights);
+}
+
+// The rack where the step's tasks already run, else the one with most room.
+std::string
+Dispatcher::RackOf(const work::Job& aJob,
+                   const work::TaskRef& aTask,
+                   const ServiceId& aService) const
+{
+  if (!aJob.spec.steps[aTask.step].rackLocal) {
+    return {};
+  }
+  for (const work::Task& task : aJob.tasks[aTask.occurrence][aTask.step]) {
+    for (const work::Run& run : task.runs) {
+      const auto session = this->sessions.find(run.upstream);
+      if (session != this->sessions.end()) {
+        return session->second.record.Rack();
+      }
+    }
+  }
+  std::map<std::string, std::int64_t> room;
+  for (const auto& [id, session] : this->sessions) {
+    if (session.record.service == aService && IsUsable(session, this->now)) {
+      room[session.record.Rack()] += session.Free().milliCpus;
+    }
+  }
+  const auto most =
+    std::max_element(room.begin(), room.end(), [](const auto& a, const auto& b) {
+      return a.second < b.second;
+    });
+  return most == room.end() ? std::string() : most->first;
+}
+
+bool
+Dispatcher::PlaceTask(JobView& aView, const work::TaskRef& aTask)
+{
+  const work::Job& job = *this->FindJob(aTask.job);
+  const work::Task* task = job.Find(aTask);
+  if (!this->Decide(aView, aTask, task->lastRun + 1)) {
+    return false;
+  }
+  std::erase(aView.pending, aTask);
+  return true;
+}
+
+// All members at once, or none: a member that waits for the others holds its
+// room for nothing.
+bool
+Dispatcher::PlaceGang(JobView& aView, const work::TaskRef& aTask)
+{
+  const work::Job& job = *this->FindJob(aTask.job);
+  const auto& members = job.tasks[aTask.occurrence][aTask.step];
+  std::vector<work::TaskRef> refs;
+  std::uint32_t number = 0;
+  for (std::uint32_t i = 0; i < members.size(); ++i) {
+    work::TaskRef ref = aTask;
+    ref.index = i;
+    const auto& pending = aView.pending;
+    if (std::find(pending.begin(), pending.end(), ref) == pending.end()) {
+      return false; // an earlier run of a member has not ended yet
+    }
+    number = std::max(number, members[i].lastRun + 1);
+    refs.push_back(std::move(ref));
+  }
+  const std::size_t before = this->output.commands.size();
+  for (const work::TaskRef& ref : refs) {
+    if (this->Decide(aView, ref, number)) {
+      continue;
+    }
+    for (std::size_t i = before; i < this->output.commands.size(); ++i) {
+      const auto& start = std::get<work::StartRun>(this->output.commands[i]);
+      this->DropRun(start.run.upstream, { start.task, start.run.number });
+      this->dirty.erase(aView.service);
+    }
+    this->output.commands.resize(before);
+    return false;
+  }
+  for (const work::TaskRef& ref : refs) {
+    std::erase(aView.pending, ref);
+  }
+  return true;
+}
+
+bool
+Dispatcher::Decide(const JobView& aView,
+                   const work::TaskRef& aTask,
+                   std::uint32_t aNumber)
+{
+  const work::Job& job = *this->FindJob(aTask.job);
+  const work::Step& step = job.spec.steps[aTask.step];
+  if (!this->IsWithinLimit(aView.workspace, step.size)) {
+    return false;
+  }
+  const work::Setup& setup = this->state.CurrentSetup();
+  const work::Queue* queue = setup.FindQueue(aView.queue);
+  if (queue == nullptr) {
+    return false; // the setup in force has no such queue
+  }
+  PlacementQuery query;
+  query.step = &step;
+  query.task = aTask;
+  query.service = aView.service;
+  query.rack = this->RackOf(job, aTask, aView.service);
+  query.now = this->now;
+  if (const auto failed = this->failedOn.find(aTask);
+      failed != this->failedOn.end()) {
+    query.avoid = failed->second;
+  }
+  if (queue->needsAdvice && this->options.hasAdvisor) {
+    query.hasTicket = [this, &aTask](const InstanceId& aUpstream) {
+      return !this->tickets.Find(StepOf(aTask), aUpstream, this->now).empty();
+    };
+  }
+  UpstreamSession* session = Place(this->sessions, query);
+  if (session == nullptr) {
+    if (query.hasTicket) {
+      this->AskForTickets(aView, aTask);
+    }
+    return false;
+  }
+  const auto id = std::find_if(
+    this->sessions.begin(), this->sessions.end(), [&](const auto& aItem) {
+      return &aItem.second == session;
+    });
+  work::Run run;
+  run.number = aNumber;
+  run.upstream = id->first;
+  run.boot = session->record.boot;
+  run.startedAt = this->wall;
+  LiveRun live;
+  live.run = run;
+  live.workspace = aView.workspace;
+  live.size = step.size;
+  live.since = this->now;
+  live.lasting = step.lasting;
+  live.fills = step.fills;
+  this->AddRun(id->first, { aTask, aNumber }, live);
+  this->output.commands.emplace_back(work::StartRun{ aTask, run });
+  return true;
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -0,0 +1,230 @@
+// One run: its start, its stop and its end.
+#include "dispatch/Dispatcher.h"
+#include "dispatch/Text.h"
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// A stop without an answer is sent again after this.
+constexpr Duration kStopRetry = milliseconds(300);
+// New starts avoid an upstream this long after it refused one for want of room
+// or of health: its own list differs from ours until the next renewal.
+constexpr Duration kAfterRefusal = milliseconds(150);
+
+} // namespace
+
+void
+Dispatcher::SendStart(UpstreamSession& aSession, const RunKey& aKey)
+{
+  LiveRun& live = aSession.runs.at(aKey);
+  const work::Job* job = this->FindJob(aKey.first.job);
+  const work::Task* task = job == nullptr ? nullptr : job->Find(aKey.first);
+  const auto until = aSession.clock.EndAfter(this->options.Lease(), this->now);
+  if (task == nullptr || job->IsFinal() || !until) {
+    this->ProposeEnd(
+      live.run.upstream, aKey, work::EndKind::NotStarted, {});
+    return;
+  }
+  StartTask start;
+  start.token = ++this->lastToken;
+  start.to = this->To(live.run.upstream, aSession);
+  start.task = aKey.first;
+  start.run = aKey.second;
+  start.payload = job->spec.payload;
+  start.leaseUntil = *until;
+  start.checkpoint = task->checkpoint;
+  start.ticket = this->tickets.Find(
+    StepOf(aKey.first), live.run.upstream, this->now);
+  aSession.clock.Granted(*until);
+  live.phase = RunPhase::Ordered;
+  live.since = this->now;
+  live.progressAt = this->now;
+  this->orders[start.token] = { live.run.upstream, aKey, false, false };
+  this->output.instructions.emplace_back(std::move(start));
+}
+
+void
+Dispatcher::ProposeEnd(const InstanceId& aUpstream,
+                       const RunKey& aKey,
+                       work::EndKind aKind,
+                       std::string aCheckpoint)
+{
+  this->output.commands.emplace_back(work::EndRun{
+    aKey.first, aKey.second, aUpstream, aKind, std::move(aCheckpoint) });
+}
+
+void
+Dispatcher::RequestStop(UpstreamSession& aSession,
+                        const RunKey& aKey,
+                        std::string_view aReason)
+{
+  LiveRun& live = aSession.runs.at(aKey);
+  if (live.stopping) {
+    return;
+  }
+  live.stopping = true;
+  this->Note("run_stopped",
+             aKey.first.job.value,
+             { { "task", Text(aKey.first) },
+               { "run", Text(aKey.second) },
+               { "upstream", live.run.upstream.value },
+               { "reason", std::string(aReason) } });
+  if (live.phase != RunPhase::Deciding) {
+    this->SendStop(aSession, aKey);
+  }
+}
+
+void
+Dispatcher::SendStop(UpstreamSession& aSession, const RunKey& aKey)
+{
+  LiveRun& live = aSession.runs.at(aKey);
+  StopTask stop;
+  stop.token = ++this->lastToken;
+  stop.to = this->To(live.run.upstream, aSession);
+  stop.task = aKey.first;
+  stop.run = aKey.second;
+  live.stopInFlight = true;
+  live.stopSent = this->now;
+  this->orders[stop.token] = { live.run.upstream, aKey, true, false };
+  this->output.instructions.emplace_back(std::move(stop));
+}
+
+void
+Dispatcher::StopAllOf(const JobId& aJob, std::string_view aReason)
+{
+  const RunKey first{ { aJob, 0, 0, 0 }, 0 };
+  for (auto& [id, session] : this->sessions) {
+    std::vector<RunKey> keys;
+    for (auto run = session.runs.lower_bound(first);
+         run != session.runs.end() && run->first.first.job == aJob;
+         ++run) {
+      keys.push_back(run->first);
+    }
+    for (const RunKey& key : keys) {
+      this->RequestStop(session, key, aReason);
+    }
+  }
+}
+
+// A stop is due for every run that is to end, and for every start that got no
+// answer: once the stop is accepted, the start can no longer take effect.
+void
+Dispatcher::CheckStops(UpstreamSession& aSession)
+{
+  if (!aSession.fenced) {
+    return;
+  }
+  std::vector<RunKey> due;
+  for (const auto& [key, live] : aSession.runs) {
+    const bool wanted =
+      (live.stopping && live.phase != RunPhase::Deciding) ||
+      live.phase == RunPhase::Unanswered;
+    if (wanted && !live.stopInFlight && !live.stopConfirmed &&
+        this->now - live.stopSent >= kStopRetry) {
+      due.push_back(key);
+    }
+  }
+  for (const RunKey& key : due) {
+    this->SendStop(aSession, key);
+  }
+}
+
+void
+Dispatcher::On(const OrderAnswer& aAnswer)
+{
+  const auto found = this->orders.find(aAnswer.token);
+  if (found == this->orders.end()) {
+    return; // of an earlier leadership
+  }
+  const Order order = found->second;
+  this->orders.erase(found);
+  UpstreamSession* session = this->FindSession(order.upstream);
+  if (session == nullptr) {
+    return;
+  }
+  if (aAnswer.clock) {
+    session->clock.Read(*aAnswer.clock, this->now);
+    session->lastHeard = this->now;
+  }
+  if (aAnswer.result == OrderResult::NoAnswer ||
+      aAnswer.result == OrderResult::NotSent) {
+    ++session->unanswered; // new work goes elsewhere until it answers again
+    session->nextHold = this->now;
+    this->Note("order_unanswered",
+               order.key.first.job.value,
+               { { "upstream", order.upstream.value },
+                 { "task", Text(order.key.first) },
+                 { "order", order.isStop ? "stop" : "start" } });
+  }
+  const auto run = session->runs.find(order.key);
+  if (run == session->runs.end()) {
+    return;
+  }
+  if (order.isPace) {
+    if (aAnswer.result != OrderResult::Accepted) {
+      run->second.paceAsked = kUnknownPace; // asked again at the next look
+    }
+    return;
+  }
+  if (order.isStop) {
+    this->OnStopAnswer(*session, order.key, aAnswer);
+  } else {
+    this->OnStartAnswer(*session, order.key, aAnswer);
+  }
+}
+
+void
+Dispatcher::OnStartAnswer(UpstreamSession& aSession,
+                          const RunKey& aKey,
+                          const OrderAnswer& aAnswer)
+{
+  LiveRun& live = aSession.runs.at(aKey);
+  if (live.phase != RunPhase::Ordered) {
+    return; // a list has already told
+  }
+  switch (aAnswer.result) {
+    case OrderResult::Accepted:
+    case OrderResult::Superseded: // its end is or will be listed
+      live.phase = RunPhase::Confirmed;
+      live.since = this->now;
+      return;
+    case OrderResult::NoAnswer:
+    case OrderResult::Fenced: // a later leader acts; the record decides
+      live.phase = RunPhase::Unanswered;
+      live.since = this->now;
+      return;
+    default:
+      break;
+  }
+  this->Note("start_refused",
+             aKey.first.job.value,
+             { { "task", Text(aKey.first) },
+               { "run", Text(aKey.second) },
+               { "upstream", live.run.upstream.value },
+               { "reason", std::string(Text(aAnswer.result)) } });
+  if (aAnswer.result == OrderResult::NoTicket) {
+    this->tickets.Drop(StepOf(aKey.first), live.run.upstream);
+  } else {
+    aSession.avoidUntil =
+      std::max(aSession.avoidUntil, this->now + kAfterRefusal);
+  }
+  aSession.nextHold = std::min(aSession.nextHold, this->now);
+  this->ProposeEnd(live.run.upstream, aKey, work::EndKind::NotStarted, {});
+}
+
+void
+Dispatcher::OnStopAnswer(UpstreamSession& aSession,
+                         const RunKey& aKey,
+                         const OrderAnswer& aAnswer)
+{
+  LiveRun& live = aSession.runs.at(aKey);
+  live.stopInFlight = false;
+  if (aAnswer.result == OrderResult::Accepted ||
+      aAnswer.result == OrderResult::Superseded) {
+    live.stopConfirmed = this->now;
+    aSession.nextHold = std::min(aSession.nextHold, this->now);
+  }
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/DispatcherSessions.cpp
@@ -0,0 +1,347 @@
+// Leases of upstreams, the lists that they answer with, and their losses.
+#include "dispatch/Dispatcher.h"
+#include "dispatch/Text.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// Least time between two renewals of one upstream: ends that come together are
+// recorded together.
+constexpr Duration kRenewPause = milliseconds(15);
+constexpr Duration kRenewRetry = milliseconds(150);
+// Where filling tasks run beside serving ones, their tail is looked at this
+// often: a tenth of the shortest time in which harm counts.
+constexpr Duration kPacedPoll = milliseconds(400);
+// A renewal waits this long for listed ends to be on record.
+constexpr Duration kRecordingTime = milliseconds(400);
+// An upstream that has said nothing for this long is taken off the record once
+// nothing can run there.
+constexpr Duration kForgetAfter = seconds(20);
+// An upstream lists at most this many ends in one answer.
+constexpr std::size_t kEndsPerList = 500;
+
+} // namespace
+
+void
+Dispatcher::Renew(const InstanceId& aId, UpstreamSession& aSession)
+{
+  if (aSession.holdToken != 0 || this->now < aSession.nextHold) {
+    return;
+  }
+  const bool recording = !aSession.recording.empty() &&
+                         this->now - aSession.lastHeard < kRecordingTime;
+  if (recording) {
+    return; // the next renewal acknowledges what is being recorded
+  }
+  bool executing = false;
+  bool unsure = false;
+  for (const auto& [key, live] : aSession.runs) {
+    executing = executing || live.phase != RunPhase::Deciding;
+    unsure = unsure || live.phase == RunPhase::Unanswered ||
+             live.stopConfirmed.has_value();
+  }
+  const bool owesAck = aSession.seen > aSession.seenSent;
+  if (aSession.fenced && !executing && !owesAck && aSession.unanswered == 0) {
+    return; // nothing runs there: its announcements are enough
+  }
+  RenewLease renew;
+  renew.token = ++this->lastToken;
+  renew.to = this->To(aId, aSession);
+  renew.lastSeen = aSession.seen;
+  const bool waits = aSession.fenced && executing && !unsure &&
+                     aSession.unanswered == 0;
+  const Duration poll =
+    aSession.paced ? kPacedPoll : this->options.LongPoll();
+  renew.wait = waits ? poll : Duration(0);
+  renew.leaseUntil =
+    aSession.clock.EndAfter(this->options.Lease(), this->now);
+  if (renew.leaseUntil) {
+    aSession.clock.Granted(*renew.leaseUntil);
+  }
+  aSession.holdToken = renew.token;
+  aSession.holdSent = this->now;
+  aSession.seenSent = aSession.seen;
+  this->output.instructions.emplace_back(std::move(renew));
+}
+
+void
+Dispatcher::On(const LeaseAnswer& aAnswer)
+{
+  UpstreamSession* session = this->FindSession(aAnswer.upstream);
+  if (session == nullptr || session->holdToken != aAnswer.token) {
+    return; // of an earlier boot or leadership
+  }
+  session->holdToken = 0;
+  const Time asked = session->holdSent;
+  if (aAnswer.wrongBoot) {
+    this->Note("upstream_replaced",
+               {},
+               { { "upstream", aAnswer.upstream.value },
+                 { "address", session->record.address },
+                 { "lost_runs", Text(session->runs.size()) } });
+    this->EndAll(aAnswer.upstream, this->output.commands);
+    this->output.commands.emplace_back(
+      work::RemoveUpstream{ aAnswer.upstream });
+    session->nextHold = this->now + kRenewRetry;
+    ++session->unanswered;
+    return;
+  }
+  if (!aAnswer.answered || aAnswer.fenced) {
+    if (session->unanswered++ == 0) {
+      this->Note("upstream_unanswered",
+                 {},
+                 { { "upstream", aAnswer.upstream.value },
+                   { "runs", Text(session->runs.size()) },
+                   { "reason", aAnswer.fenced ? "fenced" : "no answer" } });
+    }
+    session->nextHold = this->now + kRenewRetry;
+    return;
+  }
+  if (session->unanswered > 0) {
+    this->dirty.insert(session->record.service);
+  }
+  session->unanswered = 0;
+  session->lastHeard = this->now;
+  const std::uint64_t known = session->record.boot;
+  if (aAnswer.boot != 0 && known != 0 && aAnswer.boot != known) {
+    this->OnReborn(aAnswer.upstream, *session, aAnswer.boot);
+    return;
+  }
+  if (aAnswer.clock) {
+    session->clock.Read(*aAnswer.clock, this->now);
+  }
+  session->nextHold = this->now + kRenewPause;
+  this->OnLists(aAnswer.upstream, *session, aAnswer, asked);
+  if (!session->fenced) {
+    session->fenced = true;
+    this->dirty.insert(session->record.service);
+  }
+}
+
+// A younger boot under the same name: nothing of the earlier one executes.
+void
+Dispatcher::OnReborn(const InstanceId& aId,
+                     UpstreamSession& aSession,
+                     std::uint64_t aBoot)
+{
+  if (aBoot < aSession.record.boot) {
+    return; // an answer of the earlier boot, delayed
+  }
+  this->Note("upstream_reborn",
+             {},
+             { { "upstream", aId.value },
+               { "boot", Text(aBoot) },
+               { "lost_runs", Text(aSession.runs.size()) } });
+  this->EndAll(aId, this->output.commands);
+  work::Upstream record = aSession.record;
+  record.boot = aBoot;
+  this->output.commands.emplace_back(work::SetUpstream{ aId, record });
+  aSession.nextHold = this->now + kRenewRetry;
+}
+
+void
+Dispatcher::EndAll(const InstanceId& aId,
+                   std::vector<work::Command>& aCommands)
+{
+  const UpstreamSession* session = this->FindSession(aId);
+  if (session == nullptr) {
+    return;
+  }
+  for (const auto& [key, live] : session->runs) {
+    aCommands.emplace_back(work::EndRun{
+      key.first, key.second, aId, work::EndKind::Lost, live.checkpoint });
+  }
+}
+
+void
+Dispatcher::OnLists(const InstanceId& aId,
+                    UpstreamSession& aSession,
+                    const LeaseAnswer& aAnswer,
+                    Time aAsked)
+{
+  std::set<RunKey> listed;
+  this->MergeRunning(aId, aSession, aAnswer, listed);
+  this->MergeEnded(aId, aSession, aAnswer, listed);
+  if (aAnswer.ended.size() < kEndsPerList) {
+    this->CheckAbsent(aId, aSession, listed, aAsked);
+  }
+}
+
+void
+Dispatcher::MergeRunning(const InstanceId& aId,
+                         UpstreamSession& aSession,
+                         const LeaseAnswer& aAnswer,
+                         std::set<RunKey>& aListed)
+{
+  for (const RunningTask& running : aAnswer.running) {
+    const RunKey key{ running.task, running.run };
+    const auto found = aSession.runs.find(key);
+    if (found == aSession.runs.end()) {
+      // Not on record: a start of an earlier leader that was carried out late.
+      StopTask stop;
+      stop.token = ++this->lastToken;
+      stop.to = this->To(aId, aSession);
+      stop.task = running.task;
+      stop.run = running.run;
+      this->output.instructions.emplace_back(std::move(stop));
+      this->Note("unknown_run_stopped",
+                 running.task.job.value,
+                 { { "task", Text(running.task) },
+                   { "run", Text(running.run) },
+                   { "upstream", aId.value } });
+      continue;
+    }
+    aListed.insert(key);
+    LiveRun& live = found->second;
+    if (live.phase == RunPhase::Ordered || live.phase == RunPhase::Unanswered) {
+      live.phase = RunPhase::Confirmed;
+      live.since = this->now;
+    }
+    if (running.percent != live.percent) {
+      live.percent = running.percent;
+      live.progressAt = this->now;
+    }
+    live.load = running.load;
+    live.checkpoint = running.checkpoint;
+  }
+}
+
+void
+Dispatcher::MergeEnded(const InstanceId& aId,
+                       UpstreamSession& aSession,
+                       const LeaseAnswer& aAnswer,
+                       std::set<RunKey>& aListed)
+{
+  for (const EndedTask& ended : aAnswer.ended) {
+    aSession.listed = std::max(aSession.listed, ended.number);
+    const RunKey key{ ended.task, ended.run };
+    if (!aSession.runs.contains(key)) {
+      continue; // given up before, or recorded by an earlier leader
+    }
+    aListed.insert(key);
+    if (aSession.recording.insert(key).second) {
+      this->ProposeEnd(aId, key, ended.kind, ended.checkpoint);
+    }
+  }
+  aSession.AdvanceSeen();
+}
+
+void
+Dispatcher::CheckAbsent(const InstanceId& aId,
+                        UpstreamSession& aSession,
+                        const std::set<RunKey>& aListed,
+                        Time aAsked)
+{
+  for (const auto& [key, live] : aSession.runs) {
+    const bool wasThere =
+      live.phase == RunPhase::Confirmed && live.since < aAsked;
+    const bool cannotStart =
+      live.stopConfirmed.has_value() && *live.stopConfirmed < aAsked;
+    if ((wasThere || cannotStart) && !aListed.contains(key)) {
+      this->ProposeEnd(aId,
+                       key,
+                       wasThere ? work::EndKind::Lost
+                                : work::EndKind::NotStarted,
+                       live.checkpoint);
+    }
+  }
+}
+
+// Once the lease has surely ended, nothing of it executes any more.
+void
+Dispatcher::CheckLost(const InstanceId& aId, UpstreamSession& aSession)
+{
+  if (aSession.unanswered == 0 || aSession.runs.empty() ||
+      this->now < aSession.clock.EndsBy()) {
+    return;
+  }
+  std::size_t lost = 0;
+  for (auto& [key, live] : aSession.runs) {
+    if (live.phase == RunPhase::Deciding || live.lossProposed) {
+      continue;
+    }
+    live.lossProposed = true;
+    ++lost;
+    this->ProposeEnd(aId, key, work::EndKind::Lost, live.checkpoint);
+  }
+  if (lost > 0) {
+    this->Note("leases_ended",
+               {},
+               { { "upstream", aId.value },
+                 { "runs", Text(lost) },
+                 { "silent_ms", Text(this->now - aSession.lastHeard) } });
+  }
+}
+
+void
+Dispatcher::CheckSilent(const InstanceId& aId, const UpstreamSession& aSession)
+{
+  const Time heard = std::max(aSession.lastAnnounced, aSession.lastHeard);
+  if (aSession.runs.empty() && this->now - heard > kForgetAfter) {
+    this->output.commands.emplace_back(work::RemoveUpstream{ aId });
+  }
+}
+
+std::vector<work::Command>
+Dispatcher::Consider(const Announcement& aAnnouncement, Time aNow)
+{
+  this->now = aNow;
+  const work::Upstream& next = aAnnouncement.record;
+  std::vector<work::Command> commands;
+  UpstreamSession* session = this->FindSession(aAnnouncement.id);
+  if (session != nullptr) {
+    const work::Upstream& known = session->record;
+    const bool older = next.boot < known.boot ||
+                       (next.boot == known.boot &&
+                        aAnnouncement.sequence < session->sequence);
+    if (older) {
+      return commands;
+    }
+    if (next.boot == known.boot) {
+      session->sequence = aAnnouncement.sequence;
+      session->lastAnnounced = aNow;
+      if (aAnnouncement.clock) {
+        session->clock.Read(*aAnnouncement.clock, aNow);
+      }
+      if (aAnnouncement.leavesIn) {
+        session->leavesBy = aNow + *aAnnouncement.leavesIn;
+      }
+      if (next == known) {
+        return commands;
+      }
+    } else {
+      this->EndAll(aAnnouncement.id, commands);
+    }
+  }
+  for (const auto& [id, other] : this->sessions) {
+    const bool samePlace = other.record.address == next.address ||
+                           (!next.instance.empty() &&
+                            other.record.instance == next.instance);
+    if (id == aAnnouncement.id || !samePlace) {
+      continue;
+    }
+    if (other.record.boot > next.boot) {
+      return {}; // delayed: a younger one is already at its place
+    }
+    this->EndAll(id, commands);
+    commands.emplace_back(work::RemoveUpstream{ id });
+  }
+  commands.emplace_back(work::SetUpstream{ aAnnouncement.id, next });
+  return commands;
+}
+
+std::vector<work::Command>
+Dispatcher::Depart(const InstanceId& aUpstream)
+{
+  std::vector<work::Command> commands;
+  if (this->FindSession(aUpstream) != nullptr) {
+    this->EndAll(aUpstream, commands);
+    commands.emplace_back(work::RemoveUpstream{ aUpstream });
+  }
+  return commands;
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/LeaseClock.cpp
@@ -0,0 +1,58 @@
+// Conversion between an upstream's clock and ours.
+#include "dispatch/LeaseClock.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+std::int64_t
+Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+} // namespace
+
+void
+LeaseClock::Read(UpstreamClock aClock, Time aReceived)
+{
+  // Answers overtake each other: only a reading that is ahead of what the
+  // earlier one implies narrows the estimate.
+  if (!this->reading || aClock >= this->reading->clock) {
+    this->reading = Reading{ aClock, aReceived };
+  }
+}
+
+std::optional<UpstreamClock>
+LeaseClock::EndAfter(Duration aLength, Time aNow) const
+{
+  if (!this->reading) {
+    return std::nullopt;
+  }
+  return this->reading->clock +
+         Milliseconds(aNow - this->reading->received + aLength);
+}
+
+void
+LeaseClock::Granted(UpstreamClock aUntil)
+{
+  this->grantedUntil = std::max(aUntil, this->grantedUntil.value_or(aUntil));
+}
+
+Time
+LeaseClock::EndsBy() const
+{
+  if (!this->grantedUntil || !this->reading) {
+    return this->floor;
+  }
+  const std::int64_t left =
+    std::max<std::int64_t>(0, *this->grantedUntil - this->reading->clock);
+  const auto slowest = Duration(static_cast<std::int64_t>(
+    static_cast<double>(left) * 1000.0 / (1.0 - kMaxClockLag)));
+  return std::max(this->floor, this->reading->received + slowest);
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/Options.h
@@ -0,0 +1,46 @@
+// Figures the dispatcher works with. The first group comes from the deployment,
+// the second is its own.
+#ifndef hyssoppaddle_dispatch_Options_h
+#define hyssoppaddle_dispatch_Options_h
+
+#include "base/Time.h"
+
+#include <algorithm>
+
+#include <string>
+
+namespace hyssoppaddle::dispatch {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Options
+{
+  std::string self; // names this instance as the holder of instance orders
+
+  // Of the deployment.
+  Duration announceInterval = milliseconds(1500); // of upstreams
+  Duration maxLease = milliseconds(6000);         // longer ones are shortened
+  Duration stopTime = milliseconds(400);          // longest stop of a task
+  Duration gangTime = milliseconds(3000); // a member waits this for the others
+  Duration orderLease = milliseconds(3000); // between two holders' orders
+  Duration awayNotice = milliseconds(4500); // counts as away for maintenance
+  Duration tailHarm = milliseconds(4000);   // longest time over a tail target
+  Duration maintenanceTime = seconds(2);
+  double remotePenalty = 2.0; // run time away from the data, as a factor
+  bool hasInstanceOwner = false;
+  bool hasAdvisor = false;
+
+  // Of the dispatcher.
+  // Four fifths of the longest lease: a change of the leader takes 2 s.
+  [[nodiscard]] Duration Lease() const { return this->maxLease * 4 / 5; }
+  // A third of the lease, so that one lost answer costs no lease.
+  [[nodiscard]] Duration LongPoll() const
+  {
+    return std::min<Duration>(this->Lease() / 3, milliseconds(2000));
+  }
+};
+
+} // namespace hyssoppaddle::dispatch
+
+#endif
--- /dev/null
+++ b/src/dispatch/Placement.cpp
@@ -0,0 +1,112 @@
+// Filters and ranks upstreams for one task.
+#include "dispatch/Placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// Two lost renewals: new work goes elsewhere until an answer comes.
+constexpr std::uint32_t kSuspectAfter = 1;
+
+bool
+HasLabel(const work::Upstream& aRecord, const std::string& aLabel)
+{
+  const auto& labels = aRecord.labels;
+  return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
+std::uint32_t
+CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask)
+{
+  work::TaskRef first = aTask;
+  first.index = 0;
+  std::uint32_t count = 0;
+  for (auto run = aSession.runs.lower_bound({ first, 0 });
+       run != aSession.runs.end();
+       ++run) {
+    const work::TaskRef& task = run->first.first;
+    if (task.job != aTask.job || task.occurrence != aTask.occurrence ||
+        task.step != aTask.step) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
+// Filling tasks disturb serving ones: the fewer of the other kind beside, the
+// better.
+std::int64_t
+Disturbance(const UpstreamSession& aSession, const work::Step& aStep)
+{
+  if (!aStep.lasting && !aStep.fills) {
+    return 0;
+  }
+  return std::count_if(
+    aSession.runs.begin(), aSession.runs.end(), [&](const auto& aItem) {
+      return aItem.second.lasting && aItem.second.fills != aStep.fills;
+    });
+}
+
+} // namespace
+
+bool
+IsUsable(const UpstreamSession& aSession, Time aNow)
+{
+  return aSession.fenced && !aSession.record.draining &&
+         !aSession.maintaining && aSession.unanswered < kSuspectAfter &&
+         aNow >= aSession.avoidUntil;
+}
+
+UpstreamSession*
+Place(Sessions& aSessions, const PlacementQuery& aQuery)
+{
+  const work::Step& step = *aQuery.step;
+  state::Resources need = step.size;
+  if (step.fills) {
+    need.milliCpus = 0;
+  }
+  using Score = std::tuple<bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
+  std::optional<Score> best;
+  UpstreamSession* chosen = nullptr;
+  for (auto& [id, session] : aSessions) {
+    const state::Resources free = session.Free();
+    if (session.record.service != aQuery.service ||
+        !IsUsable(session, aQuery.now) || !need.FitsInto(free)) {
+      continue;
+    }
+    if (!step.requiredLabel.empty() &&
+        !HasLabel(session.record, step.requiredLabel)) {
+      continue;
+    }
+    if (step.maxPerUpstream > 0 &&
+        CountOfStep(session, aQuery.task) >= step.maxPerUpstream) {
+      continue;
+    }
+    if (aQuery.hasTicket && !aQuery.hasTicket(id)) {
+      continue;
+    }
+    const std::string& wanted =
+      step.dataRack.empty() ? aQuery.rack : step.dataRack;
+    const bool away = !wanted.empty() && session.record.Rack() != wanted;
+    // Lasting tasks of a step spread over upstreams, so that the loss of one
+    // takes few of them.
+    const std::uint32_t crowd =
+      step.lasting ? CountOfStep(session, aQuery.task) : 0;
+    const Score score{ id == aQuery.avoid,
+                       away,
+                       crowd + session.recentFailures,
+                       Disturbance(session, step),
+                       free.milliCpus };
+    if (!best || score < *best) {
+      best = score;
+      chosen = &session;
+    }
+  }
+  return chosen;
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/Text.cpp
@@ -0,0 +1,58 @@
+// Names of enumerators and short forms of values.
+#include "dispatch/Text.h"
+
+#include <array>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+constexpr std::array<std::string_view, 8> kEnds{
+  "done",   "failed", "stopped",     "lapsed",
+  "broken", "alone",  "not started", "lost"
+};
+constexpr std::array<std::string_view, 5> kStates{ "queued",
+                                                   "running",
+                                                   "completed",
+                                                   "failed",
+                                                   "cancelled" };
+constexpr std::array<std::string_view, 11> kResults{
+  "accepted", "fenced",     "superseded", "expired", "no room",
+  "no ticket", "wrong boot", "unhealthy",  "invalid", "not sent", "no answer"
+};
+
+} // namespace
+
+std::string
+Text(Duration aValue)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aValue).count());
+}
+
+std::string
+Text(const work::TaskRef& aTask)
+{
+  return aTask.job.value + "." + std::to_string(aTask.occurrence) + "." +
+         std::to_string(aTask.step) + "." + std::to_string(aTask.index);
+}
+
+std::string_view
+Text(work::EndKind aKind)
+{
+  return kEnds[static_cast<std::size_t>(aKind)];
+}
+
+std::string_view
+Text(work::JobState aState)
+{
+  return kStates[static_cast<std::size_t>(aState)];
+}
+
+std::string_view
+Text(OrderResult aResult)
+{
+  return kResults[static_cast<std::size_t>(aResult)];
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/TicketBook.cpp
@@ -0,0 +1,118 @@
+// Bookkeeping of the advisor's decisions.
+#include "dispatch/TicketBook.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// A start must reach the upstream before its ticket ends.
+constexpr Duration kTicketMargin = std::chrono::milliseconds(300);
+
+} // namespace
+
+work::TaskRef
+StepOf(const work::TaskRef& aTask)
+{
+  work::TaskRef step = aTask;
+  step.index = 0;
+  return step;
+}
+
+void
+TicketBook::Asked(std::uint64_t aToken,
+                  const work::TaskRef& aStep,
+                  const std::vector<InstanceId>& aUpstreams,
+                  Duration aValidity,
+                  Time aNow)
+{
+  this->asking = Question{ aToken, aStep, aUpstreams, aValidity, aNow };
+}
+
+bool
+TicketBook::Answered(const AdviceAnswer& aAnswer, Time aNow)
+{
+  if (!this->asking || this->asking->token != aAnswer.token) {
+    return false;
+  }
+  const Question question = std::move(*this->asking);
+  this->asking.reset();
+  if (!aAnswer.answered) {
+    return true;
+  }
+  auto& known = this->decisions[question.step];
+  for (const InstanceId& upstream : question.upstreams) {
+    known[upstream] = Decision{ {}, Time::max() };
+  }
+  for (const auto& [upstream, ticket] : aAnswer.tickets) {
+    // The ticket's time may have begun before the answer arrived.
+    known[upstream] = Decision{ ticket, question.askedAt + question.validity };
+    if (question.askedAt + question.validity < aNow + kTicketMargin) {
+      known[upstream].validUntil = aNow + question.validity / 2;
+    }
+  }
+  return true;
+}
+
+std::string
+TicketBook::Find(const work::TaskRef& aStep,
+                 const InstanceId& aUpstream,
+                 Time aNow) const
+{
+  const auto step = this->decisions.find(aStep);
+  if (step == this->decisions.end()) {
+    return {};
+  }
+  const auto found = step->second.find(aUpstream);
+  const bool valid = found != step->second.end() &&
+                     aNow + kTicketMargin < found->second.validUntil;
+  return valid ? found->second.ticket : std::string();
+}
+
+void
+TicketBook::Drop(const work::TaskRef& aStep, const InstanceId& aUpstream)
+{
+  const auto step = this->decisions.find(aStep);
+  if (step != this->decisions.end()) {
+    step->second.erase(aUpstream);
+  }
+}
+
+std::vector<InstanceId>
+TicketBook::Unknown(const work::TaskRef& aStep,
+                    const std::vector<InstanceId>& aCandidates,
+                    Time aNow) const
+{
+  const auto step = this->decisions.find(aStep);
+  if (step == this->decisions.end()) {
+    return aCandidates;
+  }
+  std::vector<InstanceId> unknown;
+  std::copy_if(aCandidates.begin(),
+               aCandidates.end(),
+               std::back_inserter(unknown),
+               [&](const InstanceId& aUpstream) {
+                 const auto found = step->second.find(aUpstream);
+                 return found == step->second.end() ||
+                        aNow + kTicketMargin >= found->second.validUntil;
+               });
+  return unknown;
+}
+
+void
+TicketBook::ForgetStep(const JobId& aJob)
+{
+  std::erase_if(this->decisions, [&](const auto& aItem) {
+    return aItem.first.job == aJob;
+  });
+}
+
+void
+TicketBook::Clear()
+{
+  this->asking.reset();
+  this->decisions.clear();
+}
+
+} // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/node/CallHandler.cpp
@@ -0,0 +1,330 @@
+// The meaning of each call.
+#include "node/CallHandler.h"
+
+#include "dispatch/Text.h"
+
+#include <utility>
+
+namespace hyssoppaddle::node {
+
+namespace {
+
+// The first setup comes before the callers; a caller that comes back later
+// finds it.
+constexpr Duration kRetryWithoutSetup = std::chrono::seconds(1);
+// Stands for the approval of the one member of a deployment whose members have
+// agreed, outside the system, to let their operator act for them.
+constexpr const char* kStandingApproval = "standing-approval";
+
+Reply
+Only(Outcome aOutcome)
+{
+  Reply reply;
+  reply.outcome = aOutcome;
+  return reply;
+}
+
+std::string_view
+NameOf(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::NoSuchQueue:
+      return "no such queue";
+    case Outcome::UnknownKey:
+      return "unknown key";
+    case Outcome::Malformed:
+      return "malformed";
+    case Outcome::Overloaded:
+      return "overloaded";
+    case Outcome::Unavailable:
+      return "unavailable";
+    default:
+      return "not allowed";
+  }
+}
+
+} // namespace
+
+CallHandler::CallHandler(const work::WorkState& aState,
+                         dispatch::Dispatcher& aDispatcher,
+                         std::string aControlAddress,
+                         Ports aPorts)
+  : state(aState)
+  , dispatcher(aDispatcher)
+  , controlAddress(std::move(aControlAddress))
+  , ports(std::move(aPorts))
+{
+}
+
+void
+CallHandler::Handle(const Call& aCall, ReplyCallback aDone)
+{
+  std::visit(
+    [&](const auto& aConcrete) { this->On(aConcrete, std::move(aDone)); },
+    aCall);
+}
+
+CallHandler::Access
+CallHandler::Check(const QueueCall& aCall) const
+{
+  Access access;
+  const work::Setup& setup = this->state.CurrentSetup();
+  if (setup.version == 0) {
+    access.refusal = Outcome::Unavailable;
+    return access;
+  }
+  access.queue = setup.FindQueue(aCall.host, aCall.path);
+  if (access.queue == nullptr) {
+    access.refusal = Outcome::NoSuchQueue;
+    return access;
+  }
+  access.job = JobId(aCall.path.substr(access.queue->pathPrefix.size()));
+  const work::Workspace* workspace =
+    aCall.key.empty() ? nullptr : setup.FindByKey(aCall.key);
+  if (workspace != nullptr) {
+    access.workspace = workspace->name;
+  } else if (!access.queue->open) {
+    access.refusal = Outcome::UnknownKey;
+  }
+  return access;
+}
+
+void
+CallHandler::Read(std::function<Reply()> aRead, ReplyCallback aDone)
+{
+  this->ports.confirm([read = std::move(aRead),
+                       done = std::move(aDone)](bool aConfirmed) {
+    if (aConfirmed) {
+      done(read());
+      return;
+    }
+    done(Only(Outcome::NotLeading));
+  });
+}
+
+void
+CallHandler::Propose(std::vector<work::Command> aCommands,
+                     Reply aSuccess,
+                     ReplyCallback aDone)
+{
+  this->ports.propose(
+    std::move(aCommands),
+    [success = std::move(aSuccess), done = std::move(aDone)](
+      ProposalEnd aEnd, std::span<const work::Verdict> /*aVerdicts*/) {
+      if (aEnd == ProposalEnd::Committed) {
+        done(success);
+        return;
+      }
+      done(Only(aEnd == ProposalEnd::Rejected ? Outcome::NotLeading
+                                              : Outcome::Undecided));
+    });
+}
+
+void
+CallHandler::Refuse(const std::string& aJob, Reply aReply, ReplyCallback aDone)
+{
+  this->ports.note(
+    { "call_refused",
+      aJob,
+      { { "reason", std::string(NameOf(aReply.outcome)) },
+        { "detail", aReply.reason },
+        { "setup", dispatch::Text(this->state.CurrentSetup().version) },
+        { "retry_after_ms", dispatch::Text(aReply.retryAfter) } } });
+  aDone(std::move(aReply));
+}
+
+void
+CallHandler::On(const SubmitCall& aCall, ReplyCallback aDone)
+{
+  const Access access = this->Check(aCall.at);
+  if (access.refusal != Outcome::Done) {
+    // The setup must be the one in force before a caller is turned away by it.
+    this->Read(
+      [this, call = aCall.at] {
+        // The setup in force may have changed since: the call is then allowed
+        // at the next attempt.
+        const Access again = this->Check(call);
+        Reply reply = Only(again.refusal == Outcome::Done
+                             ? Outcome::Unavailable
+                             : again.refusal);
+        reply.retryAfter = kRetryWithoutSetup;
+        return reply;
+      },
+      [this, job = access.job.value, done = std::move(aDone)](Reply aReply) {
+        this->Refuse(job, std::move(aReply), done);
+      });
+    return;
+  }
+  if (!aCall.spec || access.job.empty()) {
+    Reply reply = Only(Outcome::Malformed);
+    reply.reason = access.job.empty() ? "no job ID in the path"
+                                      : "the job cannot be read";
+    this->Refuse(access.job.value, std::move(reply), std::move(aDone));
+    return;
+  }
+  if (this->state.FindJob(access.job) != nullptr) {
+    this->Read([] { return Only(Outcome::Done); }, std::move(aDone));
+    return;
+  }
+  const bool isNew = !this->submitting.contains(access.job);
+  const auto retryAfter =
+    isNew ? this->dispatcher.RetryAfter(*access.queue, *aCall.spec)
+          : std::nullopt;
+  if (retryAfter) {
+    Reply reply = Only(Outcome::Overloaded);
+    reply.retryAfter = *retryAfter;
+    this->Refuse(access.job.value, std::move(reply), std::move(aDone));
+    return;
+  }
+  this->submitting.insert(access.job);
+  std::vector<work::Command> commands;
+  commands.emplace_back(work::SubmitJob{
+    access.job, access.queue->name, access.workspace, *aCall.spec });
+  this->Propose(std::move(commands),
+                Only(Outcome::Done),
+                [this, job = access.job, done = std::move(aDone)](
+                  Reply aReply) {
+                  this->submitting.erase(job);
+                  done(std::move(aReply));
+                });
+}
+
+void
+CallHandler::On(const ShowCall& aCall, ReplyCallback aDone)
+{
+  this->Read(
+    [this, call = aCall.at] {
+      const Access access = this->Check(call);
+      if (access.refusal != Outcome::Done) {
+        return Only(access.refusal);
+      }
+      if (access.job.empty()) {
+        Reply reply = Only(Outcome::QueueShown);
+        reply.pending = this->dispatcher.Pending(*access.queue);
+        return reply;
+      }
+      const work::Job* job = this->state.FindJob(access.job);
+      if (job == nullptr) {
+        return Only(Outcome::NoSuchJob);
+      }
+      Reply reply = Only(Outcome::JobShown);
+      reply.job = job->state;
+      return reply;
+    },
+    std::move(aDone));
+}
+
+void
+CallHandler::On(const CancelCall& aCall, ReplyCallback aDone)
+{
+  const Access access = this->Check(aCall.at);
+  const bool known = access.refusal == Outcome::Done &&
+                     (this->state.FindJob(access.job) != nullptr ||
+                      this->submitting.contains(access.job));
+  if (!known) {
+    this->Read(
+      [this, call = aCall.at] {
+        const Access again = this->Check(call);
+        return Only(again.refusal == Outcome::Done ? Outcome::NoSuchJob
+                                                   : again.refusal);
+      },
+      std::move(aDone));
+    return;
+  }
+  std::vector<work::Command> commands;
+  commands.emplace_back(work::CancelJob{ access.job });
+  this->Propose(std::move(commands), Only(Outcome::Done), std::move(aDone));
+}
+
+void
+CallHandler::On(const AnnounceCall& aCall, ReplyCallback aDone)
+{
+  Reply reply = Only(Outcome::Announced);
+  reply.announceTo = this->controlAddress;
+  std::vector<work::Command> commands =
+    this->dispatcher.Consider(aCall.announcement, this->ports.now());
+  if (commands.empty()) {
+    aDone(std::move(reply));
+    return;
+  }
+  this->Propose(std::move(commands), std::move(reply), std::move(aDone));
+}
+
+void
+CallHandler::On(const DepartCall& aCall, ReplyCallback aDone)
+{
+  std::vector<work::Command> commands =
+    this->dispatcher.Depart(aCall.upstream);
+  if (commands.empty()) {
+    aDone(Only(Outcome::Done));
+    return;
+  }
+  this->Propose(std::move(commands), Only(Outcome::Done), std::move(aDone));
+}
+
+void
+CallHandler::On(const PutSetupCall& aCall, ReplyCallback aDone)
+{
+  work::Setup setup = aCall.setup;
+  setup.approvedBy = { kStandingApproval };
+  this->ports.note({ "setup_received",
+                     {},
+                     { { "version", dispatch::Text(setup.version) },
+                       { "held",
+                         dispatch::Text(this->state.CurrentSetup().version) },
+                       { "approved_by", kStandingApproval } } });
+  std::vector<work::Command> commands;
+  commands.emplace_back(work::SetSetup{ std::move(setup) });
+  this->Propose(std::move(commands), Only(Outcome::Done), std::move(aDone));
+}
+
+void
+CallHandler::On(const GetSetupCall& /*aCall*/, ReplyCallback aDone)
+{
+  this->Read(
+    [this] {
+      const work::Setup& setup = this->state.CurrentSetup();
+      Reply reply = Only(setup.version == 0 ? Outcome::Unavailable
+                                            : Outcome::SetupShown);
+      reply.document = setup.document;
+      reply.retryAfter = kRetryWithoutSetup;
+      return reply;
+    },
+    std::move(aDone));
+}
+
+void
+CallHandler::On(const StartWaveCall& aCall, ReplyCallback aDone)
+{
+  std::vector<work::Command> commands;
+  commands.emplace_back(work::StartWave{ aCall.number, aCall.wave });
+  this->Propose(std::move(commands), Only(Outcome::Done), std::move(aDone));
+}
+
+void
+CallHandler::On(const ShowWaveCall& aCall, ReplyCallback aDone)
+{
+  this->Read(
+    [this, number = aCall.number] {
+      const auto& waves = this->state.Tables().waves;
+      const auto found = waves.find(number);
+      if (found == waves.end()) {
+        return Only(Outcome::NoSuchWave);
+      }
+      Reply reply = Only(Outcome::WaveShown);
+      reply.waveCompleted = found->second.IsCompleted();
+      return reply;
+    },
+    std::move(aDone));
+}
+
+void
+CallHandler::On(const MalformedCall& aCall, ReplyCallback aDone)
+{
+  Reply reply =
+    Only(aCall.knownPath ? Outcome::Malformed : Outcome::NoSuchQueue);
+  reply.reason = aCall.reason;
+  this->Refuse({}, std::move(reply), std::move(aDone));
+}
+
+} // namespace hyssoppaddle::node
--- /dev/null
+++ b/src/node/CallHandler.h
@@ -0,0 +1,81 @@
+// Answers the calls of callers, upstreams and operators on the leader.
+#ifndef hyssoppaddle_node_CallHandler_h
+#define hyssoppaddle_node_CallHandler_h
+
+#include "dispatch/Dispatcher.h"
+#include "node/Calls.h"
+#include "node/Replica.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace hyssoppaddle::node {
+
+class CallHandler
+{
+public:
+  using ReplyCallback = std::function<void(Reply)>;
+  // Proposes commands; the dispatcher is told of their outcome by its own way.
+  using Proposer =
+    std::function<void(std::vector<work::Command>, Replica::ProposalCallback)>;
+  using Confirmer = std::function<void(Replica::ReadCallback)>;
+  using Noter = std::function<void(dispatch::Decision)>;
+
+  struct Ports
+  {
+    Proposer propose;
+    Confirmer confirm;
+    Noter note;
+    std::function<Time()> now;
+  };
+
+  // aState and aDispatcher must outlive this object. aControlAddress is named
+  // to upstreams for their next announcements.
+  CallHandler(const work::WorkState& aState,
+              dispatch::Dispatcher& aDispatcher,
+              std::string aControlAddress,
+              Ports aPorts);
+
+  // Only on a leader that has caught up. Calls aDone once.
+  void Handle(const Call& aCall, ReplyCallback aDone);
+
+private:
+  // What the setup in force says of a call to a queue.
+  struct Access
+  {
+    const work::Queue* queue = nullptr;
+    WorkspaceId workspace;
+    JobId job;
+    Outcome refusal = Outcome::Done; // Done: allowed
+  };
+
+  void On(const SubmitCall& aCall, ReplyCallback aDone);
+  void On(const ShowCall& aCall, ReplyCallback aDone);
+  void On(const CancelCall& aCall, ReplyCallback aDone);
+  void On(const AnnounceCall& aCall, ReplyCallback aDone);
+  void On(const DepartCall& aCall, ReplyCallback aDone);
+  void On(const PutSetupCall& aCall, ReplyCallback aDone);
+  void On(const GetSetupCall& aCall, ReplyCallback aDone);
+  void On(const StartWaveCall& aCall, ReplyCallback aDone);
+  void On(const ShowWaveCall& aCall, ReplyCallback aDone);
+  void On(const MalformedCall& aCall, ReplyCallback aDone);
+
+  [[nodiscard]] Access Check(const QueueCall& aCall) const;
+  // Answers with what aRead finds once the state is proven current.
+  void Read(std::function<Reply()> aRead, ReplyCallback aDone);
+  void Propose(std::vector<work::Command> aCommands,
+               Reply aSuccess,
+               ReplyCallback aDone);
+  void Refuse(const std::string& aJob, Reply aReply, ReplyCallback aDone);
+
+  const work::WorkState& state;
+  dispatch::Dispatcher& dispatcher;
+  std::string controlAddress;
+  Ports ports;
+  std::set<JobId> submitting; // proposed, not yet decided
+};
+
+} // namespace hyssoppaddle::node
+
+#endif
--- /dev/null
+++ b/src/node/Cluster.cpp
@@ -0,0 +1,208 @@
+// Knowledge of the other nodes.
+#include "node/Cluster.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::node {
+
+namespace {
+
+// Three status intervals without any message: the link has gone silent.
+constexpr Duration kSilentAfter = std::chrono::milliseconds(1600);
+// News of the leader older than this does not name one any more.
+constexpr Duration kLeaderNewsHolds = std::chrono::milliseconds(1600);
+constexpr Duration kJoinHolds = std::chrono::milliseconds(1500);
+// A voter that is silent for longer is removed as soon as the others have a
+// majority without it; it joins again when it comes back.
+constexpr Duration kRemoveSilentVoter = std::chrono::seconds(6);
+constexpr std::size_t kMaxVoters = 7;
+constexpr std::size_t kFewestVoters = 3;
+
+bool
+Contains(const std::vector<InstanceId>& aList, const InstanceId& aName)
+{
+  return std::find(aList.begin(), aList.end(), aName) != aList.end();
+}
+
+} // namespace
+
+void
+Cluster::SetSeeds(std::span<const std::string> aSeeds)
+{
+  this->seeds.clear();
+  for (const std::string& seed : aSeeds) {
+    this->seeds.emplace_back(seed);
+  }
+}
+
+void
+Cluster::Heard(const InstanceId& aFrom, Time aNow)
+{
+  this->nodes[aFrom].heardAt = aNow;
+}
+
+void
+Cluster::OnStatus(const InstanceId& aFrom,
+                  const wire::NodeStatus& aStatus,
+                  Time aNow)
+{
+  KnownNode& node = this->nodes[aFrom];
+  node.heardAt = aNow;
+  node.hasDisk = aStatus.hasDisk;
+  node.toldDisk = true;
+  if (!this->hasDisk || this->replicas.empty()) {
+    this->replicas.insert(aStatus.replicas.begin(), aStatus.replicas.end());
+  }
+  const bool newer = aStatus.term > this->term ||
+                     (aStatus.term == this->term && this->leader.empty());
+  // Only the leader itself keeps the news of its leadership fresh.
+  const bool fromLeader = aStatus.leader == aFrom;
+  if (!aStatus.leader.empty() && newer) {
+    this->leader = aStatus.leader;
+    this->term = aStatus.term;
+    this->leaderHeard = aNow;
+  } else if (fromLeader && aStatus.term == this->term) {
+    this->leaderHeard = aNow;
+    if (!aStatus.replicas.empty() && !this->hasDisk) {
+      this->replicas = { aStatus.replicas.begin(), aStatus.replicas.end() };
+    }
+  }
+}
+
+void
+Cluster::OnJoin(const InstanceId& aFrom, Time aNow)
+{
+  this->joining[aFrom] = aNow;
+}
+
+void
+Cluster::Lost(const InstanceId& aPeer)
+{
+  this->nodes.erase(aPeer);
+  if (aPeer == this->leader) {
+    this->leader = InstanceId();
+  }
+}
+
+void
+Cluster::OnRole(const InstanceId& aLeader, agreement::Term aTerm, Time aNow)
+{
+  if (aTerm < this->term) {
+    return;
+  }
+  this->term = aTerm;
+  this->leader = aLeader;
+  this->leaderHeard = aNow;
+}
+
+void
+Cluster::SetReplicas(const agreement::Configuration& aConfiguration)
+{
+  if (aConfiguration.voters.empty()) {
+    return; // this replica has not learned of the others yet
+  }
+  this->replicas.clear();
+  this->replicas.insert(aConfiguration.voters.begin(),
+                        aConfiguration.voters.end());
+  this->replicas.insert(aConfiguration.learners.begin(),
+                        aConfiguration.learners.end());
+}
+
+InstanceId
+Cluster::Leader(Time aNow) const
+{
+  const bool fresh = this->leader == this->self ||
+                     aNow - this->leaderHeard < kLeaderNewsHolds;
+  return fresh ? this->leader : InstanceId();
+}
+
+std::set<InstanceId>
+Cluster::Wanted() const
+{
+  std::set<InstanceId> wanted = this->replicas;
+  wanted.insert(this->seeds.begin(), this->seeds.end());
+  wanted.erase(this->self);
+  return wanted;
+}
+
+std::vector<InstanceId>
+Cluster::Replicas() const
+{
+  return { this->replicas.begin(), this->replicas.end() };
+}
+
+std::vector<InstanceId>
+Cluster::Silent(Time aNow) const
+{
+  std::vector<InstanceId> silent;
+  for (const auto& [id, node] : this->nodes) {
+    if (aNow - node.heardAt > kSilentAfter) {
+      silent.push_back(id);
+    }
+  }
+  return silent;
+}
+
+void
+Cluster::Forgive(Time aNow)
+{
+  for (auto& [id, node] : this->nodes) {
+    node.heardAt = aNow;
+  }
+}
+
+bool
+Cluster::IsFounder() const
+{
+  if (!this->hasDisk) {
+    return false;
+  }
+  for (const InstanceId& seed : this->seeds) {
+    if (seed == this->self) {
+      return true;
+    }
+    const auto found = this->nodes.find(seed);
+    const bool diskless = found != this->nodes.end() &&
+                          found->second.toldDisk && !found->second.hasDisk;
+    if (!diskless) {
+      return false;
+    }
+  }
+  return false;
+}
+
+std::optional<agreement::ChangeConfiguration>
+Cluster::NextChange(const agreement::Configuration& aActive,
+                    std::span<const ReplicaHealth> aHealth,
+                    Time aNow) const
+{
+  using agreement::ChangeKind;
+  const bool full = aActive.voters.size() >= kMaxVoters;
+  if (!full && !aActive.learners.empty()) {
+    return agreement::ChangeConfiguration{ 0,
+                                           ChangeKind::PromoteToVoter,
+                                           aActive.learners.front() };
+  }
+  for (const auto& [node, askedAt] : this->joining) {
+    const bool known = Contains(aActive.voters, node) ||
+                       Contains(aActive.learners, node);
+    if (!known && !full && aNow - askedAt < kJoinHolds) {
+      return agreement::ChangeConfiguration{ 0, ChangeKind::AddLearner, node };
+    }
+  }
+  if (aActive.voters.size() <= kFewestVoters) {
+    return std::nullopt;
+  }
+  for (const ReplicaHealth& health : aHealth) {
+    const bool silent =
+      health.lastHeard && aNow - *health.lastHeard > kRemoveSilentVoter;
+    if (silent && health.replica != this->self) {
+      return agreement::ChangeConfiguration{ 0,
+                                             ChangeKind::Remove,
+                                             health.replica };
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace hyssoppaddle::node
--- /dev/null
+++ b/src/node/HttpClient.cpp
@@ -0,0 +1,282 @@
+// Connections of the client: each carries one request at a time and is kept
+// open while it works.
+#include "node/HttpClient.h"
+
+#include "shell/Endpoint.h"
+#include "shell/Signal.h"
+
+#include <algorithm>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace hyssoppaddle::node {
+
+namespace {
+
+using namespace shell;
+
+// One for a renewal that waits, the others for orders.
+constexpr std::size_t kConnectionsPerHost = 5;
+// A connection nobody uses is closed after this.
+constexpr Duration kIdleTime = std::chrono::seconds(20);
+// Two round trips of the slowest link take far less; a host that is down or cut
+// off does not answer at all.
+constexpr Duration kConnectTime = std::chrono::milliseconds(500);
+constexpr std::uint64_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
+constexpr unsigned kHttp11 = 11;
+constexpr int kUnacknowledgedMs = 3000;
+
+bool
+IsClosedByPeer(Socket& aSocket)
+{
+  char byte = 0;
+  const auto got = ::recv(
+    aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT); // NOLINT
+  const bool waits = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return !waits; // closed, reset, or bytes that belong to no request
+}
+
+} // namespace
+
+struct HttpClient::Connection
+{
+  Connection(asio::io_context& aIo,
+             std::string aAddress,
+             DeadlineQueue& aDeadlines)
+    : address(std::move(aAddress))
+    , socket(aIo)
+    , signal(aIo.get_executor())
+    , deadline(aDeadlines, [this] { this->Expire(); })
+  {
+  }
+
+  void Expire()
+  {
+    this->expired = true;
+    this->Close();
+    this->signal.Notify();
+  }
+
+  void Close()
+  {
+    ErrorValue ignored;
+    this->socket.close(ignored);
+  }
+
+  std::string address;
+  Socket socket;
+  Signal signal; // work has come, or the connection must end
+  Deadline deadline;
+  beast::flat_buffer buffer;
+  std::optional<Work> work;
+  bool open = false;
+  bool idle = false;
+  bool expired = false;
+};
+
+HttpClient::HttpClient(asio::io_context& aIo,
+                       std::shared_ptr<DeadlineQueue> aDeadlines)
+  : io(aIo)
+  , deadlines(std::move(aDeadlines))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void
+HttpClient::Send(OutboundRequest aRequest, Callback aDone)
+{
+  if (this->stopping) {
+    asio::post(this->io, [done = std::move(aDone)] {
+      done(OutboundResult{ Delivery::NotSent, 0, {} });
+    });
+    return;
+  }
+  const std::string address = aRequest.address;
+  const auto giveUpAt = SteadyClock::now() + aRequest.timeLimit;
+  this->hosts[address].waiting.push_back(
+    { std::move(aRequest), std::move(aDone), giveUpAt });
+  this->Dispatch(address);
+}
+
+void
+HttpClient::Dispatch(const std::string& aAddress)
+{
+  Host& host = this->hosts[aAddress];
+  for (const auto& connection : host.connections) {
+    if (host.waiting.empty()) {
+      return;
+    }
+    if (connection->idle) {
+      connection->idle = false;
+      connection->work = std::move(host.waiting.front());
+      host.waiting.pop_front();
+      connection->signal.Notify();
+    }
+  }
+  const bool room = host.connections.size() < kConnectionsPerHost;
+  if (!host.waiting.empty() && room) {
+    this->StartConnection(aAddress);
+  }
+}
+
+void
+HttpClient::StartConnection(const std::string& aAddress)
+{
+  Host& host = this->hosts[aAddress];
+  auto connection =
+    std::make_shared<Connection>(this->io, aAddress, *this->deadlines);
+  connection->work = std::move(host.waiting.front());
+  host.waiting.pop_front();
+  host.connections.push_back(connection);
+  asio::co_spawn(
+    this->io,
+    [self = this->shared_from_this(), connection]() -> Awaitable<void> {
+      co_await self->Run(connection);
+    },
+    asio::detached);
+}
+
+Awaitable<void>
+HttpClient::Run(std::shared_ptr<Connection> aConnection)
+{
+  while (aConnection->work) {
+    const auto left = std::chrono::duration_cast<Duration>(
+      aConnection->work->giveUpAt - SteadyClock::now());
+    aConnection->expired = false;
+    aConnection->deadline.Set(std::max(left, Duration(1)));
+    if (aConnection->open && IsClosedByPeer(aConnection->socket)) {
+      aConnection->Close();
+      aConnection->open = false;
+    }
+    OutboundResult result{ Delivery::NotSent, 0, {} };
+    if (aConnection->open || co_await this->Open(*aConnection)) {
+      result =
+        co_await this->Exchange(*aConnection, aConnection->work->request);
+    }
+    aConnection->deadline.Clear();
+    const Callback done = std::move(aConnection->work->done);
+    aConnection->work.reset();
+    const bool failed = result.delivery != Delivery::Answered;
+    if (failed || !aConnection->open) {
+      aConnection->Close();
+      aConnection->open = false;
+      aConnection->buffer = beast::flat_buffer();
+    }
+    Host& host = this->hosts[aConnection->address];
+    if (!host.waiting.empty() && !this->stopping) {
+      aConnection->work = std::move(host.waiting.front());
+      host.waiting.pop_front();
+    }
+    done(std::move(result));
+    if (aConnection->work || this->stopping) {
+      continue;
+    }
+    if (!aConnection->open) {
+      break;
+    }
+    aConnection->idle = true;
+    aConnection->deadline.Set(kIdleTime);
+    co_await aConnection->signal.Wait();
+    aConnection->deadline.Clear();
+  }
+  aConnection->Close();
+  this->Forget(*aConnection);
+}
+
+Awaitable<bool>
+HttpClient::Open(Connection& aConnection)
+{
+  const auto endpoint = ParseEndpoint(aConnection.address);
+  if (!endpoint) {
+    co_return false;
+  }
+  aConnection.socket = Socket(this->io);
+  ErrorValue error;
+  {
+    Deadline connecting(*this->deadlines,
+                        [&aConnection] { aConnection.Close(); });
+    connecting.Set(kConnectTime);
+    co_await aConnection.socket.async_connect(*endpoint, Into(error));
+  }
+  if (error || aConnection.expired) {
+    co_return false;
+  }
+  ++this->connectionsOpened;
+  aConnection.socket.set_option(Tcp::no_delay(true), error);
+  const int unacknowledged = kUnacknowledgedMs;
+  ::setsockopt(aConnection.socket.native_handle(),
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &unacknowledged,
+               sizeof(unacknowledged));
+  aConnection.open = true;
+  co_return true;
+}
+
+Awaitable<OutboundResult>
+HttpClient::Exchange(Connection& aConnection, const OutboundRequest& aRequest)
+{
+  std::string text = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
+  text += "Host: " + aRequest.address + "\r\n";
+  for (const api::HttpHeader& header : aRequest.headers) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  text += "Content-Length: " + std::to_string(aRequest.body.size()) +
+          "\r\n\r\n" + aRequest.body;
+  OutboundResult result;
+  ErrorValue error;
+  const auto bytes = asio::buffer(text);
+  co_await asio::async_write(aConnection.socket, bytes, Into(error));
+  if (error) {
+    co_return result;
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerBytes);
+  co_await http::async_read(
+    aConnection.socket, aConnection.buffer, parser, Into(error));
+  if (error) {
+    co_return result;
+  }
+  result.delivery = Delivery::Answered;
+  result.status = parser.get().result_int();
+  result.body = std::move(parser.get().body());
+  if (!parser.get().keep_alive()) {
+    aConnection.Close();
+    aConnection.open = false;
+  }
+  co_return result;
+}
+
+void
+HttpClient::Forget(const Connection& aConnection)
+{
+  const auto host = this->hosts.find(aConnection.address);
+  if (host == this->hosts.end()) {
+    return;
+  }
+  std::erase_if(host->second.connections,
+                [&](const auto& aItem) { return aItem.get() == &aConnection; });
+  if (!host->second.waiting.empty() && !this->stopping) {
+    this->Dispatch(aConnection.address);
+  } else if (host->second.connections.empty()) {
+    this->hosts.erase(host);
+  }
+}
+
+void
+HttpClient::Stop()
+{
+  this->stopping = true;
+  for (auto& [address, host] : this->hosts) {
+    for (const auto& connection : host.connections) {
+      connection->Expire();
+    }
+    for (Work& work : std::exchange(host.waiting, {})) {
+      work.done(OutboundResult{ Delivery::NotSent, 0, {} });
+    }
+  }
+}
+
+} // namespace hyssoppaddle::node
--- /dev/null
+++ b/src/node/HttpClient.h
@@ -0,0 +1,67 @@
+// Requests to many addresses over kept-open connections, a few to each.
+#ifndef hyssoppaddle_node_HttpClient_h
+#define hyssoppaddle_node_HttpClient_h
+
+#include "node/Protocol.h"
+#include "shell/Asio.h"
+#include "shell/Deadlines.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hyssoppaddle::node {
+
+class HttpClient : public std::enable_shared_from_this<HttpClient>
+{
+public:
+  using Callback = std::function<void(OutboundResult)>;
+
+  HttpClient(shell::asio::io_context& aIo,
+             std::shared_ptr<shell::DeadlineQueue> aDeadlines);
+  ~HttpClient();
+
+  // Calls aDone once, always later.
+  void Send(OutboundRequest aRequest, Callback aDone);
+  // Fails what waits and closes all connections.
+  void Stop();
+  [[nodiscard]] std::uint64_t ConnectionsOpened() const
+  {
+    return this->connectionsOpened;
+  }
+
+private:
+  struct Work
+  {
+    OutboundRequest request;
+    Callback done;
+    shell::SteadyClock::time_point giveUpAt;
+  };
+  struct Connection;
+  struct Host
+  {
+    std::deque<Work> waiting;
+    std::vector<std::shared_ptr<Connection>> connections;
+  };
+
+  void Dispatch(const std::string& aAddress);
+  void StartConnection(const std::string& aAddress);
+  shell::Awaitable<void> Run(std::shared_ptr<Connection> aConnection);
+  shell::Awaitable<bool> Open(Connection& aConnection);
+  shell::Awaitable<OutboundResult> Exchange(Connection& aConnection,
+                                            const OutboundRequest& aRequest);
+  void Forget(const Connection& aConnection);
+
+  shell::asio::io_context& io;
+  std::shared_ptr<shell::DeadlineQueue> deadlines;
+  std::map<std::string, Host> hosts;
+  std::uint64_t connectionsOpened = 0;
+  bool stopping = false;
+};
+
+} // namespace hyssoppaddle::node
+
+#endif
--- /dev/null
+++ b/src/node/LineLog.cpp
@@ -0,0 +1,126 @@
+// Formatting and pacing of log lines.
+#include "node/LineLog.h"
+
+#include "base/WallTimeText.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace hyssoppaddle::node {
+
+namespace {
+
+// A reader that is this far behind loses lines.
+constexpr std::size_t kMaxPendingBytes = 256UL * 1024;
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kLastAscii = 0x7e;
+
+void
+AppendQuoted(std::string& aText, std::string_view aValue)
+{
+  aText += '"';
+  for (const char character : aValue) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (character == '"' || character == '\\') {
+      aText += '\\';
+      aText += character;
+    } else if (byte < kFirstPrintable || byte > kLastAscii) {
+      aText += '?'; // bytes from outside must not break the line
+    } else {
+      aText += character;
+    }
+  }
+  aText += '"';
+}
+
+} // namespace
+
+LineLog::LineLog(std::string aNode, std::uint32_t aLinesPerSecond, Sink aSink)
+  : node(std::move(aNode))
+  , linesPerSecond(aLinesPerSecond)
+  , sink(std::move(aSink))
+{
+}
+
+void
+LineLog::Append(const dispatch::Decision& aDecision, WallTime aWall)
+{
+  std::string line = "{\"ts\":\"" + FormatWallTime(aWall) + "\",\"node\":";
+  AppendQuoted(line, this->node);
+  line += ",\"event\":";
+  AppendQuoted(line, aDecision.kind);
+  if (!aDecision.job.empty()) {
+    line += ",\"job\":";
+    AppendQuoted(line, aDecision.job);
+  }
+  for (const auto& [key, value] : aDecision.fields) {
+    line += ',';
+    AppendQuoted(line, key);
+    line += ':';
+    AppendQuoted(line, value);
+  }
+  line += "}\n";
+  if (this->pending.size() + line.size() > kMaxPendingBytes) {
+    ++this->dropped;
+    return;
+  }
+  this->pending += line;
+}
+
+void
+LineLog::Write(const dispatch::Decision& aDecision, Time aNow, WallTime aWall)
+{
+  ++this->counts[std::string(aDecision.kind)];
+  if (aNow - this->windowStart >= std::chrono::seconds(1)) {
+    this->windowStart = aNow;
+    this->written = 0;
+    if (this->dropped > this->droppedTold) {
+      const std::uint64_t missing = this->dropped - this->droppedTold;
+      this->droppedTold = this->dropped;
+      this->Append({ "lines_dropped", {}, { { "count",
+                                              std::to_string(missing) } } },
+                   aWall);
+    }
+  }
+  if (this->written >= this->linesPerSecond) {
+    ++this->dropped;
+    return;
+  }
+  ++this->written;
+  this->Append(aDecision, aWall);
+}
+
+void
+LineLog::WriteAlways(const dispatch::Decision& aDecision, WallTime aWall)
+{
+  ++this->counts[std::string(aDecision.kind)];
+  this->Append(aDecision, aWall);
+}
+
+void
+LineLog::Flush()
+{
+  if (this->pending.empty()) {
+    return;
+  }
+  const std::size_t taken = this->sink(this->pending);
+  this->pending.erase(0, taken);
+}
+
+std::size_t
+WriteToStandardOutput(std::string_view aBytes)
+{
+  const auto written = ::write(STDOUT_FILENO, aBytes.data(), aBytes.size());
+  return written > 0 ? static_cast<std::size_t>(written) : 0;
+}
+
+void
+MakeStandardOutputNonBlocking()
+{
+  const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK); // NOLINT
+  }
+}
+
+} // namespace hyssoppaddle::node
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,405 @@
+// Building the parts of a node and connecting them.
+#include "node/NodeImpl.h"
+
+#include "node/Clock.h"
+#include "shell/Clock.h"
+#include "shell/JsonLog.h"
+#include "storage/FileLayer.h"
+#include "storage/LogStore.h"
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include <cstdlib>
+
+namespace hyssoppaddle::node {
+
+namespace {
+
+using namespace shell;
+
+// All nodes of a deployment speak to each other on a network of their own, so
+// the greeting carries no secret of theirs.
+constexpr const char* kClusterName = "fleet";
+constexpr std::size_t kBootBytes = 16;
+constexpr int kStorageFailedExitCode = 12;
+constexpr std::uint64_t kMaxBodyBytes = 4ULL * 1024 * 1024;
+constexpr std::uint32_t kMaxConnections = 3000;
+
+std::uint64_t
+RandomSeed()
+{
+  std::uint64_t seed = 0;
+  randombytes_buf(&seed, sizeof(seed));
+  return seed;
+}
+
+// An election ends before most callers' time limits.
+agreement::RaftTimes
+ElectionTimes()
+{
+  agreement::RaftTimes times;
+  times.voterHeartbeat = std::chrono::milliseconds(150);
+  times.learnerHeartbeat = std::chrono::milliseconds(300);
+  times.minElectionTimeout = std::chrono::milliseconds(900);
+  times.maxElectionTimeout = std::chrono::milliseconds(1400);
+  return times;
+}
+
+agreement::RaftLimits
+LogLimits()
+{
+  agreement::RaftLimits limits;
+  limits.snapshotAfterEntries = 20000;
+  limits.snapshotAfterBytes = 12UL * 1024 * 1024;
+  limits.entriesKeptAfterSnapshot = 2000;
+  return limits;
+}
+
+// The store of one node as the storage thread sees it.
+class NodeLog final : public DurableLog
+{
+public:
+  explicit NodeLog(storage::LogStore aStore)
+    : store(std::move(aStore))
+  {
+  }
+  agreement::RecoveredLog TakeRecovered() override
+  {
+    return this->store.TakeRecovered();
+  }
+  Result<void> Write(std::span<const agreement::Persist> aBatch) override
+  {
+    return this->store.Write(aBatch);
+  }
+  Result<void> SaveSnapshot(const agreement::SnapshotMeta& aMeta,
+                            std::string_view aBytes) override
+  {
+    return this->store.SaveSnapshot(aMeta, aBytes);
+  }
+
+private:
+  storage::LogStore store;
+};
+
+} // namespace
+
+Node::Impl::Impl(NodeSettings aSettings,
+                 std::unique_ptr<Protocol> aProtocol,
+                 Reloader aReload)
+  : settings(std::move(aSettings))
+  , protocol(std::move(aProtocol))
+  , reload(std::move(aReload))
+  , self(this->settings.peersAddress)
+  , deadlines(std::make_shared<DeadlineQueue>(this->io))
+  , metrics(std::make_shared<Metrics>())
+  , log(this->settings.name,
+        this->settings.decisionLinesPerSecond,
+        WriteToStandardOutput)
+  , cluster(this->self, !this->settings.dataFolder.empty())
+  , client(std::make_shared<HttpClient>(this->io, this->deadlines))
+{
+}
+
+Result<void>
+Node::Impl::Start()
+{
+  if (sodium_init() < 0) {
+    return Fail(ErrorCode::Unavailable, "libsodium cannot be used");
+  }
+  // The parts shared with the daemon log only what needs a look.
+  StartLogging("hyssoppaddle", LogLevel::Warning);
+  MakeStandardOutputNonBlocking();
+  this->cluster.SetSeeds(this->settings.seeds);
+  if (Result<void> opened = this->OpenLog(); !opened) {
+    return opened;
+  }
+  if (!this->settings.dataFolder.empty()) {
+    this->MakeReplica(this->settings.firstStart && this->wasEmpty &&
+                      this->cluster.IsFounder());
+  }
+  this->MakeRouter();
+  this->MakePeers();
+  this->MakeServers();
+  Result<void> started = this->peers->Start();
+  for (const auto& server :
+       { this->control, this->callers, this->ready, this->metricsServer }) {
+    if (started && server) {
+      started = server->Start();
+    }
+  }
+  if (!started) {
+    return started;
+  }
+  this->DialWanted();
+  this->ArmSignals();
+  this->ArmTick();
+  this->NoteAlways(
+    { "started",
+      {},
+      { { "self", this->self.value },
+        { "disk", this->settings.dataFolder.empty() ? "no" : "yes" },
+        { "first_start", this->settings.firstStart ? "yes" : "no" },
+        { "folder", this->wasEmpty ? "empty" : "in use" },
+        { "seeds", std::to_string(this->settings.seeds.size()) } } });
+  this->log.Flush();
+  return {};
+}
+
+Result<void>
+Node::Impl::OpenLog()
+{
+  if (this->settings.dataFolder.empty()) {
+    return {};
+  }
+  auto files = storage::OpenPosixFolder(this->settings.dataFolder);
+  if (!files) {
+    return tl::unexpected<Error>(files.error());
+  }
+  storage::LogStoreOptions options;
+  options.cluster = kClusterName;
+  options.owner = this->self;
+  auto store = storage::LogStore::Open(std::move(*files), options);
+  if (!store) {
+    return tl::unexpected<Error>(store.error());
+  }
+  if (store->TornBytes() > 0) {
+    this->NoteAlways({ "torn_log_tail_truncated",
+                       {},
+                       { { "bytes", std::to_string(store->TornBytes()) } } });
+  }
+  this->durable = std::make_unique<NodeLog>(std::move(*store));
+  this->recovered = this->durable->TakeRecovered();
+  this->wasEmpty = !this->recovered.remembersVotes;
+  return {};
+}
+
+void
+Node::Impl::MakeReplica(bool aFounds)
+{
+  agreement::Configuration initial;
+  agreement::RecoveredLog recoveredLog = this->recovered;
+  if (aFounds) {
+    initial.voters = { this->self };
+  }
+  // Before the first configuration there was no vote to forget.
+  recoveredLog.remembersVotes =
+    recoveredLog.remembersVotes || this->settings.firstStart;
+  ReplicaHooks hooks;
+  hooks.send = [this](const InstanceId& aTo, agreement::Message aMessage) {
+    this->peers->Send(aTo, wire::RaftMessage{ std::move(aMessage) });
+  };
+  hooks.persist = [this](agreement::Persist aPersist) {
+    this->storage->Enqueue(std::move(aPersist));
+  };
+  hooks.saveSnapshot = [this](agreement::SnapshotMeta aMeta,
+                              std::string aBytes) {
+    this->storage->Enqueue(
+      SnapshotWork{ std::move(aMeta), std::move(aBytes) });
+  };
+  hooks.applied = [this](const work::Batch& aBatch,
+                         std::span<const work::Verdict> aVerdicts) {
+    this->dispatcher->Applied(
+      aBatch, aVerdicts, SuspendAwareNow(), WallClockNow());
+  };
+  hooks.roleChanged = [this](const agreement::RoleChanged& aRole) {
+    this->cluster.OnRole(aRole.leader, aRole.term, SuspendAwareNow());
+    this->Note({ "role_changed",
+                 {},
+                 { { "term", std::to_string(aRole.term) },
+                   { "leader", aRole.leader.value },
+                   { "leads",
+                     aRole.role == agreement::Role::Leader ? "yes" : "no" } } });
+    this->nextStatus = Time{}; // the others learn of it at once
+  };
+  hooks.unreadable = [this](const Error& aError) {
+    this->NoteAlways({ "log_unreadable", {}, { { "reason", aError.message } } });
+  };
+  this->replica = std::make_unique<Replica>(
+    agreement::Raft(this->self,
+                    std::move(initial),
+                    std::move(recoveredLog),
+                    RandomSeed(),
+                    SuspendAwareNow(),
+                    ElectionTimes(),
+                    LogLimits()),
+    std::move(hooks));
+  this->MakeLeaderParts();
+  if (this->storage) {
+    return;
+  }
+  StorageHooks storageHooks;
+  storageHooks.written = [this](std::uint64_t aSequence) {
+    this->replica->Step(agreement::Persisted{ aSequence }, SuspendAwareNow());
+    this->SchedulePump();
+  };
+  storageHooks.saved = [this](SnapshotWork aSnapshot) {
+    this->replica->Step(agreement::SnapshotTaken{ std::move(aSnapshot.meta),
+                                                  std::move(aSnapshot.bytes) },
+                        SuspendAwareNow());
+    this->SchedulePump();
+  };
+  storageHooks.synced = [this](Duration aElapsed) {
+    this->metrics->Observe(Timing::StorageSync, aElapsed);
+    this->metrics->Add(Counter::StorageBatches);
+  };
+  this->storage = std::make_unique<StorageThread>(
+    this->io,
+    std::move(this->durable),
+    std::move(storageHooks),
+    [this](const Error& aError) {
+      // What reached the disk is unknown: this process must not go on.
+      const std::string line = "{\"event\":\"storage_failed\",\"node\":\"" +
+                               this->settings.name + "\",\"reason\":\"" +
+                               aError.message + "\"}\n";
+      (void)WriteToStandardOutput(line);
+      std::_Exit(kStorageFailedExitCode);
+    });
+}
+
+void
+Node::Impl::MakeLeaderParts()
+{
+  this->dispatcher = std::make_unique<dispatch::Dispatcher>(
+    this->settings.dispatch, this->replica->State());
+  CallHandler::Ports ports;
+  ports.propose = [this](std::vector<work::Command> aCommands,
+                         Replica::ProposalCallback aDone) {
+    this->Propose(std::move(aCommands), std::move(aDone));
+  };
+  ports.confirm = [this](Replica::ReadCallback aDone) {
+    this->replica->Confirm(SuspendAwareNow(), std::move(aDone));
+  };
+  ports.note = [this](dispatch::Decision aDecision) {
+    this->Note(std::move(aDecision));
+  };
+  ports.now = SuspendAwareNow;
+  this->handler = std::make_unique<CallHandler>(this->replica->State(),
+                                                *this->dispatcher,
+                                                this->settings.controlAddress,
+                                                std::move(ports));
+}
+
+void
+Node::Impl::MakeRouter()
+{
+  CallRouter::Ports ports;
+  ports.leader = [this] { return this->CallTarget(); };
+  ports.send = [this](const InstanceId& aTo, const wire::RemoteCall& aCall) {
+    this->peers->Send(aTo, aCall);
+  };
+  ports.handleHere = [this](const wire::RemoteCall& aCall,
+                            CallRouter::LocalReply aDone) {
+    this->HandleHere(aCall, std::move(aDone));
+  };
+  ports.encode = [this](const Reply& aReply) {
+    return this->protocol->Encode(aReply);
+  };
+  ports.note = [this](dispatch::Decision aDecision) {
+    this->Note(std::move(aDecision));
+  };
+  this->router = std::make_unique<CallRouter>(this->self, std::move(ports));
+}
+
+void
+Node::Impl::MakePeers()
+{
+  PeerNetworkOptions options;
+  options.address = this->settings.peersAddress;
+  options.seed = RandomSeed();
+  PeerHooks hooks;
+  hooks.received = [this](const InstanceId& aFrom, wire::PeerMessage aMessage) {
+    this->OnPeerMessage(aFrom, std::move(aMessage));
+  };
+  hooks.connected = [this](const InstanceId& aPeer) {
+    this->NoteAlways({ "peer_connected", {}, { { "peer", aPeer.value } } });
+    this->cluster.Heard(aPeer, SuspendAwareNow());
+    this->nextStatus = Time{};
+  };
+  hooks.lost = [this](const InstanceId& aPeer) {
+    this->NoteAlways({ "peer_lost", {}, { { "peer", aPeer.value } } });
+    this->cluster.Lost(aPeer);
+    this->router->OnLost(aPeer);
+  };
+  this->peers = std::make_shared<PeerNetwork>(
+    this->io,
+    std::move(options),
+    std::make_shared<PeerIdentity>(
+      PeerIdentity{ kClusterName,
+                    this->self,
+                    RandomHex(kBootBytes),
+                    ClusterSecret(std::string(ClusterSecret::kBytes, '\0')) }),
+    this->deadlines,
+    this->metrics,
+    std::move(hooks));
+}
+
+std::shared_ptr<HttpServer>
+Node::Impl::MakeServer(const std::string& aAddress, LocalHandler aHandler)
+{
+  if (aAddress.empty()) {
+    return nullptr;
+  }
+  HttpServerOptions options;
+  options.address = aAddress;
+  options.limits.bodyBytes = kMaxBodyBytes;
+  options.limits.callerConnections = kMaxConnections;
+  options.listener = api::Listener::Control;
+  return std::make_shared<HttpServer>(this->io,
+                                      std::move(options),
+                                      this->deadlines,
+                                      this->metrics,
+                                      nullptr,
+                                      std::move(aHandler));
+}
+
+void
+Node::Impl::MakeServers()
+{
+  const auto calls = [this](bool aControl) {
+    return [this, aControl](api::HttpRequest aRequest,
+                            api::ReplyCallback aDone) {
+      this->OnCall(std::move(aRequest), aControl, std::move(aDone));
+    };
+  };
+  this->callers = this->MakeServer(this->settings.callersAddress, calls(false));
+  this->control = this->MakeServer(this->settings.controlAddress, calls(true));
+  this->ready = this->MakeServer(
+    this->settings.readyAddress,
+    [this](const api::HttpRequest& /*aRequest*/,
+           const api::ReplyCallback& aDone) {
+      api::HttpReply reply;
+      reply.status = this->IsReady(SuspendAwareNow()) ? 200 : 503;
+      reply.contentType = "text/plain";
+      aDone(std::move(reply));
+    });
+  this->metricsServer = this->MakeServer(
+    this->settings.metricsAddress,
+    [this](const api::HttpRequest& /*aRequest*/,
+           const api::ReplyCallback& aDone) { aDone(this->MetricsReply()); });
+}
+
+Node::Node(NodeSettings aSettings,
+           std::unique_ptr<Protocol> aProtocol,
+           Reloader aReload)
+  : impl(std::make_unique<Impl>(std::move(aSettings),
+                                std::move(aProtocol),
+                                std::move(aReload)))
+{
+}
+
+Node::~Node() = default;
+
+Result<void>
+Node::Start()
+{
+  return this->impl->Start();
+}
+
+void
+Node::Run()
+{
+  this->impl->io.run();
+}
+
+} // namespace hyssoppaddle::node
--- /dev/null
+++ b/src/node/NodeImpl.h
@@ -0,0 +1,124 @@
+// Parts of a node, in the order in which they may refer to each other.
+#ifndef hyssoppaddle_node_NodeImpl_h
+#define hyssoppaddle_node_NodeImpl_h
+
+#include "dispatch/Dispatcher.h"
+#include "node/CallHandler.h"
+#include "node/CallRouter.h"
+#include "node/Cluster.h"
+#include "node/HttpClient.h"
+#include "node/LineLog.h"
+#include "node/Node.h"
+#include "node/Protocol.h"
+#include "node/Replica.h"
+#include "shell/HttpServer.h"
+#include "shell/PeerNetwork.h"
+#include "shell/StorageThread.h"
+
+#include <csignal>
+
+namespace hyssoppaddle::node {
+
+struct Node::Impl
+{
+  Impl(NodeSettings aSettings,
+       std::unique_ptr<Protocol> aProtocol,
+       Reloader aReload);
+
+  Result<void> Start();
+
+  // Node.cpp: building the parts.
+  Result<void> OpenLog();
+  void MakeReplica(bool aFounds);
+  void MakeLeaderParts();
+  void MakeRouter();
+  void MakePeers();
+  void MakeServers();
+  [[nodiscard]] std::shared_ptr<shell::HttpServer> MakeServer(
+    const std::string& aAddress,
+    shell::LocalHandler aHandler);
+
+  // NodeEvents.cpp: what happens.
+  void OnPeerMessage(const InstanceId& aFrom, wire::PeerMessage aMessage);
+  void On(const InstanceId& aFrom, wire::RaftMessage& aMessage);
+  void On(const InstanceId& aFrom, wire::JoinRequest& aMessage);
+  void On(const InstanceId& aFrom, wire::RemoteCall& aMessage);
+  void On(const InstanceId& aFrom, wire::RemoteReply& aMessage);
+  void On(const InstanceId& aFrom, wire::NodeStatus& aMessage);
+  void OnCall(api::HttpRequest aRequest, bool aControl, api::ReplyCallback aDone);
+  void HandleHere(const wire::RemoteCall& aCall, CallRouter::LocalReply aDone);
+  void SchedulePump();
+  void Pump();
+  void CheckLeadership();
+  void ProposeDecided(std::vector<work::Command> aCommands);
+  void Execute(dispatch::Instruction aInstruction);
+  void Answer(const dispatch::Instruction& aInstruction,
+              const OutboundResult& aResult);
+  void Propose(std::vector<work::Command> aCommands,
+               Replica::ProposalCallback aDone);
+  [[nodiscard]] bool MayAct(Time aNow) const;
+  [[nodiscard]] InstanceId CallTarget();
+
+  // NodeTimers.cpp: periodic work, stop and reload.
+  void ArmTick();
+  void Tick();
+  void NoticePause(Time aNow);
+  void SendStatus(Time aNow);
+  void DialWanted();
+  void AskToJoin(Time aNow);
+  void ChangeReplicas(Time aNow);
+  void FoundLate();
+  void ArmSignals();
+  void BeginStop();
+  void CheckStop(Time aNow);
+  void Finish();
+  void Reload();
+  [[nodiscard]] bool IsReady(Time aNow) const;
+  [[nodiscard]] api::HttpReply MetricsReply() const;
+  void Note(dispatch::Decision aDecision);
+  void NoteAlways(dispatch::Decision aDecision);
+
+  NodeSettings settings;
+  std::unique_ptr<Protocol> protocol;
+  Reloader reload;
+  InstanceId self; // the peers' address
+  shell::asio::io_context io{ 1 };
+  std::shared_ptr<shell::DeadlineQueue> deadlines;
+  std::shared_ptr<shell::Metrics> metrics;
+  LineLog log;
+  Cluster cluster;
+  std::unique_ptr<shell::DurableLog> durable;
+  agreement::RecoveredLog recovered;
+  bool wasEmpty = false; // the data folder, at the start
+  std::unique_ptr<Replica> replica; // null without a disk
+  std::unique_ptr<shell::StorageThread> storage;
+  std::unique_ptr<dispatch::Dispatcher> dispatcher; // null without a disk
+  std::unique_ptr<CallHandler> handler;             // null without a disk
+  std::unique_ptr<CallRouter> router;
+  std::shared_ptr<HttpClient> client;
+  std::shared_ptr<shell::PeerNetwork> peers;
+  std::shared_ptr<shell::HttpServer> callers;
+  std::shared_ptr<shell::HttpServer> control;
+  std::shared_ptr<shell::HttpServer> ready;
+  std::shared_ptr<shell::HttpServer> metricsServer;
+  shell::Timer tickTimer{ io };
+  shell::asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
+
+  bool pumpScheduled = false;
+  Time lastTick{};
+  Time nextStatus{};
+  Time nextJoin{};
+  Time nextChange{};
+  Time electedAt{};
+  std::uint64_t ledTerm = 0; // the dispatcher was started for this term
+  std::vector<work::Command> held; // rejected proposals, proposed again
+  InstanceId lastLeader;           // as last written to the log
+  bool stopping = false;
+  bool closing = false;
+  Time stopBegan{};
+  Time nextTransfer{};
+};
+
+} // namespace hyssoppaddle::node
+
+#endif
--- /dev/null
+++ b/src/node/NodeSettings.cpp
@@ -0,0 +1,109 @@
+// Keys and ranges of the settings of a node.
+#include "node/NodeSettings.h"
+
+#include "config/ObjectReader.h"
+
+namespace hyssoppaddle::node {
+
+namespace {
+
+using config::FindingLog;
+using config::Located;
+using config::Need;
+using config::ObjectReader;
+
+constexpr Duration kMillisecond = dispatch::milliseconds(1);
+// Bounds that keep sums of times far from overflow; real ones are seconds.
+constexpr config::Range kTimes{ 1, 3600000 };
+constexpr double kLongestSeconds = 3600.0;
+
+void
+ReadSeeds(ObjectReader& aReader, NodeSettings& aSettings, FindingLog& aLog)
+{
+  std::vector<Located> seeds;
+  if (!aReader.Array("seeds", seeds, Need::Required)) {
+    return;
+  }
+  for (const Located& seed : seeds) {
+    if (seed.node->kind != config::JsonKind::String) {
+      aLog.Add(seed.path, seed.node->offset, "must be an address as a string");
+      continue;
+    }
+    aSettings.seeds.push_back(seed.node->text);
+  }
+}
+
+void
+ReadTimes(ObjectReader& aParent, NodeSettings& aSettings, FindingLog& aLog)
+{
+  Located located;
+  if (!aParent.Object("times", located, Need::Optional)) {
+    return;
+  }
+  ObjectReader reader(located, aLog);
+  dispatch::Options& options = aSettings.dispatch;
+  const auto time = [&](const char* aKey, Duration& aTarget) {
+    reader.Time(aKey, aTarget, kMillisecond, kTimes);
+  };
+  const auto span = [&](const char* aKey, Duration& aTarget) {
+    double value = std::chrono::duration<double>(aTarget).count();
+    reader.Real(aKey, value, 0.0, kLongestSeconds);
+    aTarget = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(value));
+  };
+  span("grace_s", aSettings.gracePeriod);
+  span("maintenance_s", options.maintenanceTime);
+  time("announce_ms", options.announceInterval);
+  time("max_lease_ms", options.maxLease);
+  time("stop_ms", options.stopTime);
+  time("gang_ms", options.gangTime);
+  time("order_lease_ms", options.orderLease);
+  time("away_notice_ms", options.awayNotice);
+  time("tail_harm_ms", options.tailHarm);
+  reader.Real("remote_penalty", options.remotePenalty, 1.0, 100.0);
+  reader.Finish();
+}
+
+} // namespace
+
+tl::expected<NodeSettings, Findings>
+ParseNodeSettings(std::string_view aText)
+{
+  FindingLog log(aText);
+  NodeSettings settings;
+  const auto tree = config::ParseJson(aText);
+  if (!tree) {
+    return tl::unexpected<Findings>(tree.error());
+  }
+  ObjectReader reader(Located{ &*tree, "" }, log);
+  reader.Name("name", settings.name, Need::Required);
+  reader.Name("data_centre", settings.dataCentre, Need::Required);
+  reader.Address("callers_address", settings.callersAddress, 0, Need::Required);
+  reader.Address("control_address", settings.controlAddress, 0, Need::Required);
+  reader.Address("ready_address", settings.readyAddress, 0, Need::Required);
+  reader.Address("peers_address", settings.peersAddress, 1, Need::Required);
+  reader.Address("metrics_address", settings.metricsAddress, 0, Need::Optional);
+  reader.String("data_folder", settings.dataFolder, Need::Optional);
+  reader.Boolean("first_start", settings.firstStart, Need::Optional);
+  reader.Address("advisor_address", settings.advisorAddress, 1, Need::Optional);
+  reader.Address("instance_owner_address",
+                 settings.instanceOwnerAddress,
+                 1,
+                 Need::Optional);
+  reader.Integer("decision_lines_per_second",
+                 settings.decisionLinesPerSecond,
+                 { 0, 100000 },
+                 Need::Optional);
+  ReadSeeds(reader, settings, log);
+  ReadTimes(reader, settings, log);
+  reader.Finish();
+  if (!log.IsEmpty()) {
+    return tl::unexpected<Findings>(log.Take());
+  }
+  settings.dispatch.self = settings.name;
+  settings.dispatch.hasAdvisor = !settings.advisorAddress.empty();
+  settings.dispatch.hasInstanceOwner = !settings.instanceOwnerAddress.empty();
+  return settings;
+}
+
+} // namespace hyssoppaddle::node
--- a/src/shell/PeerNetwork.cpp
+++ b/src/shell/PeerNetwork.cpp
@@ -33,6 +33,7 @@
   config::PeerSettings settings;
   Timer timer;
   Duration delay{ 0 };
+  bool removed = false;
 };
 
 PeerNetwork::PeerNetwork(asio::io_context& aIo,
@@ -122,6 +123,39 @@
   }
 }
 
+void
+PeerNetwork::AddPeer(const config::PeerSettings& aPeer)
+{
+  const bool isNew = aPeer.instance != this->identity->instance &&
+                     !this->dialled.contains(aPeer.instance);
+  if (isNew && !this->stopping) {
+    this->Dial(aPeer);
+  }
+}
+
+void
+PeerNetwork::RemovePeer(const InstanceId& aPeer)
+{
+  const auto found = this->dialled.find(aPeer);
+  if (found == this->dialled.end()) {
+    return;
+  }
+  found->second->removed = true;
+  found->second->timer.cancel();
+  this->dialled.erase(found);
+  this->Disconnect(aPeer, "no longer a peer");
+}
+
+void
+PeerNetwork::Disconnect(const InstanceId& aPeer, const std::string& aReason)
+{
+  const auto found = this->links.find(aPeer);
+  if (found != this->links.end()) {
+    const std::shared_ptr<PeerLink> link = found->second.link;
+    this->Drop(link, aReason);
+  }
+}
+
 void
 PeerNetwork::Send(const InstanceId& aTo, const wire::PeerMessage& aMessage)
 {
@@ -219,7 +253,7 @@
 Awaitable<void>
 PeerNetwork::DialLoop(const std::shared_ptr<Dialled>& aPeer)
 {
-  while (!this->stopping) {
+  while (!this->stopping && !aPeer->removed) {
     const bool isLive = this->links.contains(aPeer->settings.instance);
     if (isLive) {
       // Drop() cancels the wait.
@@ -229,7 +263,7 @@
     }
     ErrorValue cancelled;
     co_await aPeer->timer.async_wait(Into(cancelled));
-    if (cancelled || this->stopping ||
+    if (cancelled || this->stopping || aPeer->removed ||
         this->links.contains(aPeer->settings.instance)) {
       continue;
     }
--- a/src/shell/PeerNetwork.h
+++ b/src/shell/PeerNetwork.h
@@ -44,10 +44,22 @@
   [[nodiscard]] std::uint16_t Port() const;
   void Stop();
 
+  // Dials an instance that was learned after the start. Does nothing when it is
+  // this instance or is dialled already.
+  void AddPeer(const config::PeerSettings& aPeer);
+  // Dials it no more and closes its connection.
+  void RemovePeer(const InstanceId& aPeer);
+  // Closes a connection that has gone silent; it is dialled again.
+  void Disconnect(const InstanceId& aPeer, const std::string& aReason);
+
   // Dropped when there is no connection.
   void Send(const InstanceId& aTo, const wire::PeerMessage& aMessage);
   void SendAll(const wire::PeerMessage& aMessage);
   [[nodiscard]] std::size_t Connected() const { return this->links.size(); }
+  [[nodiscard]] bool IsConnected(const InstanceId& aPeer) const
+  {
+    return this->links.contains(aPeer);
+  }
 
 private:
   struct Dialled;
--- a/src/wire/PeerMessage.h
+++ b/src/wire/PeerMessage.h
@@ -109,6 +109,48 @@
   bool operator==(const JoinRequest&) const = default;
 };
 
+// One header field of a forwarded call.
+struct CallField
+{
+  std::string name;
+  std::string value;
+  bool operator==(const CallField&) const = default;
+};
+
+// A whole request of a caller, an upstream or an operator for the leader. Calls
+// are idempotent, so the sender may repeat one to a later leader.
+struct RemoteCall
+{
+  std::uint64_t token = 0;
+  bool control = false; // of the control listener
+  std::string method;
+  std::string target;
+  std::vector<CallField> fields;
+  std::string body;
+  bool operator==(const RemoteCall&) const = default;
+};
+
+struct RemoteReply
+{
+  std::uint64_t token = 0;
+  std::uint32_t status = 0; // 0: not decided there; the next leader is asked
+  bool mayHaveRun = false;  // of an undecided call
+  std::vector<CallField> fields;
+  std::string body;
+  bool operator==(const RemoteReply&) const = default;
+};
+
+// Sent at a fixed interval on every link: proves that the link works, and says
+// who leads and where the replicas are.
+struct NodeStatus
+{
+  bool hasDisk = false;
+  InstanceId leader; // empty when unknown
+  agreement::Term term = 0;
+  std::vector<InstanceId> replicas; // voters and learners known here
+  bool operator==(const NodeStatus&) const = default;
+};
+
 using PeerMessage = std::variant<Greeting,
                                  GreetingProof,
                                  RaftMessage,
@@ -117,7 +159,10 @@
                                  Renew,
                                  RenewReply,
                                  Heard,
-                                 JoinRequest>;
+                                 JoinRequest,
+                                 RemoteCall,
+                                 RemoteReply,
+                                 NodeStatus>;
 
 } // namespace hyssoppaddle::wire
 
--- a/src/wire/PeerSchema.h
+++ b/src/wire/PeerSchema.h
@@ -104,11 +104,30 @@
                     aIt.silent);
 HYSSOPPADDLE_SCHEMA(Heard, aIt.upstreams);
 HYSSOPPADDLE_SCHEMA(JoinRequest, aIt.wantsVote);
+HYSSOPPADDLE_SCHEMA(CallField, aIt.name, aIt.value);
+HYSSOPPADDLE_SCHEMA(RemoteCall,
+                    aIt.token,
+                    aIt.control,
+                    aIt.method,
+                    aIt.target,
+                    aIt.fields,
+                    aIt.body);
+HYSSOPPADDLE_SCHEMA(RemoteReply,
+                    aIt.token,
+                    aIt.status,
+                    aIt.mayHaveRun,
+                    aIt.fields,
+                    aIt.body);
+HYSSOPPADDLE_SCHEMA(NodeStatus,
+                    aIt.hasDisk,
+                    aIt.leader,
+                    aIt.term,
+                    aIt.replicas);
 
 template<>
 struct TypeNumbers<PeerMessage>
 {
-  static constexpr std::array<std::uint16_t, 9> kNumbers{
+  static constexpr std::array<std::uint16_t, 12> kNumbers{
     1, // Greeting
     2, // GreetingProof
     3, // RaftMessage
@@ -118,6 +137,9 @@
     7, // RenewReply
     8, // Heard
     9, // JoinRequest
+    10, // RemoteCall
+    11, // RemoteReply
+    12, // NodeStatus
   };
 };
 
--- a/src/wire/Unpack.h
+++ b/src/wire/Unpack.h
@@ -55,7 +55,17 @@
 inline bool
 Read(const msgpack::object& aObject, double& aValue)
 {
-  if (aObject.type != msgpack::type::FLOAT64) {
+  // msgpack writes a number without a fraction as an integer.
+  if (aObject.type == msgpack::type::POSITIVE_INTEGER) {
+    aValue = static_cast<double>(aObject.via.u64);
+    return true;
+  }
+  if (aObject.type == msgpack::type::NEGATIVE_INTEGER) {
+    aValue = static_cast<double>(aObject.via.i64);
+    return true;
+  }
+  if (aObject.type != msgpack::type::FLOAT64 &&
+      aObject.type != msgpack::type::FLOAT32) {
     return false;
   }
   aValue = aObject.via.f64;
--- /dev/null
+++ b/src/work/Job.h
@@ -0,0 +1,112 @@
+// Jobs of steps: what a caller submits, and the runs of each task. A task is
+// one of the `count` copies of a step, in one occurrence of the job.
+#ifndef hyssoppaddle_work_Job_h
+#define hyssoppaddle_work_Job_h
+
+#include "work/Setup.h"
+
+#include <compare>
+#include <optional>
+#include <vector>
+
+namespace hyssoppaddle::work {
+
+struct Step
+{
+  std::uint32_t count = 1;
+  state::Resources size; // of each task
+  Duration estimate{ 0 };
+  std::vector<std::uint32_t> after; // earlier steps that must be done first
+  std::string dataRack;             // empty: none
+  std::string requiredLabel;        // empty: none
+  std::string image;
+  Duration tailTarget{ 0 };            // of a serving task's response times
+  std::uint32_t maxPerUpstream = 0;    // 0: no limit
+  std::uint32_t maxUnavailable = 0;    // through planned stops; 0: no limit
+  bool checkpoints = false;
+  bool gang = false;      // all tasks run together or none
+  bool rackLocal = false; // slower when spread over several racks
+  bool speculative = false;
+  bool lasting = false; // runs until the job is cancelled
+  bool fills = false;   // takes only what other tasks leave unused
+  bool operator==(const Step&) const = default;
+};
+
+struct JobSpec
+{
+  std::string payload; // passed on to upstreams
+  std::vector<Step> steps;
+  std::uint32_t occurrences = 1;
+  std::optional<WallTime> firstDue; // set for a job that runs by time
+  Duration interval{ 0 };
+  bool operator==(const JobSpec&) const = default;
+};
+
+struct TaskRef
+{
+  JobId job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+  auto operator<=>(const TaskRef&) const = default;
+};
+
+// A run that may be executing. It leaves the list only when it has surely
+// ended, so two runs of a task never overlap unless the step allows it.
+struct Run
+{
+  std::uint32_t number = 0; // rises with each start of the task
+  InstanceId upstream;
+  std::uint64_t boot = 0; // of the upstream, when the run was decided
+  WallTime startedAt{};   // when the start was decided
+  bool operator==(const Run&) const = default;
+};
+
+struct Task
+{
+  std::uint32_t lastRun = 0;
+  std::uint32_t failures = 0;
+  bool done = false;
+  std::string checkpoint; // empty: none
+  std::vector<Run> runs;  // at most one unless the step is speculative
+  bool operator==(const Task&) const = default;
+};
+
+enum class JobState : std::uint8_t
+{
+  Queued,
+  Running,
+  Completed,
+  Failed,
+  Cancelled,
+};
+
+struct Job
+{
+  QueueId queue;
+  WorkspaceId workspace; // empty: submitted without a key
+  JobSpec spec;
+  WallTime acceptedAt{};
+  JobState state = JobState::Queued;
+  WallTime endedAt{}; // set in the three final states
+  // [occurrence][step][index]; emptied once the job has ended and nothing of it
+  // can run any more.
+  std::vector<std::vector<std::vector<Task>>> tasks;
+  bool operator==(const Job&) const = default;
+
+  [[nodiscard]] bool IsFinal() const
+  {
+    return this->state >= JobState::Completed;
+  }
+  [[nodiscard]] const Task* Find(const TaskRef& aTask) const;
+  [[nodiscard]] Task* Find(const TaskRef& aTask);
+  // True when every task of the steps before aStep is done.
+  [[nodiscard]] bool IsStepOpen(std::uint32_t aOccurrence,
+                                std::uint32_t aStep) const;
+  // When the occurrence may start.
+  [[nodiscard]] WallTime DueAt(std::uint32_t aOccurrence) const;
+};
+
+} // namespace hyssoppaddle::work
+
+#endif
--- /dev/null
+++ b/src/work/Upstream.h
@@ -0,0 +1,37 @@
+// What is known for good about an upstream that runs tasks: one life of an
+// instance.
+#ifndef hyssoppaddle_work_Upstream_h
+#define hyssoppaddle_work_Upstream_h
+
+#include "base/Id.h"
+#include "base/Time.h"
+#include "state/Resources.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hyssoppaddle::work {
+
+struct Upstream
+{
+  ServiceId service;
+  std::string address;
+  DataCentreId dataCentre;
+  state::Resources capacity;
+  std::vector<std::string> labels; // its kind, then its rack
+  std::uint64_t boot = 0;          // start time in ms since the epoch; 0: unknown
+  std::string instance;            // the instance that it is one life of
+  bool draining = false;
+  bool operator==(const Upstream&) const = default;
+
+  // The rack, empty when it is not announced.
+  [[nodiscard]] std::string Rack() const
+  {
+    return this->labels.size() < 2 ? std::string() : this->labels[1];
+  }
+};
+
+} // namespace hyssoppaddle::work
+
+#endif
--- /dev/null
+++ b/src/work/WorkState.cpp
@@ -0,0 +1,259 @@
+// Transitions of the replicated state of stepped jobs.
+#include "work/WorkState.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::work {
+
+namespace {
+
+bool
+HasRuns(const Job& aJob)
+{
+  for (const auto& occurrence : aJob.tasks) {
+    for (const auto& step : occurrence) {
+      for (const Task& task : step) {
+        if (!task.runs.empty()) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+bool
+IsAllDone(const Job& aJob)
+{
+  for (const auto& occurrence : aJob.tasks) {
+    for (const auto& step : occurrence) {
+      for (const Task& task : step) {
+        if (!task.done) {
+          return false;
+        }
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+std::vector<Verdict>
+WorkState::Apply(const Batch& aBatch)
+{
+  this->tables.now = std::max(this->tables.now, aBatch.stamp);
+  std::vector<Verdict> verdicts;
+  verdicts.reserve(aBatch.commands.size());
+  for (const Command& command : aBatch.commands) {
+    verdicts.push_back(std::visit(
+      [this](const auto& aConcrete) { return this->Carry(aConcrete); },
+      command));
+  }
+  this->ForgetOld();
+  return verdicts;
+}
+
+const Job*
+WorkState::FindJob(const JobId& aId) const
+{
+  const auto found = this->tables.jobs.find(aId);
+  return found == this->tables.jobs.end() ? nullptr : &found->second;
+}
+
+Verdict
+WorkState::Carry(const SetSetup& aCommand)
+{
+  const Setup& next = aCommand.setup;
+  if (next.version > this->tables.setup.version) {
+    this->tables.setup = next;
+    return Verdict::Done;
+  }
+  return Verdict::Outdated;
+}
+
+Verdict
+WorkState::Carry(const SubmitJob& aCommand)
+{
+  if (this->tables.jobs.contains(aCommand.id)) {
+    return Verdict::Done; // a resent submission is the same job
+  }
+  Job job;
+  job.queue = aCommand.queue;
+  job.workspace = aCommand.workspace;
+  job.spec = aCommand.spec;
+  job.acceptedAt = this->tables.now;
+  for (std::uint32_t k = 0; k < job.spec.occurrences; ++k) {
+    auto& steps = job.tasks.emplace_back();
+    for (const Step& step : job.spec.steps) {
+      steps.emplace_back(step.count);
+    }
+  }
+  this->tables.jobs.emplace(aCommand.id, std::move(job));
+  return Verdict::Done;
+}
+
+Verdict
+WorkState::Carry(const CancelJob& aCommand)
+{
+  const auto found = this->tables.jobs.find(aCommand.id);
+  if (found == this->tables.jobs.end()) {
+    return Verdict::NotFound;
+  }
+  if (!found->second.IsFinal()) {
+    this->Finish(found->second, JobState::Cancelled);
+  }
+  return Verdict::Done;
+}
+
+void
+WorkState::Finish(Job& aJob, JobState aState)
+{
+  aJob.state = aState;
+  aJob.endedAt = this->tables.now;
+  this->Settle(aJob);
+}
+
+// The tasks of an ended job are kept while one of them may be executing.
+void
+WorkState::Settle(Job& aJob)
+{
+  if (aJob.IsFinal() && !HasRuns(aJob)) {
+    aJob.tasks.clear();
+    aJob.spec = JobSpec{};
+  }
+}
+
+Verdict
+WorkState::Carry(const StartRun& aCommand)
+{
+  const auto found = this->tables.jobs.find(aCommand.task.job);
+  if (found == this->tables.jobs.end() || found->second.IsFinal()) {
+    return Verdict::NotFound;
+  }
+  Job& job = found->second;
+  Task* task = job.Find(aCommand.task);
+  if (task == nullptr || task->done) {
+    return Verdict::Conflict;
+  }
+  const Step& step = job.spec.steps[aCommand.task.step];
+  const auto upstream = this->tables.upstreams.find(aCommand.run.upstream);
+  const bool isHere = upstream != this->tables.upstreams.end() &&
+                      upstream->second.boot == aCommand.run.boot &&
+                      !upstream->second.draining;
+  const bool isFree = task->runs.empty() || step.speculative;
+  if (!isHere || !isFree || aCommand.run.number <= task->lastRun) {
+    return Verdict::Conflict;
+  }
+  task->lastRun = aCommand.run.number;
+  task->runs.push_back(aCommand.run);
+  job.state = JobState::Running;
+  return Verdict::Done;
+}
+
+Verdict
+WorkState::Carry(const EndRun& aCommand)
+{
+  const auto found = this->tables.jobs.find(aCommand.task.job);
+  Task* task = found == this->tables.jobs.end()
+                 ? nullptr
+                 : found->second.Find(aCommand.task);
+  if (task == nullptr) {
+    return Verdict::NotFound;
+  }
+  Job& job = found->second;
+  const auto run = std::find_if(
+    task->runs.begin(), task->runs.end(), [&](const Run& aRun) {
+      return aRun.number == aCommand.run && aRun.upstream == aCommand.upstream;
+    });
+  if (run == task->runs.end()) {
+    return Verdict::NotFound; // already recorded, or given up as lost
+  }
+  task->runs.erase(run);
+  if (!aCommand.checkpoint.empty()) {
+    task->checkpoint = aCommand.checkpoint;
+  }
+  const Step& step = job.spec.steps[aCommand.task.step];
+  if (aCommand.kind == EndKind::Done && !step.lasting) {
+    task->done = true;
+    if (step.gang) {
+      this->FinishGang(job, aCommand.task, aCommand.run);
+    }
+  }
+  if (aCommand.kind == EndKind::Failed) {
+    ++task->failures;
+    const Queue* queue = this->tables.setup.FindQueue(job.queue);
+    const bool isSpent =
+      queue != nullptr && task->failures >= queue->maxAttempts;
+    if (isSpent && !step.lasting && !job.IsFinal()) {
+      this->Finish(job, JobState::Failed);
+      return Verdict::Done;
+    }
+  }
+  if (!job.IsFinal() && IsAllDone(job)) {
+    this->Finish(job, JobState::Completed);
+    return Verdict::Done;
+  }
+  this->Settle(job);
+  return Verdict::Done;
+}
+
+// The members of a gang end together: one end stands for all of them.
+void
+WorkState::FinishGang(Job& aJob, const TaskRef& aTask, std::uint32_t aRun)
+{
+  for (Task& member : aJob.tasks[aTask.occurrence][aTask.step]) {
+    if (member.lastRun == aRun) {
+      member.done = true;
+    }
+  }
+}
+
+Verdict
+WorkState::Carry(const SetUpstream& aCommand)
+{
+  this->tables.upstreams[aCommand.id] = aCommand.upstream;
+  return Verdict::Done;
+}
+
+Verdict
+WorkState::Carry(const RemoveUpstream& aCommand)
+{
+  return this->tables.upstreams.erase(aCommand.id) > 0 ? Verdict::Done
+                                                       : Verdict::NotFound;
+}
+
+Verdict
+WorkState::Carry(const StartWave& aCommand)
+{
+  const auto [entry, isNew] =
+    this->tables.waves.try_emplace(aCommand.number, aCommand.wave);
+  if (isNew) {
+    entry->second.startedAt = this->tables.now;
+  }
+  return Verdict::Done;
+}
+
+Verdict
+WorkState::Carry(const AdvanceWave& aCommand)
+{
+  const auto found = this->tables.waves.find(aCommand.number);
+  if (found == this->tables.waves.end()) {
+    return Verdict::NotFound;
+  }
+  Wave& wave = found->second;
+  (aCommand.gone ? wave.gone : wave.begun).insert(aCommand.instance);
+  return Verdict::Done;
+}
+
+void
+WorkState::ForgetOld()
+{
+  std::erase_if(this->tables.jobs, [this](const auto& aItem) {
+    const Job& job = aItem.second;
+    return job.IsFinal() && job.tasks.empty() &&
+           this->tables.now - job.endedAt > kEndedJobRetention;
+  });
+}
+
+} // namespace hyssoppaddle::work
--- /dev/null
+++ b/src/work/WorkState.h
@@ -0,0 +1,73 @@
+// The replicated state machine of stepped jobs. It validates and records; the
+// dispatcher on the leader decides.
+#ifndef hyssoppaddle_work_WorkState_h
+#define hyssoppaddle_work_WorkState_h
+
+#include "base/Result.h"
+#include "work/Commands.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hyssoppaddle::work {
+
+struct WorkTables
+{
+  WallTime now{}; // of the last batch, never decreasing
+  Setup setup;
+  std::map<JobId, Job> jobs;
+  std::map<InstanceId, Upstream> upstreams;
+  std::map<std::uint64_t, Wave> waves;
+  bool operator==(const WorkTables&) const = default;
+};
+
+class WorkState
+{
+public:
+  // One verdict a command, in their order. Never fails: what contradicts the
+  // state changes nothing.
+  std::vector<Verdict> Apply(const Batch& aBatch);
+
+  [[nodiscard]] const WorkTables& Tables() const { return this->tables; }
+  [[nodiscard]] const Setup& CurrentSetup() const { return this->tables.setup; }
+  [[nodiscard]] const Job* FindJob(const JobId& aId) const;
+
+  void Restore(WorkTables aTables) { this->tables = std::move(aTables); }
+
+private:
+  Verdict Carry(const SetSetup& aCommand);
+  Verdict Carry(const SubmitJob& aCommand);
+  Verdict Carry(const CancelJob& aCommand);
+  Verdict Carry(const StartRun& aCommand);
+  Verdict Carry(const EndRun& aCommand);
+  Verdict Carry(const SetUpstream& aCommand);
+  Verdict Carry(const RemoveUpstream& aCommand);
+  Verdict Carry(const StartWave& aCommand);
+  Verdict Carry(const AdvanceWave& aCommand);
+
+  void Finish(Job& aJob, JobState aState);
+  void FinishGang(Job& aJob, const TaskRef& aTask, std::uint32_t aRun);
+  void Settle(Job& aJob);
+  void ForgetOld();
+
+  WorkTables tables;
+};
+
+// How long the state of an ended job can be asked for.
+inline constexpr Duration kEndedJobRetention = std::chrono::seconds(150);
+
+std::string
+EncodeBatch(const Batch& aBatch);
+Result<Batch>
+DecodeBatch(std::string_view aBytes);
+std::string
+EncodeTables(const WorkTables& aTables);
+Result<WorkTables>
+DecodeTables(std::string_view aBytes);
+
+} // namespace hyssoppaddle::work
+
+#endif
