Decide a task once, and stop no run that has already ended

Cause: a view was rebuilt while the start of one of its tasks was being recorded, so the task was decided a second time with the same run number. A job's end also asked for a stop of the run that ended it.

Change: tasks whose start is being recorded are left out of views; an ended run leaves the book before the rest of its job is stopped. service_load lines give the load of each service once a second.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -12,6 +12,7 @@
 // An earlier leader may act for this long after the election that replaced it:
 // until its check of the quorum ends its role.
 constexpr Duration kOldLeaderActs = milliseconds(500);
+constexpr Duration kLoadInterval = seconds(1);
 
 } // namespace
 
@@ -48,6 +49,7 @@
   this->used.clear();
   this->orders.clear();
   this->failedOn.clear();
+  this->deciding.clear();
   this->dirty.clear();
   this->tickets.Clear();
   this->owner = {};
@@ -167,6 +169,9 @@
   const work::Queue* queue = this->state.CurrentSetup().FindQueue(job->queue);
   JobView& view = this->views[aJob];
   view = MakeView(aJob, *job, queue, this->wall);
+  std::erase_if(view.pending, [this](const work::TaskRef& aTask) {
+    return this->deciding.contains(aTask);
+  });
   this->dirty.insert(view.service);
 }
 
@@ -251,6 +256,7 @@
 Dispatcher::On(const work::StartRun& aCommand, work::Verdict aVerdict)
 {
   const RunKey key{ aCommand.task, aCommand.run.number };
+  this->deciding.erase(aCommand.task);
   UpstreamSession* session = this->FindSession(aCommand.run.upstream);
   const bool known = session != nullptr && session->runs.contains(key);
   if (aVerdict != work::Verdict::Done) {
@@ -285,11 +291,12 @@
   if (found == session->runs.end()) {
     return;
   }
-  if (aVerdict == work::Verdict::Done) {
-    this->NoteEnd(aCommand, found->second);
-  }
+  const LiveRun run = found->second;
   session->nextHold = this->now; // the end is on record: tell the upstream
   this->DropRun(aCommand.upstream, key);
+  if (aVerdict == work::Verdict::Done) {
+    this->NoteEnd(aCommand, run);
+  }
 }
 
 void
@@ -432,6 +439,7 @@
     this->CheckSilent(id, session);
   }
   this->RunWaves();
+  this->NoteLoads();
   std::vector<JobId> due;
   for (const auto& [id, view] : this->views) {
     if (view.nextDue <= aWall) {
@@ -456,6 +464,47 @@
   this->Plan();
 }
 
+// The figures that rejections and moves rest on, once a second.
+void
+Dispatcher::NoteLoads()
+{
+  if (this->now - this->loadsNoted < kLoadInterval) {
+    return;
+  }
+  this->loadsNoted = this->now;
+  std::set<ServiceId> services;
+  for (const work::Queue& queue : this->state.CurrentSetup().queues) {
+    services.insert(queue.service);
+  }
+  for (const ServiceId& service : services) {
+    const ServiceLoad load = this->LoadOf(service);
+    std::int64_t busy = 0;
+    for (const auto& [id, session] : this->sessions) {
+      busy += session.record.service == service ? session.used.milliCpus : 0;
+    }
+    std::size_t waiting = 0;
+    std::size_t limited = 0;
+    for (const auto& [id, view] : this->views) {
+      if (view.service == service && !view.pending.empty()) {
+        ++waiting;
+        const work::Job& job = *this->FindJob(id);
+        const auto& step = job.spec.steps[view.pending.front().step];
+        limited += this->IsWithinLimit(view.workspace, step.size) ? 0 : 1;
+      }
+    }
+    this->Note("service_load",
+               {},
+               { { "service", service.value },
+                 { "upstreams", Text(load.upstreams) },
+                 { "cores", Text(static_cast<std::int64_t>(load.capacity)) },
+                 { "busy_millicores", Text(busy) },
+                 { "backlog_core_ms",
+                   Text(static_cast<std::int64_t>(load.backlog)) },
+                 { "waiting_jobs", Text(waiting) },
+                 { "at_workspace_limit", Text(limited) } });
+  }
+}
+
 std::optional<Duration>
 Dispatcher::RetryAfter(const work::Queue& aQueue,
                        const work::JobSpec& aSpec) const
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -84,6 +84,7 @@
   void RefreshAllViews();
   void AdoptRuns();
   void NoteEnd(const work::EndRun& aCommand, const LiveRun& aRun);
+  void NoteLoads();
   void StopGang(const work::TaskRef& aTask);
   void QuarantineIfFailing(const InstanceId& aId, UpstreamSession& aSession);
 
@@ -196,12 +197,14 @@
   Time electedAt{};
   std::uint64_t lastToken = 0;
   Output output;
+  Time loadsNoted{};
 
   Sessions sessions;
   std::map<JobId, JobView> views; // of jobs that have not ended
   std::map<WorkspaceId, state::Resources> used; // by all live runs
   std::map<std::uint64_t, Order> orders; // under way, by token
   std::map<work::TaskRef, InstanceId> failedOn; // where a task failed last
+  std::set<work::TaskRef> deciding; // their start is not yet on record
   std::set<ServiceId> dirty; // services whose plan may have changed
   TicketBook tickets;
   InstanceOwner owner;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -198,6 +198,7 @@
     for (std::size_t i = before; i < this->output.commands.size(); ++i) {
       const auto& start = std::get<work::StartRun>(this->output.commands[i]);
       this->DropRun(start.run.upstream, { start.task, start.run.number });
+      this->deciding.erase(start.task);
       this->dirty.erase(aView.service);
     }
     this->output.commands.resize(before);
@@ -263,6 +264,7 @@
   live.lasting = step.lasting;
   live.fills = step.fills;
   this->AddRun(id->first, { aTask, aNumber }, live);
+  this->deciding.insert(aTask);
   this->output.commands.emplace_back(work::StartRun{ aTask, run });
   return true;
 }
