Move instances between pools by their backlog

Change: PoolBalance, a strategy object of its own, moves instances that run nothing to the pool with a backlog, from standby first, and gives a surplus of 3 s to standby. Instances come from the owner's list; maintenance of a wave takes idle instances first and those that work only as its pace needs.

Ruled out: workspace limits (at_workspace_limit was 0 throughout), latency of starts (half within 32 ms).

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -398,6 +398,7 @@
   } else {
     session->record = next;
   }
+  this->owner.arrivals.erase(next.instance);
   this->dirty.insert(next.service);
   this->Note("upstream_recorded",
              {},
@@ -438,6 +439,7 @@
     this->CheckLost(id, session);
     this->CheckSilent(id, session);
   }
+  this->BalancePools();
   this->RunWaves();
   this->NoteLoads();
   std::vector<JobId> due;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -166,7 +166,19 @@
   bool IsBack(const std::string& aInstance, bool aPresent);
   [[nodiscard]] bool IsOrdered(const std::string& aInstance) const;
   void OrderMaintenance(std::uint64_t aWave, const std::string& aInstance);
-  void WatchMissing(std::uint64_t aWave, const std::string& aInstance);
+  [[nodiscard]] std::uint32_t PaceOf(const work::Wave& aWave) const;
+  void MaintainMissing(std::uint64_t aWave, const std::string& aInstance);
+
+  // DispatcherInstances.cpp: orders to the owner of the instances.
+  void AskForInstances();
+  void BalancePools();
+  void OrderMove(const PoolMove& aMove);
+  [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
+  void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
+  [[nodiscard]] bool IsFree(const std::string& aInstance) const;
+  void OnInstanceTaken(const InstanceOwner::OpenOrder& aOrder);
+  void OnMoveFailed(const InstanceOwner::OpenOrder& aOrder,
+                    InstanceResult aResult);
   void AskForTickets(const JobView& aView, const work::TaskRef& aTask);
   [[nodiscard]] bool MayStopLasting(const work::TaskRef& aTask) const;
   bool Empty(UpstreamSession& aSession);
--- /dev/null
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -0,0 +1,275 @@
+// Orders to the owner of the instances and its list of them; moves between
+// pools.
+#include "dispatch/Dispatcher.h"
+#include "dispatch/Text.h"
+
+#include <algorithm>
+#include <array>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// The list changes by our own orders and by losses: often enough to see an
+// instance that comes back, seldom enough to cost little.
+constexpr Duration kListInterval = seconds(2);
+constexpr Duration kListRetry = milliseconds(500);
+constexpr Duration kBalanceInterval = milliseconds(100);
+// A moved instance that has not announced itself by then is not counted on.
+constexpr Duration kArrivalTime = seconds(5);
+// After a refused order the instance is left alone for this long.
+constexpr Duration kAfterRefusal = seconds(2);
+
+} // namespace
+
+void
+Dispatcher::AskForInstances()
+{
+  if (this->owner.listToken != 0 || this->now < this->owner.nextList) {
+    return;
+  }
+  ListInstances ask;
+  ask.token = ++this->lastToken;
+  ask.page = this->owner.nextPage;
+  this->owner.listToken = ask.token;
+  this->output.instructions.emplace_back(std::move(ask));
+}
+
+void
+Dispatcher::On(const InstanceList& aAnswer)
+{
+  if (aAnswer.token != this->owner.listToken) {
+    return;
+  }
+  this->owner.listToken = 0;
+  if (!aAnswer.answered) {
+    this->owner.nextList = this->now + kListRetry;
+    this->owner.collected.clear();
+    this->owner.nextPage.clear();
+    return;
+  }
+  for (const InstanceRow& row : aAnswer.rows) {
+    this->owner.collected[row.instance] = row;
+  }
+  this->owner.nextPage = aAnswer.nextPage;
+  if (!aAnswer.nextPage.empty()) {
+    this->owner.nextList = this->now;
+    return;
+  }
+  this->owner.instances = std::exchange(this->owner.collected, {});
+  this->owner.listed = true;
+  this->owner.listedAt = this->now;
+  this->owner.nextList = this->now + kListInterval;
+}
+
+bool
+Dispatcher::IsOrdered(const std::string& aInstance) const
+{
+  return std::any_of(
+    this->owner.orders.begin(),
+    this->owner.orders.end(),
+    [&](const auto& aItem) { return aItem.second.instance == aInstance; });
+}
+
+std::vector<PoolLoad>
+Dispatcher::PoolLoads() const
+{
+  std::vector<PoolLoad> pools;
+  std::set<std::string> withUpstream;
+  for (const work::Service& service : this->state.CurrentSetup().services) {
+    PoolLoad& pool = pools.emplace_back();
+    pool.service = service.name;
+    pool.standby = service.standby;
+    pool.backlogCoreMs = this->LoadOf(service.name).backlog;
+    for (const auto& [id, session] : this->sessions) {
+      withUpstream.insert(session.record.instance);
+      if (session.record.service != service.name) {
+        continue;
+      }
+      this->AddToPool(session, pool);
+    }
+    for (const auto& [instance, arrival] : this->owner.arrivals) {
+      pool.arriving += arrival.pool == service.name ? 1 : 0;
+    }
+  }
+  for (PoolLoad& pool : pools) {
+    for (const auto& [instance, row] : this->owner.instances) {
+      const bool free = row.pool == pool.service && pool.standby &&
+                        row.phase == InstancePhase::Up &&
+                        !withUpstream.contains(instance) &&
+                        this->IsFree(instance);
+      if (free) {
+        pool.idle.push_back(instance);
+      }
+    }
+  }
+  return pools;
+}
+
+void
+Dispatcher::AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const
+{
+  const auto cores = [](std::int64_t aMilliCpus) {
+    return static_cast<double>(aMilliCpus) / 1000.0;
+  };
+  for (const auto& [key, live] : aSession.runs) {
+    aPool.lastingCores +=
+      live.lasting && !live.fills ? cores(live.size.milliCpus) : 0;
+  }
+  aPool.coresEach = cores(aSession.record.capacity.milliCpus);
+  const bool works = !aSession.record.draining && !aSession.maintaining &&
+                     aSession.unanswered == 0;
+  aPool.present += works ? 1 : 0;
+  const std::string& instance = aSession.record.instance;
+  if (works && aSession.fenced && aSession.runs.empty() &&
+      !instance.empty() && this->IsFree(instance)) {
+    aPool.idle.push_back(instance);
+  }
+}
+
+// Neither ordered somewhere, nor on its way, nor refused a moment ago.
+bool
+Dispatcher::IsFree(const std::string& aInstance) const
+{
+  const auto next = this->owner.nextTry.find(aInstance);
+  return !this->IsOrdered(aInstance) &&
+         !this->owner.arrivals.contains(aInstance) &&
+         (next == this->owner.nextTry.end() || this->now >= next->second);
+}
+
+void
+Dispatcher::BalancePools()
+{
+  const bool mayOrder =
+    this->options.hasInstanceOwner &&
+    this->now >= this->electedAt + this->options.orderLease;
+  if (!mayOrder) {
+    return;
+  }
+  this->AskForInstances();
+  std::erase_if(this->owner.arrivals, [this](const auto& aItem) {
+    return this->now - aItem.second.since > kArrivalTime;
+  });
+  if (!this->owner.listed || this->now < this->owner.nextBalance) {
+    return;
+  }
+  this->owner.nextBalance = this->now + kBalanceInterval;
+  for (const PoolMove& move :
+       this->owner.balance.Next(this->PoolLoads(), this->now)) {
+    this->OrderMove(move);
+  }
+}
+
+void
+Dispatcher::OrderMove(const PoolMove& aMove)
+{
+  for (auto& [id, session] : this->sessions) {
+    if (session.record.instance == aMove.instance) {
+      session.maintaining = true; // nothing starts there any more
+      session.maintainingSince = this->now;
+    }
+  }
+  MoveInstance order;
+  order.token = ++this->lastToken;
+  order.instance = aMove.instance;
+  order.pool = aMove.to;
+  order.fence = this->term;
+  this->owner.orders[order.token] = { aMove.instance, 0, aMove.to };
+  this->owner.arrivals[aMove.instance] = { aMove.to, this->now };
+  this->output.instructions.emplace_back(std::move(order));
+}
+
+void
+Dispatcher::OrderMaintenance(std::uint64_t aWave, const std::string& aInstance)
+{
+  MaintainInstance order;
+  order.token = ++this->lastToken;
+  order.instance = aInstance;
+  order.wave = aWave;
+  order.fence = this->term;
+  this->owner.orders[order.token] = { aInstance, aWave, {} };
+  this->output.instructions.emplace_back(std::move(order));
+}
+
+void
+Dispatcher::On(const InstanceAnswer& aAnswer)
+{
+  const auto found = this->owner.orders.find(aAnswer.token);
+  if (found == this->owner.orders.end()) {
+    return;
+  }
+  const InstanceOwner::OpenOrder order = found->second;
+  this->owner.orders.erase(found);
+  constexpr std::array<std::string_view, 5> kNames{
+    "done", "busy", "refused", "throttled", "no answer"
+  };
+  const bool isMove = !order.pool.empty();
+  this->Note(isMove ? "move_ordered" : "maintenance_ordered",
+             {},
+             { { "instance", order.instance },
+               { "pool", order.pool.value },
+               { "wave", Text(order.wave) },
+               { "fence", Text(this->term) },
+               { "result",
+                 std::string(
+                   kNames[static_cast<std::size_t>(aAnswer.result)]) } });
+  if (aAnswer.result == InstanceResult::Done) {
+    this->OnInstanceTaken(order);
+    return;
+  }
+  this->owner.nextTry[order.instance] = this->now + kAfterRefusal;
+  if (isMove) {
+    this->OnMoveFailed(order, aAnswer.result);
+  } else if (aAnswer.result == InstanceResult::Refused) {
+    this->output.commands.emplace_back(
+      work::AdvanceWave{ order.wave, order.instance, true });
+  }
+}
+
+// Everything that ran on the instance has ended; its next boot will announce
+// itself.
+void
+Dispatcher::OnInstanceTaken(const InstanceOwner::OpenOrder& aOrder)
+{
+  for (const auto& [id, session] : this->sessions) {
+    if (session.record.instance == aOrder.instance) {
+      this->EndAll(id, this->output.commands);
+      this->output.commands.emplace_back(work::RemoveUpstream{ id });
+    }
+  }
+  const auto listed = this->owner.instances.find(aOrder.instance);
+  if (aOrder.pool.empty()) {
+    this->owner.begunAt[aOrder.instance] = this->now;
+    this->output.commands.emplace_back(
+      work::AdvanceWave{ aOrder.wave, aOrder.instance, false });
+    if (listed != this->owner.instances.end()) {
+      listed->second.phase = InstancePhase::Maintenance;
+    }
+    return;
+  }
+  this->owner.arrivals[aOrder.instance] = { aOrder.pool, this->now };
+  if (listed != this->owner.instances.end()) {
+    listed->second.phase = InstancePhase::Moving;
+    listed->second.pool = aOrder.pool;
+  }
+}
+
+void
+Dispatcher::OnMoveFailed(const InstanceOwner::OpenOrder& aOrder,
+                         InstanceResult aResult)
+{
+  if (aResult == InstanceResult::NoAnswer) {
+    // It may have been carried out: the same order again is harmless, and its
+    // answer tells.
+    this->OrderMove({ aOrder.instance, aOrder.pool });
+    return;
+  }
+  this->owner.arrivals.erase(aOrder.instance);
+  for (auto& [id, session] : this->sessions) {
+    if (session.record.instance == aOrder.instance) {
+      session.maintaining = false;
+    }
+  }
+}
+
+} // namespace hyssoppaddle::dispatch
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -1,9 +1,9 @@
-// Maintenance waves, and the advisor's tickets.
+// Maintenance waves.
 #include "dispatch/Dispatcher.h"
 #include "dispatch/Text.h"
 
 #include <algorithm>
-#include <array>
+#include <cmath>
 
 namespace hyssoppaddle::dispatch {
 
@@ -15,9 +15,11 @@
 // What an instance needs beside its maintenance: its next boot announces
 // itself and is fenced.
 constexpr Duration kReturnTime = milliseconds(900);
+// What emptying an instance takes on the mean, and what a wave keeps in hand.
+constexpr Duration kEmptyTime = milliseconds(1500);
+constexpr Duration kWaveMargin = milliseconds(1500);
 constexpr Duration kOrderRetry = milliseconds(400);
-// The advisor takes at most this many names a question.
-constexpr std::size_t kMaxAdvised = 100;
+constexpr Duration kMissingRetry = milliseconds(1000);
 
 } // namespace
 
@@ -88,6 +90,9 @@
       this->now < this->electedAt + this->options.orderLease) {
     return;
   }
+  if (!this->owner.listed) {
+    return;
+  }
   for (const auto& [number, wave] : this->state.Tables().waves) {
     if (!wave.IsCompleted()) {
       this->AdvanceOne(number, wave);
@@ -121,8 +126,9 @@
       continue;
     }
     if (found == present.end()) {
-      // Down, moving, or gone for good: its owner knows.
-      this->WatchMissing(aNumber, instance);
+      if (away < std::max<std::uint32_t>(1, aWave.maxAway)) {
+        this->MaintainMissing(aNumber, instance);
+      }
       continue;
     }
     UpstreamSession& session = *found->second.second;
@@ -134,6 +140,7 @@
       candidates.emplace_back(session.used.milliCpus, instance);
     }
   }
+  const std::uint32_t pressed = this->PaceOf(aWave);
   const Duration slot = this->SlotOf(aWave);
   for (const std::string& instance : emptying) {
     auto& [id, session] = present[instance];
@@ -150,6 +157,10 @@
     if (away >= std::max<std::uint32_t>(1, aWave.maxAway)) {
       return;
     }
+    // One that does work goes only when the wave would end late otherwise.
+    if (load > 0 && away >= pressed) {
+      return;
+    }
     UpstreamSession& session = *present[instance].second;
     session.maintaining = true;
     session.maintainingSince = this->now;
@@ -179,6 +190,23 @@
     each - this->options.maintenanceTime - kReturnTime, Duration(0));
 }
 
+// How many have to be away at once for the wave to end in time.
+std::uint32_t
+Dispatcher::PaceOf(const work::Wave& aWave) const
+{
+  const auto left = static_cast<double>(
+    aWave.instances.size() - aWave.begun.size() - aWave.gone.size());
+  const Duration each = this->options.maintenanceTime + kReturnTime + kEmptyTime;
+  const Duration remaining =
+    aWave.startedAt + aWave.length - this->wall - kWaveMargin;
+  if (remaining <= each) {
+    return aWave.maxAway;
+  }
+  const double rounds =
+    static_cast<double>(remaining.count()) / static_cast<double>(each.count());
+  return static_cast<std::uint32_t>(std::ceil(left / rounds));
+}
+
 // Ending what is left is allowed unless a lasting task must stay.
 bool
 Dispatcher::MayEnd(const UpstreamSession& aSession) const
@@ -199,81 +227,24 @@
   return aPresent || this->now - begun->second > longest;
 }
 
-bool
-Dispatcher::IsOrdered(const std::string& aInstance) const
-{
-  return std::any_of(
-    this->owner.orders.begin(),
-    this->owner.orders.end(),
-    [&](const auto& aItem) { return aItem.second.instance == aInstance; });
-}
-
-void
-Dispatcher::OrderMaintenance(std::uint64_t aWave, const std::string& aInstance)
-{
-  MaintainInstance order;
-  order.token = ++this->lastToken;
-  order.instance = aInstance;
-  order.wave = aWave;
-  order.fence = this->term;
-  this->owner.orders[order.token] = { aInstance, aWave };
-  this->output.instructions.emplace_back(std::move(order));
-}
-
-// An instance of the wave without an upstream for long is asked about by an
-// order: its owner refuses one that does not exist.
+// An instance of the wave without an upstream: on standby it can have its
+// maintenance at once; one that its owner does not list is gone for good.
 void
-Dispatcher::WatchMissing(std::uint64_t aWave, const std::string& aInstance)
+Dispatcher::MaintainMissing(std::uint64_t aWave, const std::string& aInstance)
 {
-  const auto missing =
-    this->owner.missingSince.try_emplace(aInstance, this->now).first;
-  const Duration patience = this->options.announceInterval * 4;
-  if (this->now - missing->second < patience) {
+  const auto listed = this->owner.instances.find(aInstance);
+  if (listed == this->owner.instances.end()) {
+    if (this->owner.IsComplete(this->now)) {
+      this->output.commands.emplace_back(
+        work::AdvanceWave{ aWave, aInstance, true });
+    }
     return;
   }
-  missing->second = this->now;
-  this->OrderMaintenance(aWave, aInstance);
-}
-
-void
-Dispatcher::On(const InstanceAnswer& aAnswer)
-{
-  const auto found = this->owner.orders.find(aAnswer.token);
-  if (found == this->owner.orders.end()) {
-    return;
+  auto& nextTry = this->owner.nextTry[aInstance];
+  if (listed->second.phase == InstancePhase::Up && this->now >= nextTry) {
+    nextTry = this->now + kMissingRetry;
+    this->OrderMaintenance(aWave, aInstance);
   }
-  const InstanceOwner::OpenOrder order = found->second;
-  this->owner.orders.erase(found);
-  constexpr std::array<std::string_view, 5> kNames{
-    "done", "busy", "refused", "throttled", "no answer"
-  };
-  this->Note("maintenance_ordered",
-             {},
-             { { "instance", order.instance },
-               { "wave", Text(order.wave) },
-               { "fence", Text(this->term) },
-               { "result",
-                 std::string(
-                   kNames[static_cast<std::size_t>(aAnswer.result)]) } });
-  if (aAnswer.result == InstanceResult::Done) {
-    this->owner.begunAt[order.instance] = this->now;
-    for (const auto& [id, session] : this->sessions) {
-      if (session.record.instance == order.instance) {
-        this->EndAll(id, this->output.commands);
-        this->output.commands.emplace_back(work::RemoveUpstream{ id });
-      }
-    }
-    this->output.commands.emplace_back(
-      work::AdvanceWave{ order.wave, order.instance, false });
-  } else if (aAnswer.result == InstanceResult::Refused) {
-    this->output.commands.emplace_back(
-      work::AdvanceWave{ order.wave, order.instance, true });
-  }
-}
-
-void
-Dispatcher::On(const InstanceList& /*aAnswer*/)
-{
 }
 
 void
@@ -297,49 +268,4 @@
   }
 }
 
-void
-Dispatcher::AskForTickets(const JobView& aView, const work::TaskRef& aTask)
-{
-  if (this->tickets.IsBusy()) {
-    return;
-  }
-  const work::Queue* queue =
-    this->state.CurrentSetup().FindQueue(aView.queue);
-  const work::Step& step = this->FindJob(aTask.job)->spec.steps[aTask.step];
-  std::vector<InstanceId> candidates;
-  for (const auto& [id, session] : this->sessions) {
-    const state::Resources& whole = session.record.capacity;
-    if (session.record.service == aView.service &&
-        IsUsable(session, this->now) && step.size.FitsInto(whole)) {
-      candidates.push_back(id);
-    }
-  }
-  candidates = this->tickets.Unknown(StepOf(aTask), candidates, this->now);
-  if (candidates.empty()) {
-    return;
-  }
-  candidates.resize(std::min(candidates.size(), kMaxAdvised));
-  AskAdvice ask;
-  ask.token = ++this->lastToken;
-  ask.step = StepOf(aTask);
-  ask.upstreams = candidates;
-  ask.timeLimit =
-    queue->advice.decision +
-    queue->advice.perUpstream * static_cast<std::int64_t>(candidates.size()) +
-    seconds(2);
-  this->tickets.Asked(
-    ask.token, ask.step, candidates, queue->advice.validity, this->now);
-  this->output.instructions.emplace_back(std::move(ask));
-}
-
-void
-Dispatcher::On(const AdviceAnswer& aAnswer)
-{
-  if (this->tickets.Answered(aAnswer, this->now)) {
-    for (const auto& [id, session] : this->sessions) {
-      this->dirty.insert(session.record.service);
-    }
-  }
-}
-
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/InstanceOwner.h
+++ b/src/dispatch/InstanceOwner.h
@@ -4,6 +4,7 @@
 #define hyssoppaddle_dispatch_InstanceOwner_h
 
 #include "dispatch/Instructions.h"
+#include "dispatch/PoolBalance.h"
 
 #include <map>
 #include <string>
@@ -15,12 +16,36 @@
   struct OpenOrder
   {
     std::string instance;
-    std::uint64_t wave = 0;
+    std::uint64_t wave = 0; // of a maintenance
+    ServiceId pool;         // of a move
   };
+  struct Arrival
+  {
+    ServiceId pool;
+    Time since{};
+  };
+
+  // True when a list has come that is younger than anything ordered before.
+  [[nodiscard]] bool IsComplete(Time aNow) const
+  {
+    constexpr Duration kFresh = std::chrono::seconds(1);
+    return this->listed && aNow - this->listedAt < kFresh;
+  }
+
+  std::map<std::string, InstanceRow> instances; // as last listed
+  std::map<std::string, InstanceRow> collected; // pages of the list under way
+  std::string nextPage;
+  std::uint64_t listToken = 0; // 0: none under way
+  Time nextList{};
+  Time listedAt{};
+  bool listed = false; // a whole list has come since this instance leads
 
   std::map<std::uint64_t, OpenOrder> orders; // by token
+  std::map<std::string, Arrival> arrivals;   // moves, until they announce
   std::map<std::string, Time> begunAt;       // maintenance, as known here
-  std::map<std::string, Time> missingSince;  // without an upstream
+  std::map<std::string, Time> nextTry;       // after a refused order
+  PoolBalance balance;
+  Time nextBalance{};
 };
 
 } // namespace hyssoppaddle::dispatch
--- /dev/null
+++ b/src/dispatch/PoolBalance.cpp
@@ -0,0 +1,90 @@
+// Needs, surpluses and moves.
+#include "dispatch/PoolBalance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// The backlog should be worked off in this time: about the chain of a job, so
+// that a queue in its steady state asks for what it uses.
+constexpr double kClearMs = 1000.0;
+// Kept beyond the need of the moment: a wide job arrives at once, and an
+// instance takes seconds to come.
+constexpr std::size_t kReserve = 3;
+// A surplus that lasts this long goes to standby: longer than two moves cost
+// against the price of an idle instance.
+constexpr Duration kIdleBeforeStandby = std::chrono::seconds(3);
+// Stands for the size of an upstream before one has been seen.
+constexpr double kAssumedCores = 16.0;
+
+} // namespace
+
+std::size_t
+PoolBalance::Needed(const PoolLoad& aPool)
+{
+  if (aPool.standby) {
+    return 0;
+  }
+  const double each = aPool.coresEach > 0 ? aPool.coresEach : kAssumedCores;
+  const double cores = aPool.lastingCores + aPool.backlogCoreMs / kClearMs;
+  return static_cast<std::size_t>(std::ceil(cores / each)) + kReserve;
+}
+
+std::vector<PoolMove>
+PoolBalance::Next(std::vector<PoolLoad> aPools, Time aNow)
+{
+  std::vector<PoolMove> moves;
+  const PoolLoad* standby = nullptr;
+  std::vector<PoolLoad*> givers;
+  std::vector<std::pair<std::size_t, PoolLoad*>> takers;
+  for (PoolLoad& pool : aPools) {
+    const std::size_t needed = Needed(pool);
+    const std::size_t have = pool.present + pool.arriving;
+    if (pool.standby) {
+      standby = &pool;
+      givers.insert(givers.begin(), &pool);
+      continue;
+    }
+    if (have > needed) {
+      this->surplusSince.try_emplace(pool.service, aNow);
+      const std::size_t spare = std::min(have - needed, pool.idle.size());
+      pool.idle.resize(spare);
+      givers.push_back(&pool);
+      continue;
+    }
+    this->surplusSince.erase(pool.service);
+    pool.idle.clear();
+    if (have < needed && pool.backlogCoreMs > 0) {
+      takers.emplace_back(needed - have, &pool);
+    }
+  }
+  std::sort(takers.begin(), takers.end(), [](const auto& a, const auto& b) {
+    return a.first > b.first;
+  });
+  for (auto& [missing, taker] : takers) {
+    for (PoolLoad* giver : givers) {
+      while (missing > 0 && !giver->idle.empty()) {
+        moves.push_back({ giver->idle.back(), taker->service });
+        giver->idle.pop_back();
+        --missing;
+      }
+    }
+  }
+  for (const PoolLoad* giver : givers) {
+    const auto since = this->surplusSince.find(giver->service);
+    const bool longIdle = since != this->surplusSince.end() &&
+                          aNow - since->second >= kIdleBeforeStandby;
+    if (standby == nullptr || giver->standby || !longIdle) {
+      continue;
+    }
+    for (const std::string& instance : giver->idle) {
+      moves.push_back({ instance, standby->service });
+    }
+  }
+  return moves;
+}
+
+} // namespace hyssoppaddle::dispatch
