Count every instance of a wave that is away; keep a replaced link alive

Change: such orders count at once; IsBack also accepts the owner's list for instances on standby; Drop takes its pointer by value.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -167,7 +167,7 @@
   [[nodiscard]] bool IsOrdered(const std::string& aInstance) const;
   void OrderMaintenance(std::uint64_t aWave, const std::string& aInstance);
   [[nodiscard]] std::uint32_t PaceOf(const work::Wave& aWave) const;
-  void MaintainMissing(std::uint64_t aWave, const std::string& aInstance);
+  bool MaintainMissing(std::uint64_t aWave, const std::string& aInstance);
 
   // DispatcherInstances.cpp: orders to the owner of the instances.
   void AskForInstances();
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -117,7 +117,9 @@
     if (aWave.gone.contains(instance)) {
       continue;
     }
-    if (aWave.begun.contains(instance)) {
+    // Begun here but not yet on record counts too.
+    if (aWave.begun.contains(instance) ||
+        this->owner.begunAt.contains(instance)) {
       away += this->IsBack(instance, found != present.end()) ? 0 : 1;
       continue;
     }
@@ -127,7 +129,7 @@
     }
     if (found == present.end()) {
       if (away < std::max<std::uint32_t>(1, aWave.maxAway)) {
-        this->MaintainMissing(aNumber, instance);
+        away += this->MaintainMissing(aNumber, instance) ? 1 : 0;
       }
       continue;
     }
@@ -219,17 +221,25 @@
     });
 }
 
+// Back from its maintenance: its next boot has announced itself, or, on
+// standby, where none does, its owner has listed it as up since.
 bool
 Dispatcher::IsBack(const std::string& aInstance, bool aPresent)
 {
-  const auto begun = this->owner.begunAt.try_emplace(aInstance, this->now).first;
-  const Duration longest = this->options.maintenanceTime * kAwayFactor;
-  return aPresent || this->now - begun->second > longest;
+  const Time begun =
+    this->owner.begunAt.try_emplace(aInstance, this->now).first->second;
+  const Duration& whole = this->options.maintenanceTime;
+  const auto listed = this->owner.instances.find(aInstance);
+  const bool listedUp = listed != this->owner.instances.end() &&
+                        listed->second.phase == InstancePhase::Up &&
+                        this->owner.listedAt > begun + whole;
+  return aPresent || listedUp || this->now - begun > whole * kAwayFactor;
 }
 
 // An instance of the wave without an upstream: on standby it can have its
-// maintenance at once; one that its owner does not list is gone for good.
-void
+// maintenance at once; one that its owner does not list is gone for good. True
+// when its maintenance was ordered.
+bool
 Dispatcher::MaintainMissing(std::uint64_t aWave, const std::string& aInstance)
 {
   const auto listed = this->owner.instances.find(aInstance);
@@ -238,13 +248,15 @@
       this->output.commands.emplace_back(
         work::AdvanceWave{ aWave, aInstance, true });
     }
-    return;
+    return false;
   }
   auto& nextTry = this->owner.nextTry[aInstance];
-  if (listed->second.phase == InstancePhase::Up && this->now >= nextTry) {
-    nextTry = this->now + kMissingRetry;
-    this->OrderMaintenance(aWave, aInstance);
+  if (listed->second.phase != InstancePhase::Up || this->now < nextTry) {
+    return false;
   }
+  nextTry = this->now + kMissingRetry;
+  this->OrderMaintenance(aWave, aInstance);
+  return true;
 }
 
 void
--- a/src/shell/PeerNetwork.cpp
+++ b/src/shell/PeerNetwork.cpp
@@ -151,8 +151,7 @@
 {
   const auto found = this->links.find(aPeer);
   if (found != this->links.end()) {
-    const std::shared_ptr<PeerLink> link = found->second.link;
-    this->Drop(link, aReason);
+    this->Drop(found->second.link, aReason);
   }
 }
 
@@ -349,8 +348,7 @@
 }
 
 void
-PeerNetwork::Drop(const std::shared_ptr<PeerLink>& aLink,
-                  const std::string& aReason)
+PeerNetwork::Drop(std::shared_ptr<PeerLink> aLink, const std::string& aReason)
 {
   aLink->Close();
   const auto found = this->links.find(aLink->Peer());
--- a/src/shell/PeerNetwork.h
+++ b/src/shell/PeerNetwork.h
@@ -80,7 +80,8 @@
                           bool aDialledHere);
   [[nodiscard]] bool Install(const std::shared_ptr<PeerLink>& aLink,
                              bool aDialledHere);
-  void Drop(const std::shared_ptr<PeerLink>& aLink, const std::string& aReason);
+  // By value: the caller's pointer may be the one in `links`.
+  void Drop(std::shared_ptr<PeerLink> aLink, const std::string& aReason);
   void Refuse(const std::string& aRemote, const std::string& aReason);
   std::shared_ptr<PeerLink> MakeLink(Socket aSocket);
 
