Check the leadership right before an order leaves; repeat unanswered orders

Change: the client asks for permission right before the first byte; unanswered instance orders stay open, count as away and are sent again; silent instances and those listed in maintenance count as away.

Ruled out: the wait of a new leader before its first order (3 s were kept).

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -177,8 +177,8 @@
   void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
   [[nodiscard]] bool IsFree(const std::string& aInstance) const;
   void OnInstanceTaken(const InstanceOwner::OpenOrder& aOrder);
-  void OnMoveFailed(const InstanceOwner::OpenOrder& aOrder,
-                    InstanceResult aResult);
+  void OnMoveFailed(const InstanceOwner::OpenOrder& aOrder);
+  void RepeatUnsure();
   void AskForTickets(const JobView& aView, const work::TaskRef& aTask);
   [[nodiscard]] bool MayStopLasting(const work::TaskRef& aTask) const;
   bool Empty(UpstreamSession& aSession);
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kArrivalTime = seconds(5);
 // After a refused order the instance is left alone for this long.
 constexpr Duration kAfterRefusal = seconds(2);
+// An order without an answer is sent again after this.
+constexpr Duration kOrderAgain = milliseconds(400);
 
 } // namespace
 
@@ -133,6 +135,7 @@
 {
   const auto next = this->owner.nextTry.find(aInstance);
   return !this->IsOrdered(aInstance) &&
+         !this->owner.unsure.contains(aInstance) &&
          !this->owner.arrivals.contains(aInstance) &&
          (next == this->owner.nextTry.end() || this->now >= next->second);
 }
@@ -147,6 +150,7 @@
     return;
   }
   this->AskForInstances();
+  this->RepeatUnsure();
   std::erase_if(this->owner.arrivals, [this](const auto& aItem) {
     return this->now - aItem.second.since > kArrivalTime;
   });
@@ -160,6 +164,25 @@
   }
 }
 
+void
+Dispatcher::RepeatUnsure()
+{
+  std::vector<InstanceOwner::OpenOrder> due;
+  for (const auto& [instance, order] : this->owner.unsure) {
+    if (!this->IsOrdered(instance) &&
+        this->now >= this->owner.nextTry[instance]) {
+      due.push_back(order);
+    }
+  }
+  for (const InstanceOwner::OpenOrder& order : due) {
+    if (order.pool.empty()) {
+      this->OrderMaintenance(order.wave, order.instance);
+    } else {
+      this->OrderMove({ order.instance, order.pool });
+    }
+  }
+}
+
 void
 Dispatcher::OrderMove(const PoolMove& aMove)
 {
@@ -214,12 +237,22 @@
                  std::string(
                    kNames[static_cast<std::size_t>(aAnswer.result)]) } });
   if (aAnswer.result == InstanceResult::Done) {
+    this->owner.unsure.erase(order.instance);
     this->OnInstanceTaken(order);
     return;
   }
-  this->owner.nextTry[order.instance] = this->now + kAfterRefusal;
+  const bool again = aAnswer.result == InstanceResult::NoAnswer ||
+                     (aAnswer.result == InstanceResult::Throttled &&
+                      this->owner.unsure.contains(order.instance));
+  this->owner.nextTry[order.instance] =
+    this->now + (again ? kOrderAgain : kAfterRefusal);
+  if (again) {
+    this->owner.unsure[order.instance] = order;
+    return;
+  }
+  this->owner.unsure.erase(order.instance);
   if (isMove) {
-    this->OnMoveFailed(order, aAnswer.result);
+    this->OnMoveFailed(order);
   } else if (aAnswer.result == InstanceResult::Refused) {
     this->output.commands.emplace_back(
       work::AdvanceWave{ order.wave, order.instance, true });
@@ -255,15 +288,8 @@
 }
 
 void
-Dispatcher::OnMoveFailed(const InstanceOwner::OpenOrder& aOrder,
-                         InstanceResult aResult)
+Dispatcher::OnMoveFailed(const InstanceOwner::OpenOrder& aOrder)
 {
-  if (aResult == InstanceResult::NoAnswer) {
-    // It may have been carried out: the same order again is harmless, and its
-    // answer tells.
-    this->OrderMove({ aOrder.instance, aOrder.pool });
-    return;
-  }
   this->owner.arrivals.erase(aOrder.instance);
   for (auto& [id, session] : this->sessions) {
     if (session.record.instance == aOrder.instance) {
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -123,11 +123,18 @@
       away += this->IsBack(instance, found != present.end()) ? 0 : 1;
       continue;
     }
-    if (this->IsOrdered(instance)) {
+    if (this->IsOrdered(instance) || this->owner.unsure.contains(instance)) {
       ++away;
       continue;
     }
     if (found == present.end()) {
+      // An earlier leader may have ordered it without recording it.
+      const auto listed = this->owner.instances.find(instance);
+      if (listed != this->owner.instances.end() &&
+          listed->second.phase == InstancePhase::Maintenance) {
+        ++away;
+        continue;
+      }
       if (away < std::max<std::uint32_t>(1, aWave.maxAway)) {
         away += this->MaintainMissing(aNumber, instance) ? 1 : 0;
       }
@@ -137,8 +144,9 @@
     if (session.maintaining) {
       ++away;
       emptying.push_back(instance);
-    } else if (!session.record.draining && session.unanswered == 0 &&
-               session.fenced) {
+    } else if (session.unanswered > 0 || !session.fenced) {
+      ++away; // silent: its maintenance may have begun
+    } else if (!session.record.draining) {
       candidates.emplace_back(session.used.milliCpus, instance);
     }
   }
--- a/src/node/HttpClient.cpp
+++ b/src/node/HttpClient.cpp
@@ -85,7 +85,9 @@
 HttpClient::~HttpClient() = default;
 
 void
-HttpClient::Send(OutboundRequest aRequest, Callback aDone)
+HttpClient::Send(OutboundRequest aRequest,
+                 std::function<bool()> aMaySend,
+                 Callback aDone)
 {
   if (this->stopping) {
     asio::post(this->io, [done = std::move(aDone)] {
@@ -96,7 +98,7 @@
   const std::string address = aRequest.address;
   const auto giveUpAt = SteadyClock::now() + aRequest.timeLimit;
   this->hosts[address].waiting.push_back(
-    { std::move(aRequest), std::move(aDone), giveUpAt });
+    { std::move(aRequest), std::move(aMaySend), std::move(aDone), giveUpAt });
   this->Dispatch(address);
 }
 
@@ -151,15 +153,16 @@
       aConnection->open = false;
     }
     OutboundResult result{ Delivery::NotSent, 0, {} };
-    if (aConnection->open || co_await this->Open(*aConnection)) {
+    const bool open = aConnection->open || co_await this->Open(*aConnection);
+    if (open && aConnection->work->maySend()) {
       result =
         co_await this->Exchange(*aConnection, aConnection->work->request);
     }
     aConnection->deadline.Clear();
     const Callback done = std::move(aConnection->work->done);
     aConnection->work.reset();
-    const bool failed = result.delivery != Delivery::Answered;
-    if (failed || !aConnection->open) {
+    const bool failed = result.delivery == Delivery::Unknown;
+    if (failed || aConnection->expired || !aConnection->open) {
       aConnection->Close();
       aConnection->open = false;
       aConnection->buffer = beast::flat_buffer();
--- a/src/node/HttpClient.h
+++ b/src/node/HttpClient.h
@@ -24,8 +24,12 @@
              std::shared_ptr<shell::DeadlineQueue> aDeadlines);
   ~HttpClient();
 
-  // Calls aDone once, always later.
-  void Send(OutboundRequest aRequest, Callback aDone);
+  // Calls aDone once, always later. aMaySend is asked right before the first
+  // byte leaves: the request may have waited for a connection, or this process
+  // may have stood still, since it was decided.
+  void Send(OutboundRequest aRequest,
+            std::function<bool()> aMaySend,
+            Callback aDone);
   // Fails what waits and closes all connections.
   void Stop();
   [[nodiscard]] std::uint64_t ConnectionsOpened() const
@@ -37,6 +41,7 @@
   struct Work
   {
     OutboundRequest request;
+    std::function<bool()> maySend;
     Callback done;
     shell::SteadyClock::time_point giveUpAt;
   };
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -257,14 +257,18 @@
       this->Answer(instruction, aResult);
     }
   };
-  if (!this->MayAct(SuspendAwareNow())) {
+  const auto maySend = [this, term] {
+    return term == this->ledTerm && term != 0 &&
+           this->MayAct(SuspendAwareNow());
+  };
+  if (!maySend()) {
     shell::asio::post(this->io, [answer] {
       answer(OutboundResult{ Delivery::NotSent, 0, {} });
     });
     return;
   }
   this->metrics->Add(shell::Counter::InstructionsSent);
-  this->client->Send(this->protocol->Write(aInstruction), answer);
+  this->client->Send(this->protocol->Write(aInstruction), maySend, answer);
 }
 
 void
