Count before ordering, extend no lease in the dark; tests in virtual time

Change: one pass counts, the next orders; instances on their way are left alone; a silent upstream's lease is not extended; stops are asked for once a batch is applied; only emptied boots are ended. test/dispatch drives the dispatcher and the state in virtual time and checks capacity, single runs and no start after an end from what the upstreams run.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -214,8 +214,12 @@
       },
       aBatch.commands[i]);
   }
-  for (const JobId& job : touched) {
-    this->RefreshView(job);
+  for (const JobId& id : touched) {
+    const work::Job* job = this->FindJob(id);
+    if (job != nullptr && job->IsFinal()) {
+      this->StopAllOf(id, "job ended"); // what is left of it
+    }
+    this->RefreshView(id);
   }
   this->Plan();
 }
@@ -249,7 +253,6 @@
   this->Note("job_cancelled",
              aCommand.id.value,
              { { "known", aVerdict == work::Verdict::Done ? "yes" : "no" } });
-  this->StopAllOf(aCommand.id, "job cancelled");
 }
 
 void
@@ -330,9 +333,6 @@
       aCommand.kind != work::EndKind::Done) {
     this->StopGang(aCommand.task);
   }
-  if (ended) {
-    this->StopAllOf(aCommand.task.job, "job ended");
-  }
 }
 
 // An upstream that fails what others finish gets nothing for a while.
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -187,7 +187,8 @@
 Dispatcher::OrderMove(const PoolMove& aMove)
 {
   for (auto& [id, session] : this->sessions) {
-    if (session.record.instance == aMove.instance) {
+    if (session.record.instance == aMove.instance &&
+        session.record.service != aMove.to) {
       session.maintaining = true; // nothing starts there any more
       session.maintainingSince = this->now;
     }
@@ -265,7 +266,9 @@
 Dispatcher::OnInstanceTaken(const InstanceOwner::OpenOrder& aOrder)
 {
   for (const auto& [id, session] : this->sessions) {
-    if (session.record.instance == aOrder.instance) {
+    // A repeated order is also answered as done when it was done before: then
+    // the boot that is there now is a new one, which was not emptied.
+    if (session.record.instance == aOrder.instance && session.maintaining) {
       this->EndAll(id, this->output.commands);
       this->output.commands.emplace_back(work::RemoveUpstream{ id });
     }
--- a/src/dispatch/DispatcherSessions.cpp
+++ b/src/dispatch/DispatcherSessions.cpp
@@ -56,8 +56,12 @@
   const Duration poll =
     aSession.paced ? kPacedPoll : this->options.LongPoll();
   renew.wait = waits ? poll : Duration(0);
-  renew.leaseUntil =
-    aSession.clock.EndAfter(this->options.Lease(), this->now);
+  // A silent upstream gets no longer lease: its runs could otherwise never be
+  // known to have ended.
+  if (aSession.unanswered == 0) {
+    renew.leaseUntil =
+      aSession.clock.EndAfter(this->options.Lease(), this->now);
+  }
   if (renew.leaseUntil) {
     aSession.clock.Granted(*renew.leaseUntil);
   }
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -112,6 +112,7 @@
   std::uint32_t away = 0;
   std::vector<std::pair<std::int64_t, std::string>> candidates;
   std::vector<std::string> emptying;
+  std::vector<std::string> missing;
   for (const std::string& instance : aWave.instances) {
     const auto found = present.find(instance);
     if (aWave.gone.contains(instance)) {
@@ -120,7 +121,10 @@
     // Begun here but not yet on record counts too.
     if (aWave.begun.contains(instance) ||
         this->owner.begunAt.contains(instance)) {
-      away += this->IsBack(instance, found != present.end()) ? 0 : 1;
+      // The boot that was taken down is on record for a moment longer.
+      const bool newBoot =
+        found != present.end() && !found->second.second->maintaining;
+      away += this->IsBack(instance, newBoot) ? 0 : 1;
       continue;
     }
     if (this->IsOrdered(instance) || this->owner.unsure.contains(instance)) {
@@ -135,8 +139,8 @@
         ++away;
         continue;
       }
-      if (away < std::max<std::uint32_t>(1, aWave.maxAway)) {
-        away += this->MaintainMissing(aNumber, instance) ? 1 : 0;
+      if (!this->owner.arrivals.contains(instance)) {
+        missing.push_back(instance);
       }
       continue;
     }
@@ -151,6 +155,13 @@
     }
   }
   const std::uint32_t pressed = this->PaceOf(aWave);
+  const std::uint32_t atMost = std::max<std::uint32_t>(1, aWave.maxAway);
+  // Only once all that are away have been counted.
+  for (const std::string& instance : missing) {
+    if (away < atMost) {
+      away += this->MaintainMissing(aNumber, instance) ? 1 : 0;
+    }
+  }
   const Duration slot = this->SlotOf(aWave);
   for (const std::string& instance : emptying) {
     auto& [id, session] = present[instance];
@@ -164,7 +175,7 @@
   }
   std::sort(candidates.begin(), candidates.end());
   for (const auto& [load, instance] : candidates) {
-    if (away >= std::max<std::uint32_t>(1, aWave.maxAway)) {
+    if (away >= atMost) {
       return;
     }
     // One that does work goes only when the wave would end late otherwise.
--- /dev/null
+++ b/test/dispatch/InstancesTest.cpp
@@ -0,0 +1,166 @@
+// Instances: demand by turns, and maintenance waves.
+#include "World.h"
+
+#include "dispatch/PoolBalance.h"
+#include "support/Story.h"
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+using dispatch::milliseconds;
+using dispatch::seconds;
+using work::JobState;
+
+namespace {
+
+dispatch::PoolLoad
+Pool(const char* aName, std::size_t aPresent, double aBacklogCoreMs)
+{
+  dispatch::PoolLoad pool;
+  pool.service = ServiceId(aName);
+  pool.present = aPresent;
+  pool.backlogCoreMs = aBacklogCoreMs;
+  pool.coresEach = 10;
+  for (std::size_t i = 0; i < aPresent; ++i) {
+    pool.idle.push_back(std::string(aName) + "-" + std::to_string(i));
+  }
+  return pool;
+}
+
+} // namespace
+
+Test(PoolBalance, GivesToThePoolWithABacklog)
+{
+  Story story;
+  dispatch::PoolBalance balance;
+  const Time now{ seconds(100) };
+  dispatch::PoolLoad standby = Pool("standby", 2, 0);
+  standby.standby = true;
+  dispatch::PoolLoad busy = Pool("busy", 4, 90000); // 9 upstreams for a second
+  busy.idle.clear();
+  const dispatch::PoolLoad quiet = Pool("quiet", 8, 0);
+  const auto moves = balance.Next({ busy, quiet, standby }, now);
+  story.Section("standby first, then the quiet pool down to its reserve", [&] {
+    EXPECT_EQUAL(story, moves.size(), 7U);
+    for (const dispatch::PoolMove& move : moves) {
+      EXPECT_EQUAL(story, move.to, ServiceId("busy"));
+    }
+    EXPECT_THAT(story, moves[0].instance.starts_with("standby"));
+    EXPECT_THAT(story, moves[2].instance.starts_with("quiet"));
+  });
+}
+
+Test(PoolBalance, GivesALastingSurplusToStandby)
+{
+  Story story;
+  dispatch::PoolBalance balance;
+  dispatch::PoolLoad standby = Pool("standby", 0, 0);
+  standby.standby = true;
+  const std::vector<dispatch::PoolLoad> pools{ Pool("quiet", 6, 0), standby };
+  story.Section("not at once", [&] {
+    EXPECT_EQUAL(story, balance.Next(pools, Time(seconds(100))).size(), 0U);
+  });
+  story.Section("after three seconds, down to the reserve", [&] {
+    EXPECT_EQUAL(story, balance.Next(pools, Time(seconds(104))).size(), 3U);
+  });
+}
+
+// The load pattern of PoolBalance: one queue asks for twice what its pool holds
+// for eight seconds while the other is idle. Without moves a quarter of the
+// jobs ends after its objective.
+Test(Instances, FollowDemandByTurns)
+{
+  Story story;
+  World world;
+  world.AddService("day");
+  world.AddService("night");
+  world.AddService("spare", true);
+  for (int i = 0; i < 6; ++i) {
+    world.AddUpstream("day");
+    world.AddUpstream("night");
+  }
+  for (int i = 0; i < 4; ++i) {
+    world.AddStandby("spare-" + std::to_string(i), "spare");
+  }
+  world.Lead();
+  world.Run(seconds(4));
+  int submitted = 0;
+  story.Section("the day queue asks for 96 cores of its 48", [&] {
+    for (int i = 0; i < 80; ++i) {
+      world.Submit("day-" + std::to_string(submitted++),
+                   "day",
+                   { StepOf(4, 2000, milliseconds(1200)) });
+      world.Run(milliseconds(100));
+    }
+    EXPECT_THAT(story, world.UpstreamsOf("day") > 10);
+  });
+  world.Run(seconds(6));
+  story.Section("nine in ten end within their objective of 2.52 s", [&] {
+    int inTime = 0;
+    for (int i = 0; i < submitted; ++i) {
+      const std::string job = "day-" + std::to_string(i);
+      inTime += world.StateOf(job) == JobState::Completed &&
+                world.EndedAfter(job) <= milliseconds(2520);
+    }
+    EXPECT_THAT(story, inTime >= 72);
+  });
+  story.Section("no work was lost to a move", [&] {
+    EXPECT_EQUAL(story,
+                 world.violations.empty() ? std::string()
+                                          : world.violations.front(),
+                 std::string());
+  });
+}
+
+// Guards the bound of a wave: orders for instances on standby, and those whose
+// answer is not yet on record, count as away.
+Test(Instances, AWaveKeepsItsBoundAndEndsInTime)
+{
+  Story story;
+  World world;
+  world.AddService("print");
+  world.AddService("spare", true);
+  std::vector<std::string> names;
+  for (int i = 1; i <= 8; ++i) {
+    world.AddUpstream("print");
+    names.push_back("machine-" + std::to_string(i));
+  }
+  for (int i = 0; i < 6; ++i) {
+    names.push_back("spare-" + std::to_string(i));
+    world.AddStandby(names.back(), "spare");
+  }
+  world.Lead();
+  world.Run(seconds(4));
+  world.StartWave(1, names, seconds(24), 3);
+  story.Section("with a leader that changes on the way", [&] {
+    world.Run(seconds(5));
+    world.ChangeLeader();
+    world.Run(seconds(17));
+    EXPECT_EQUAL(story, world.mostAway, 3U);
+    EXPECT_THAT(story, world.state.Tables().waves.at(1).IsCompleted());
+  });
+}
+
+Test(Instances, AnOrderWithoutAnAnswerIsRepeatedAndCounted)
+{
+  Story story;
+  World world;
+  world.AddService("print");
+  std::vector<std::string> names;
+  for (int i = 1; i <= 6; ++i) {
+    world.AddUpstream("print");
+    names.push_back("machine-" + std::to_string(i));
+  }
+  world.Lead();
+  world.Run(seconds(4));
+  world.ownerSilent = true;
+  world.StartWave(1, names, seconds(30), 2);
+  world.Run(seconds(5));
+  world.ownerSilent = false;
+  world.Run(seconds(20));
+  EXPECT_EQUAL(story, world.mostAway, 2U);
+  EXPECT_THAT(story, world.state.Tables().waves.at(1).IsCompleted());
+  story.Section("all are back and on record", [&] {
+    EXPECT_EQUAL(story, world.UpstreamsOf("print"), 6U);
+    EXPECT_EQUAL(story, world.state.Tables().upstreams.size(), 6U);
+  });
+}
--- /dev/null
+++ b/test/dispatch/World.cpp
@@ -0,0 +1,393 @@
+// The deployment: time, commits and the checks.
+#include "World.h"
+
+#include "dispatch/Text.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::test {
+
+namespace {
+
+constexpr Duration kStep = dispatch::milliseconds(5);
+constexpr Duration kAnnounceInterval = dispatch::milliseconds(1500);
+constexpr Duration kMoveTime = dispatch::milliseconds(1500);
+
+} // namespace
+
+work::Step
+StepOf(std::uint32_t aCount, std::int64_t aMilliCpus, Duration aRuns)
+{
+  work::Step step;
+  step.count = aCount;
+  step.size = { aMilliCpus, 100, 0 };
+  step.estimate = aRuns;
+  return step;
+}
+
+World::World()
+{
+  this->options.self = "leader";
+  this->options.hasInstanceOwner = true;
+  this->setup.version = 1;
+}
+
+void
+World::AddService(const std::string& aName, bool aStandby)
+{
+  work::Service service;
+  service.name = ServiceId(aName);
+  service.standby = aStandby;
+  this->setup.services.push_back(service);
+  work::Queue queue;
+  queue.name = work::QueueId(aName);
+  queue.host = "host";
+  queue.pathPrefix = "/" + aName + "/";
+  queue.service = service.name;
+  queue.maxAttempts = 3;
+  queue.stretch = 1.6;
+  queue.targetCompletion = dispatch::milliseconds(600);
+  this->setup.queues.push_back(queue);
+  work::Workspace workspace;
+  workspace.name = WorkspaceId(aName);
+  workspace.keys = { "key-" + aName };
+  this->setup.workspaces.push_back(workspace);
+}
+
+void
+World::SetLimit(const std::string& aWorkspace, state::Resources aLimit)
+{
+  for (work::Workspace& workspace : this->setup.workspaces) {
+    if (workspace.name.value == aWorkspace) {
+      workspace.limit = aLimit;
+    }
+  }
+}
+
+void
+World::AddUpstream(const std::string& aService, std::int64_t aMilliCpus)
+{
+  const std::string number = std::to_string(++this->lastUpstream);
+  FakeUpstream up;
+  up.record.service = ServiceId(aService);
+  up.record.address = "10.0.0." + number + ":80";
+  up.record.capacity = { aMilliCpus, 64000, 0 };
+  up.record.labels = { "kind", "rack-" + std::to_string(this->lastUpstream % 3) };
+  up.record.boot = this->lastUpstream;
+  up.record.instance = "machine-" + number;
+  up.bornAt = this->now;
+  this->instances[up.record.instance] =
+    FakeInstance{ up.record.service, dispatch::InstancePhase::Up, {}, 0, 0 };
+  this->upstreams[InstanceId("up-" + number)] = up;
+}
+
+void
+World::AddStandby(const std::string& aInstance, const std::string& aPool)
+{
+  this->instances[aInstance] =
+    FakeInstance{ ServiceId(aPool), dispatch::InstancePhase::Up, {}, 0, 0 };
+}
+
+void
+World::Lead()
+{
+  work::Batch batch;
+  batch.stamp = this->Wall();
+  batch.commands.emplace_back(work::SetSetup{ this->setup });
+  this->state.Apply(batch);
+  this->ChangeLeader();
+}
+
+void
+World::ChangeLeader()
+{
+  this->proposed.clear();
+  this->answers.clear();
+  this->dispatcher =
+    std::make_unique<dispatch::Dispatcher>(this->options, this->state);
+  this->dispatcher->BecomeLeader(++this->term, this->now, this->Wall());
+}
+
+WallTime
+World::Wall() const
+{
+  return WallTime(this->now.time_since_epoch());
+}
+
+dispatch::UpstreamClock
+World::ClockOf(const FakeUpstream& aUp) const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(this->now -
+                                                               aUp.bornAt)
+    .count();
+}
+
+void
+World::Submit(const std::string& aJob,
+              const std::string& aQueue,
+              std::vector<work::Step> aSteps)
+{
+  work::SubmitJob submit;
+  submit.id = JobId(aJob);
+  submit.queue = work::QueueId(aQueue);
+  submit.workspace = WorkspaceId(aQueue);
+  submit.spec.steps = std::move(aSteps);
+  this->submitted[aJob] = this->Wall();
+  this->proposed.push_back({ submit });
+  this->Commit();
+}
+
+void
+World::Cancel(const std::string& aJob)
+{
+  this->proposed.push_back({ work::CancelJob{ JobId(aJob) } });
+  this->Commit();
+}
+
+void
+World::StartWave(std::uint64_t aNumber,
+                 std::vector<std::string> aInstances,
+                 Duration aLength,
+                 std::uint32_t aMaxAway)
+{
+  work::Wave wave;
+  wave.instances = std::move(aInstances);
+  wave.length = aLength;
+  wave.maxAway = aMaxAway;
+  this->proposed.push_back({ work::StartWave{ aNumber, wave } });
+  this->Commit();
+}
+
+void
+World::Drain(const std::string& aUpstream, Duration aLeavesIn)
+{
+  const InstanceId id(aUpstream);
+  this->upstreams.at(id).record.draining = true;
+  this->leaving[id] = aLeavesIn;
+  this->Announce(id);
+}
+
+void
+World::Crash(const std::string& aUpstream, bool aReborn)
+{
+  FakeUpstream& up = this->upstreams.at(InstanceId(aUpstream));
+  up.running.clear();
+  up.ended.clear();
+  up.highestEnded.clear();
+  up.alive = aReborn;
+  up.fence = 0;
+  up.lastEnd = 0;
+  up.sequence = 0;
+  up.bornAt = this->now;
+  up.record.boot += 1000;
+}
+
+void
+World::Announce(const InstanceId& aId)
+{
+  FakeUpstream& up = this->upstreams.at(aId);
+  dispatch::Announcement said;
+  said.id = aId;
+  said.record = up.record;
+  said.sequence = ++up.sequence;
+  said.clock = this->ClockOf(up);
+  if (const auto leaves = this->leaving.find(aId);
+      leaves != this->leaving.end()) {
+    said.leavesIn = leaves->second;
+  }
+  std::vector<work::Command> news = this->dispatcher->Consider(said, this->now);
+  if (!news.empty()) {
+    this->proposed.push_back(std::move(news));
+  }
+}
+
+void
+World::Commit()
+{
+  while (!this->holdCommits && !this->proposed.empty()) {
+    work::Batch batch;
+    batch.stamp = this->Wall();
+    batch.commands = std::move(this->proposed.front());
+    this->proposed.pop_front();
+    this->commands += static_cast<std::uint32_t>(batch.commands.size());
+    const std::vector<work::Verdict> verdicts = this->state.Apply(batch);
+    for (std::size_t i = 0; i < verdicts.size(); ++i) {
+      const auto* end = std::get_if<work::EndRun>(&batch.commands[i]);
+      if (end != nullptr && end->kind == work::EndKind::Done &&
+          verdicts[i] == work::Verdict::Done) {
+        this->doneOnce.insert(end->task);
+      }
+    }
+    this->dispatcher->Applied(batch, verdicts, this->now, this->Wall());
+    this->Pump();
+  }
+}
+
+void
+World::Pump()
+{
+  dispatch::Output output = this->dispatcher->TakeOutput();
+  std::move(output.decisions.begin(),
+            output.decisions.end(),
+            std::back_inserter(this->decisions));
+  if (!output.commands.empty()) {
+    this->proposed.push_back(std::move(output.commands));
+  }
+  for (dispatch::Instruction& instruction : output.instructions) {
+    this->Deliver(std::move(instruction));
+  }
+}
+
+void
+World::Step()
+{
+  this->now += kStep;
+  for (auto& [id, up] : this->upstreams) {
+    Time& next = this->nextAnnouncement[id];
+    if (up.alive && up.reachable && this->now >= next) {
+      next = this->now + kAnnounceInterval;
+      this->Announce(id);
+    }
+  }
+  this->AdvanceInstances();
+  this->AdvanceUpstreams();
+  std::vector<Pending> due;
+  for (Pending& pending : std::exchange(this->answers, {})) {
+    (pending.at <= this->now ? due : this->answers)
+      .push_back(std::move(pending));
+  }
+  for (const Pending& pending : due) {
+    this->dispatcher->Handle(pending.answer(), this->now, this->Wall());
+    this->Pump();
+  }
+  this->dispatcher->Tick(this->now, this->Wall());
+  this->Pump();
+  this->Commit();
+  this->Check();
+}
+
+void
+World::Run(Duration aFor)
+{
+  const Time until = this->now + aFor;
+  while (this->now < until) {
+    this->Step();
+  }
+}
+
+bool
+World::RunUntil(Duration aLimit, const std::function<bool()>& aDone)
+{
+  const Time until = this->now + aLimit;
+  while (this->now < until && !aDone()) {
+    this->Step();
+  }
+  return aDone();
+}
+
+void
+World::AdvanceInstances()
+{
+  std::size_t away = 0;
+  for (auto& [name, instance] : this->instances) {
+    if (instance.phase == dispatch::InstancePhase::Up) {
+      continue;
+    }
+    if (this->now < instance.backAt) {
+      away += instance.inWave != 0 ? 1 : 0;
+      continue;
+    }
+    instance.phase = dispatch::InstancePhase::Up;
+    instance.inWave = 0;
+    const bool standby = std::any_of(
+      this->setup.services.begin(),
+      this->setup.services.end(),
+      [&](const work::Service& aService) {
+        return aService.name == instance.pool && aService.standby;
+      });
+    if (standby) {
+      continue;
+    }
+    FakeUpstream up;
+    up.record.service = instance.pool;
+    const std::string number = std::to_string(++this->lastUpstream);
+    up.record.address = "10.0.1." + number + ":80";
+    up.record.capacity = { 8000, 64000, 0 };
+    up.record.labels = { "kind", "rack-0" };
+    up.record.boot = 100000 + this->lastUpstream;
+    up.record.instance = name;
+    up.bornAt = this->now;
+    this->upstreams[InstanceId("up-" + number)] = up;
+  }
+  this->mostAway = std::max(this->mostAway, away);
+}
+
+void
+World::TakeInstance(const std::string& aInstance)
+{
+  std::erase_if(this->upstreams, [&](const auto& aItem) {
+    return aItem.second.record.instance == aInstance;
+  });
+}
+
+// The promises that hold whatever happens.
+void
+World::Check()
+{
+  std::map<work::TaskRef, int> copies;
+  for (const auto& [id, up] : this->upstreams) {
+    state::Resources used;
+    for (const auto& [task, run] : up.running) {
+      ++copies[task];
+      used += run.size;
+      if (this->doneOnce.contains(task) && !run.lasting) {
+        this->violations.push_back("started after its end: " +
+                                   dispatch::Text(task));
+      }
+    }
+    if (!used.FitsInto(up.record.capacity)) {
+      this->violations.push_back("over capacity: " + id.value);
+    }
+  }
+  for (const auto& [task, count] : copies) {
+    if (count > 1) {
+      this->violations.push_back("two runs at once: " + dispatch::Text(task));
+    }
+  }
+}
+
+work::JobState
+World::StateOf(const std::string& aJob) const
+{
+  const work::Job* job = this->state.FindJob(JobId(aJob));
+  return job == nullptr ? work::JobState::Cancelled : job->state;
+}
+
+Duration
+World::EndedAfter(const std::string& aJob) const
+{
+  const work::Job* job = this->state.FindJob(JobId(aJob));
+  return job->endedAt - this->submitted.at(aJob);
+}
+
+std::size_t
+World::RunningOn(const std::string& aService) const
+{
+  std::size_t count = 0;
+  for (const auto& [id, up] : this->upstreams) {
+    count += up.record.service.value == aService ? up.running.size() : 0;
+  }
+  return count;
+}
+
+std::size_t
+World::UpstreamsOf(const std::string& aService) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->upstreams.begin(), this->upstreams.end(), [&](const auto& aItem) {
+      return aItem.second.record.service.value == aService &&
+             aItem.second.alive;
+    }));
+}
+
+} // namespace hyssoppaddle::test
--- /dev/null
+++ b/test/dispatch/World.h
@@ -0,0 +1,161 @@
+// A deployment in virtual time around the real dispatcher and state machine:
+// upstreams that run tasks under leases, the owner of the instances, and a log
+// whose commits can be held back. Promises are checked after every step from
+// what upstreams run, not from the dispatcher's books.
+#ifndef hyssoppaddle_test_dispatch_World_h
+#define hyssoppaddle_test_dispatch_World_h
+
+#include "dispatch/Dispatcher.h"
+
+#include <deque>
+#include <memory>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hyssoppaddle::test {
+
+struct RunningHere
+{
+  std::uint32_t run = 0;
+  Time endsAt{};
+  state::Resources size;
+  bool lasting = false;
+};
+
+struct FakeUpstream
+{
+  work::Upstream record;
+  bool alive = true;
+  bool reachable = true;
+  // Orders are carried out but not answered.
+  bool mute = false;
+  // Tasks started here end as failed.
+  bool failsAll = false;
+  Time bornAt{};
+  std::uint64_t fence = 0;
+  dispatch::UpstreamClock leaseUntil = 0;
+  std::map<work::TaskRef, RunningHere> running;
+  std::map<work::TaskRef, std::uint32_t> highestEnded;
+  std::vector<dispatch::EndedTask> ended;
+  std::uint64_t lastEnd = 0;
+  std::uint64_t sequence = 0;
+  std::uint32_t startsSeen = 0;
+  std::uint32_t stopsSeen = 0;
+};
+
+struct FakeInstance
+{
+  ServiceId pool;
+  dispatch::InstancePhase phase = dispatch::InstancePhase::Up;
+  Time backAt{};
+  std::uint64_t inWave = 0;   // its maintenance is under way
+  std::uint64_t doneWave = 0; // it had its maintenance in this one
+};
+
+class World
+{
+public:
+  World();
+
+  // One service, its queue and a workspace of the same name with key "key".
+  void AddService(const std::string& aName, bool aStandby = false);
+  void AddUpstream(const std::string& aService, std::int64_t aMilliCpus = 8000);
+  // An instance on standby, without an upstream.
+  void AddStandby(const std::string& aInstance, const std::string& aPool);
+  void SetLimit(const std::string& aWorkspace, state::Resources aLimit);
+  void Lead();
+  // Another replica takes over: soft state is lost, the record stays.
+  void ChangeLeader();
+
+  void Submit(const std::string& aJob,
+              const std::string& aQueue,
+              std::vector<work::Step> aSteps);
+  void Cancel(const std::string& aJob);
+  void StartWave(std::uint64_t aNumber,
+                 std::vector<std::string> aInstances,
+                 Duration aLength,
+                 std::uint32_t aMaxAway);
+  void Drain(const std::string& aUpstream, Duration aLeavesIn);
+  // The upstream ends without a word; its instance starts a new boot.
+  void Crash(const std::string& aUpstream, bool aReborn);
+
+  void Run(Duration aFor);
+  // Runs until aDone, at most aLimit; false when it never was.
+  bool RunUntil(Duration aLimit, const std::function<bool()>& aDone);
+
+  [[nodiscard]] work::JobState StateOf(const std::string& aJob) const;
+  [[nodiscard]] std::size_t RunningOn(const std::string& aService) const;
+  [[nodiscard]] std::size_t UpstreamsOf(const std::string& aService) const;
+  [[nodiscard]] Duration EndedAfter(const std::string& aJob) const;
+
+  work::WorkState state;
+  std::map<InstanceId, FakeUpstream> upstreams;
+  std::map<std::string, FakeInstance> instances;
+  std::set<std::uint64_t> tokensWithoutAnswer;
+  bool holdCommits = false;   // proposals wait
+  bool ownerSilent = false;   // the owner carries orders out unanswered
+  std::uint32_t commands = 0; // applied
+  std::uint32_t moves = 0;
+  std::uint32_t rejectedStarts = 0;
+  std::size_t mostAway = 0; // instances in maintenance at once
+  std::vector<std::string> violations;
+  std::vector<dispatch::Decision> decisions;
+
+private:
+  void Step();
+  void Pump();
+  void Commit();
+  void Announce(const InstanceId& aId);
+  void Deliver(dispatch::Instruction aInstruction);
+  void Answer(const dispatch::RenewLease& aOrder);
+  void Answer(const dispatch::StartTask& aOrder);
+  void Answer(const dispatch::StopTask& aOrder);
+  void Answer(const dispatch::PaceTask& aOrder);
+  void Answer(const dispatch::AskAdvice& aOrder);
+  void Answer(const dispatch::ListInstances& aOrder);
+  void Answer(const dispatch::MaintainInstance& aOrder);
+  void Answer(const dispatch::MoveInstance& aOrder);
+  void Reply(dispatch::Answer aAnswer);
+  void ReplyLate(dispatch::Answer aAnswer, Duration aAfter);
+  dispatch::Answer ListsOf(const dispatch::RenewLease& aOrder);
+  void End(const InstanceId& aId,
+           const work::TaskRef& aTask,
+           work::EndKind aKind);
+  void TakeInstance(const std::string& aInstance);
+  void AdvanceUpstreams();
+  void AdvanceInstances();
+  void Check();
+  FakeUpstream* Reach(const InstanceId& aId);
+  [[nodiscard]] dispatch::UpstreamClock ClockOf(const FakeUpstream& aUp) const;
+  [[nodiscard]] WallTime Wall() const;
+
+  struct Pending
+  {
+    Time at{};
+    std::function<dispatch::Answer()> answer; // made when it leaves
+  };
+
+  dispatch::Options options;
+  std::unique_ptr<dispatch::Dispatcher> dispatcher;
+  work::Setup setup;
+  std::uint64_t term = 0;
+  Time now{ std::chrono::seconds(1000) };
+  std::deque<std::vector<work::Command>> proposed;
+  std::vector<Pending> answers;
+  std::map<InstanceId, Time> nextAnnouncement;
+  std::map<InstanceId, Duration> leaving;
+  std::map<std::string, WallTime> submitted;
+  std::set<work::TaskRef> doneOnce; // ended done and known to the record
+  std::uint32_t lastUpstream = 0;
+};
+
+// A step of aCount tasks of aMilliCpus, each aRuns long.
+work::Step
+StepOf(std::uint32_t aCount, std::int64_t aMilliCpus, Duration aRuns);
+
+} // namespace hyssoppaddle::test
+
+#endif
--- /dev/null
+++ b/test/dispatch/WorldUpstreams.cpp
@@ -0,0 +1,279 @@
+// What upstreams and the owner of the instances do with orders.
+#include "World.h"
+
+#include <algorithm>
+
+namespace hyssoppaddle::test {
+
+namespace {
+
+constexpr Duration kRoundTrip = dispatch::milliseconds(3);
+constexpr Duration kOrderLimit = dispatch::milliseconds(450);
+constexpr Duration kMaxLease = dispatch::milliseconds(6000);
+constexpr Duration kMoveTime = dispatch::milliseconds(1500);
+
+} // namespace
+
+FakeUpstream*
+World::Reach(const InstanceId& aId)
+{
+  const auto found = this->upstreams.find(aId);
+  const bool there = found != this->upstreams.end() && found->second.alive &&
+                     found->second.reachable;
+  return there ? &found->second : nullptr;
+}
+
+void
+World::Reply(dispatch::Answer aAnswer)
+{
+  this->ReplyLate(std::move(aAnswer), kRoundTrip);
+}
+
+void
+World::ReplyLate(dispatch::Answer aAnswer, Duration aAfter)
+{
+  this->answers.push_back(
+    { this->now + aAfter, [aAnswer] { return aAnswer; } });
+}
+
+void
+World::Deliver(dispatch::Instruction aInstruction)
+{
+  std::visit([this](const auto& aOrder) { this->Answer(aOrder); }, aInstruction);
+}
+
+void
+World::Answer(const dispatch::RenewLease& aOrder)
+{
+  FakeUpstream* up = this->Reach(aOrder.to.upstream);
+  if (up == nullptr) {
+    dispatch::LeaseAnswer none;
+    none.token = aOrder.token;
+    none.upstream = aOrder.to.upstream;
+    this->ReplyLate(std::move(none), aOrder.wait + kOrderLimit);
+    return;
+  }
+  if (aOrder.to.fence >= up->fence) {
+    up->fence = aOrder.to.fence;
+    if (aOrder.leaseUntil) {
+      const auto longest = this->ClockOf(*up) + kMaxLease.count() / 1000;
+      up->leaseUntil =
+        std::max(up->leaseUntil, std::min(*aOrder.leaseUntil, longest));
+    }
+    std::erase_if(up->ended, [&](const dispatch::EndedTask& aEnd) {
+      return aEnd.number <= aOrder.lastSeen;
+    });
+  }
+  // The wait is played as a short one: an end is listed a little later.
+  const Duration wait =
+    up->ended.empty() ? std::min<Duration>(aOrder.wait, kOrderLimit / 4)
+                      : Duration(0);
+  this->answers.push_back({ this->now + kRoundTrip + wait,
+                            [this, aOrder] { return this->ListsOf(aOrder); } });
+}
+
+dispatch::Answer
+World::ListsOf(const dispatch::RenewLease& aOrder)
+{
+  dispatch::LeaseAnswer answer;
+  answer.token = aOrder.token;
+  answer.upstream = aOrder.to.upstream;
+  const FakeUpstream* up = this->Reach(aOrder.to.upstream);
+  if (up == nullptr) {
+    return answer;
+  }
+  answer.fenced = aOrder.to.fence < up->fence;
+  answer.answered = !answer.fenced;
+  answer.boot = up->record.boot;
+  answer.clock = this->ClockOf(*up);
+  for (const auto& [task, run] : up->running) {
+    answer.running.push_back({ task, run.run, "", 100, std::nullopt });
+  }
+  answer.ended = up->ended;
+  return answer;
+}
+
+void
+World::Answer(const dispatch::StartTask& aOrder)
+{
+  dispatch::OrderAnswer answer;
+  answer.token = aOrder.token;
+  answer.upstream = aOrder.to.upstream;
+  FakeUpstream* up = this->Reach(aOrder.to.upstream);
+  if (up == nullptr) {
+    this->ReplyLate(std::move(answer), kOrderLimit);
+    return;
+  }
+  ++up->startsSeen;
+  answer.clock = this->ClockOf(*up);
+  const work::Job* job = this->state.FindJob(aOrder.task.job);
+  const work::Step& step = job->spec.steps[aOrder.task.step];
+  const auto ended = up->highestEnded.find(aOrder.task);
+  state::Resources used = step.size;
+  for (const auto& [task, run] : up->running) {
+    used += run.size;
+  }
+  using dispatch::OrderResult;
+  if (aOrder.to.fence < up->fence) {
+    answer.result = OrderResult::Fenced;
+  } else if (ended != up->highestEnded.end() && aOrder.run <= ended->second) {
+    answer.result = OrderResult::Superseded;
+  } else if (aOrder.leaseUntil <= this->ClockOf(*up)) {
+    answer.result = OrderResult::Expired;
+  } else if (!used.FitsInto(up->record.capacity)) {
+    answer.result = OrderResult::NoRoom;
+    ++this->rejectedStarts;
+  } else {
+    answer.result = OrderResult::Accepted;
+    up->fence = aOrder.to.fence;
+    up->leaseUntil = std::max(up->leaseUntil, aOrder.leaseUntil);
+    up->running[aOrder.task] = { aOrder.run,
+                                 step.lasting ? Time::max()
+                                              : this->now + step.estimate,
+                                 step.size,
+                                 step.lasting };
+  }
+  if (up->mute) {
+    answer.result = OrderResult::NoAnswer;
+    answer.clock.reset();
+    this->ReplyLate(std::move(answer), kOrderLimit);
+    return;
+  }
+  this->Reply(std::move(answer));
+}
+
+void
+World::Answer(const dispatch::StopTask& aOrder)
+{
+  dispatch::OrderAnswer answer;
+  answer.token = aOrder.token;
+  answer.upstream = aOrder.to.upstream;
+  FakeUpstream* up = this->Reach(aOrder.to.upstream);
+  if (up == nullptr) {
+    this->ReplyLate(std::move(answer), kOrderLimit);
+    return;
+  }
+  ++up->stopsSeen;
+  answer.clock = this->ClockOf(*up);
+  answer.result = dispatch::OrderResult::Accepted;
+  const auto running = up->running.find(aOrder.task);
+  if (running != up->running.end() && running->second.run <= aOrder.run) {
+    this->End(aOrder.to.upstream, aOrder.task, work::EndKind::Stopped);
+  }
+  auto& highest = up->highestEnded[aOrder.task];
+  highest = std::max(highest, aOrder.run);
+  this->Reply(std::move(answer));
+}
+
+void
+World::Answer(const dispatch::PaceTask& aOrder)
+{
+  dispatch::OrderAnswer answer;
+  answer.token = aOrder.token;
+  answer.upstream = aOrder.to.upstream;
+  answer.result = dispatch::OrderResult::Accepted;
+  this->Reply(std::move(answer));
+}
+
+void
+World::Answer(const dispatch::AskAdvice& aOrder)
+{
+  dispatch::AdviceAnswer answer;
+  answer.token = aOrder.token;
+  answer.answered = true;
+  for (const InstanceId& upstream : aOrder.upstreams) {
+    answer.tickets.emplace_back(upstream, "ticket");
+  }
+  this->Reply(std::move(answer));
+}
+
+void
+World::Answer(const dispatch::ListInstances& aOrder)
+{
+  dispatch::InstanceList list;
+  list.token = aOrder.token;
+  list.answered = true;
+  for (const auto& [name, instance] : this->instances) {
+    dispatch::InstanceRow row;
+    row.instance = name;
+    row.pool = instance.pool;
+    row.phase = instance.phase;
+    list.rows.push_back(std::move(row));
+  }
+  this->Reply(std::move(list));
+}
+
+void
+World::Answer(const dispatch::MaintainInstance& aOrder)
+{
+  FakeInstance& instance = this->instances[aOrder.instance];
+  dispatch::InstanceAnswer answer{ aOrder.token,
+                                   dispatch::InstanceResult::Done };
+  if (instance.doneWave == aOrder.wave) {
+    answer.result = dispatch::InstanceResult::Done; // once is enough
+  } else if (instance.phase == dispatch::InstancePhase::Up) {
+    this->TakeInstance(aOrder.instance);
+    instance.doneWave = aOrder.wave;
+    instance.phase = dispatch::InstancePhase::Maintenance;
+    instance.backAt = this->now + this->options.maintenanceTime;
+    instance.inWave = aOrder.wave;
+  } else if (instance.inWave != aOrder.wave) {
+    answer.result = dispatch::InstanceResult::Busy;
+  }
+  if (this->ownerSilent) {
+    answer.result = dispatch::InstanceResult::NoAnswer;
+  }
+  this->Reply(answer);
+}
+
+void
+World::Answer(const dispatch::MoveInstance& aOrder)
+{
+  FakeInstance& instance = this->instances[aOrder.instance];
+  dispatch::InstanceAnswer answer{ aOrder.token,
+                                   dispatch::InstanceResult::Busy };
+  if (instance.phase == dispatch::InstancePhase::Up) {
+    this->TakeInstance(aOrder.instance);
+    ++this->moves;
+    instance.phase = dispatch::InstancePhase::Moving;
+    instance.pool = aOrder.pool;
+    instance.backAt = this->now + kMoveTime;
+    answer.result = dispatch::InstanceResult::Done;
+  }
+  this->Reply(answer);
+}
+
+void
+World::End(const InstanceId& aId,
+           const work::TaskRef& aTask,
+           work::EndKind aKind)
+{
+  FakeUpstream& up = this->upstreams.at(aId);
+  const std::uint32_t run = up.running.at(aTask).run;
+  up.running.erase(aTask);
+  up.highestEnded[aTask] = std::max(up.highestEnded[aTask], run);
+  up.ended.push_back({ ++up.lastEnd, aTask, run, aKind, "" });
+}
+
+// Tasks end by their time, by failure, or with the lease.
+void
+World::AdvanceUpstreams()
+{
+  for (auto& [id, up] : this->upstreams) {
+    const bool lapsed = this->ClockOf(up) >= up.leaseUntil;
+    std::vector<std::pair<work::TaskRef, work::EndKind>> ends;
+    for (const auto& [task, run] : up.running) {
+      if (lapsed) {
+        ends.emplace_back(task, work::EndKind::Lapsed);
+      } else if (this->now >= run.endsAt) {
+        ends.emplace_back(
+          task, up.failsAll ? work::EndKind::Failed : work::EndKind::Done);
+      }
+    }
+    for (const auto& [task, kind] : ends) {
+      this->End(id, task, kind);
+    }
+  }
+}
+
+} // namespace hyssoppaddle::test
