--- a/scripts/lint-file.sh
+++ b/scripts/lint-file.sh
@@ -4,7 +4,7 @@
 file=$1
 cache=${HYSSOPPADDLE_LINT_CACHE:-.cache/lint}
 mkdir -p "$cache"
-headers=$(git ls-files -co --exclude-standard 'src/*.h' 'include/*.h' | sort)
+headers=$(git ls-files -co --exclude-standard 'src/*.h' 'include/*.h' 'platform/*.h' | sort)
 key=$(cat .clang-tidy "$file" $headers | sha256sum | cut -d' ' -f1)
 [ -e "$cache/$key" ] && exit 0
 if ! output=$(clang-tidy -p build-lint --quiet "$file" 2>/dev/null); then
--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -29,8 +29,7 @@
   }
   double chainMs = 0;
   for (const work::Step& step : aSpec.steps) {
-    chainMs +=
-      std::chrono::duration<double, std::milli>(step.estimate).count();
+    chainMs += std::chrono::duration<double, std::milli>(step.estimate).count();
   }
   const double objectiveMs =
     chainMs * aQueue.stretch +
--- a/src/dispatch/Admission.h
+++ b/src/dispatch/Admission.h
@@ -15,7 +15,7 @@
 
 struct ServiceLoad
 {
-  double backlog = 0; // core-milliseconds of accepted work that does not last
+  double backlog = 0;  // core-milliseconds of accepted work that does not last
   double capacity = 0; // cores of usable upstreams that lasting tasks leave
   std::size_t upstreams = 0; // usable ones
 };
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -148,10 +148,9 @@
 }
 
 void
-Dispatcher::Note(
-  std::string_view aKind,
-  std::string aJob,
-  std::vector<std::pair<std::string_view, std::string>> aFields)
+Dispatcher::Note(std::string_view aKind,
+                 std::string aJob,
+                 std::vector<std::pair<std::string_view, std::string>> aFields)
 {
   this->output.decisions.push_back(
     { aKind, std::move(aJob), std::move(aFields) });
@@ -268,13 +267,11 @@
   }
   if (!known) {
     // The upstream changed while the command was under way.
-    this->ProposeEnd(
-      aCommand.run.upstream, key, work::EndKind::NotStarted, {});
+    this->ProposeEnd(aCommand.run.upstream, key, work::EndKind::NotStarted, {});
     return;
   }
   if (session->runs[key].stopping) {
-    this->ProposeEnd(
-      aCommand.run.upstream, key, work::EndKind::NotStarted, {});
+    this->ProposeEnd(aCommand.run.upstream, key, work::EndKind::NotStarted, {});
     return;
   }
   this->SendStart(*session, key);
@@ -319,14 +316,16 @@
   }
   const bool isNews = aCommand.kind != work::EndKind::Done || ended;
   if (isNews) {
-    this->Note("run_ended",
-               aCommand.task.job.value,
-               { { "task", Text(aCommand.task) },
-                 { "run", Text(aCommand.run) },
-                 { "upstream", aCommand.upstream.value },
-                 { "how", std::string(Text(aCommand.kind)) },
-                 { "ran_ms", Text(this->now - aRun.since) },
-                 { "job", job == nullptr ? "unknown" : std::string(Text(job->state)) } });
+    this->Note(
+      "run_ended",
+      aCommand.task.job.value,
+      { { "task", Text(aCommand.task) },
+        { "run", Text(aCommand.run) },
+        { "upstream", aCommand.upstream.value },
+        { "how", std::string(Text(aCommand.kind)) },
+        { "ran_ms", Text(this->now - aRun.since) },
+        { "job",
+          job == nullptr ? "unknown" : std::string(Text(job->state)) } });
   }
   if (!ended && !job->tasks.empty() &&
       job->spec.steps[aCommand.task.step].gang &&
@@ -494,16 +493,16 @@
         limited += this->IsWithinLimit(view.workspace, step.size) ? 0 : 1;
       }
     }
-    this->Note("service_load",
-               {},
-               { { "service", service.value },
-                 { "upstreams", Text(load.upstreams) },
-                 { "cores", Text(static_cast<std::int64_t>(load.capacity)) },
-                 { "busy_millicores", Text(busy) },
-                 { "backlog_core_ms",
-                   Text(static_cast<std::int64_t>(load.backlog)) },
-                 { "waiting_jobs", Text(waiting) },
-                 { "at_workspace_limit", Text(limited) } });
+    this->Note(
+      "service_load",
+      {},
+      { { "service", service.value },
+        { "upstreams", Text(load.upstreams) },
+        { "cores", Text(static_cast<std::int64_t>(load.capacity)) },
+        { "busy_millicores", Text(busy) },
+        { "backlog_core_ms", Text(static_cast<std::int64_t>(load.backlog)) },
+        { "waiting_jobs", Text(waiting) },
+        { "at_workspace_limit", Text(limited) } });
   }
 }
 
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -212,12 +212,12 @@
   Time loadsNoted{};
 
   Sessions sessions;
-  std::map<JobId, JobView> views; // of jobs that have not ended
+  std::map<JobId, JobView> views;               // of jobs that have not ended
   std::map<WorkspaceId, state::Resources> used; // by all live runs
-  std::map<std::uint64_t, Order> orders; // under way, by token
+  std::map<std::uint64_t, Order> orders;        // under way, by token
   std::map<work::TaskRef, InstanceId> failedOn; // where a task failed last
   std::set<work::TaskRef> deciding; // their start is not yet on record
-  std::set<ServiceId> dirty; // services whose plan may have changed
+  std::set<ServiceId> dirty;        // services whose plan may have changed
   TicketBook tickets;
   InstanceOwner owner;
 };
--- a/src/dispatch/DispatcherAdvice.cpp
+++ b/src/dispatch/DispatcherAdvice.cpp
@@ -18,8 +18,7 @@
   if (this->tickets.IsBusy()) {
     return;
   }
-  const work::Queue* queue =
-    this->state.CurrentSetup().FindQueue(aView.queue);
+  const work::Queue* queue = this->state.CurrentSetup().FindQueue(aView.queue);
   const work::Step& step = this->FindJob(aTask.job)->spec.steps[aTask.step];
   std::vector<InstanceId> candidates;
   for (const auto& [id, session] : this->sessions) {
--- a/src/dispatch/DispatcherCare.cpp
+++ b/src/dispatch/DispatcherCare.cpp
@@ -15,7 +15,7 @@
 // second, they get more.
 constexpr double kTailHigh = 0.7;
 constexpr double kTailLow = 0.4;
-constexpr std::uint32_t kPaceUp = 20; // percent a look
+constexpr std::uint32_t kPaceUp = 20;                 // percent a look
 constexpr Duration kPaceInterval = milliseconds(400); // between two looks
 constexpr std::uint32_t kFullPace = 100;
 
@@ -63,8 +63,8 @@
     if (target.count() > 0) {
       serving = true;
       const double tailMs = static_cast<double>(live.load.value_or(0));
-      worst = std::max(
-        worst, tailMs * 1000.0 / static_cast<double>(target.count()));
+      worst =
+        std::max(worst, tailMs * 1000.0 / static_cast<double>(target.count()));
     }
   }
   aSession.paced = serving && filling;
@@ -87,13 +87,13 @@
     if (wanted == live.paceAsked) {
       continue;
     }
-    this->Note("task_paced",
-               key.first.job.value,
-               { { "task", Text(key.first) },
-                 { "upstream", aId.value },
-                 { "percent", Text(wanted) },
-                 { "tail_of_target",
-                   Text(static_cast<std::int64_t>(worst * 100.0)) } });
+    this->Note(
+      "task_paced",
+      key.first.job.value,
+      { { "task", Text(key.first) },
+        { "upstream", aId.value },
+        { "percent", Text(wanted) },
+        { "tail_of_target", Text(static_cast<std::int64_t>(worst * 100.0)) } });
     PaceTask pace;
     pace.token = ++this->lastToken;
     pace.to = this->To(aId, aSession);
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -123,8 +123,8 @@
                      aSession.unanswered == 0;
   aPool.present += works ? 1 : 0;
   const std::string& instance = aSession.record.instance;
-  if (works && aSession.fenced && aSession.runs.empty() &&
-      !instance.empty() && this->IsFree(instance)) {
+  if (works && aSession.fenced && aSession.runs.empty() && !instance.empty() &&
+      this->IsFree(instance)) {
     aPool.idle.push_back(instance);
   }
 }
@@ -143,9 +143,8 @@
 void
 Dispatcher::BalancePools()
 {
-  const bool mayOrder =
-    this->options.hasInstanceOwner &&
-    this->now >= this->electedAt + this->options.orderLease;
+  const bool mayOrder = this->options.hasInstanceOwner &&
+                        this->now >= this->electedAt + this->options.orderLease;
   if (!mayOrder) {
     return;
   }
@@ -228,15 +227,15 @@
     "done", "busy", "refused", "throttled", "no answer"
   };
   const bool isMove = !order.pool.empty();
-  this->Note(isMove ? "move_ordered" : "maintenance_ordered",
-             {},
-             { { "instance", order.instance },
-               { "pool", order.pool.value },
-               { "wave", Text(order.wave) },
-               { "fence", Text(this->term) },
-               { "result",
-                 std::string(
-                   kNames[static_cast<std::size_t>(aAnswer.result)]) } });
+  this->Note(
+    isMove ? "move_ordered" : "maintenance_ordered",
+    {},
+    { { "instance", order.instance },
+      { "pool", order.pool.value },
+      { "wave", Text(order.wave) },
+      { "fence", Text(this->term) },
+      { "result",
+        std::string(kNames[static_cast<std::size_t>(aAnswer.result)]) } });
   if (aAnswer.result == InstanceResult::Done) {
     this->owner.unsure.erase(order.instance);
     this->OnInstanceTaken(order);
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -40,12 +40,13 @@
       waiting.emplace_back(RankOf(view, share, this->wall), &view);
     }
   }
-  std::sort(waiting.begin(), waiting.end(), [](const auto& a, const auto& b) {
-    if (const auto order = a.first <=> b.first; order != 0) {
-      return order < 0;
-    }
-    return a.second->id < b.second->id;
-  });
+  std::sort(
+    waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
+      if (const auto order = aLeft.first <=> aRight.first; order != 0) {
+        return order < 0;
+      }
+      return aLeft.second->id < aRight.second->id;
+    });
   std::size_t misses = 0;
   for (auto& [rank, view] : waiting) {
     const std::vector<work::TaskRef> pending = view->pending;
@@ -72,8 +73,7 @@
     }
   }
   for (const auto& [id, session] : this->sessions) {
-    if (session.record.service != aService ||
-        !IsUsable(session, this->now)) {
+    if (session.record.service != aService || !IsUsable(session, this->now)) {
       continue;
     }
     ++load.upstreams;
@@ -152,9 +152,9 @@
       room[session.record.Rack()] += session.Free().milliCpus;
     }
   }
-  const auto most =
-    std::max_element(room.begin(), room.end(), [](const auto& a, const auto& b) {
-      return a.second < b.second;
+  const auto most = std::max_element(
+    room.begin(), room.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second < aRight.second;
     });
   return most == room.end() ? std::string() : most->first;
 }
@@ -247,10 +247,10 @@
     }
     return false;
   }
-  const auto id = std::find_if(
-    this->sessions.begin(), this->sessions.end(), [&](const auto& aItem) {
-      return &aItem.second == session;
-    });
+  const auto id =
+    std::find_if(this->sessions.begin(),
+                 this->sessions.end(),
+                 [&](const auto& aItem) { return &aItem.second == session; });
   work::Run run;
   run.number = aNumber;
   run.upstream = id->first;
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -22,8 +22,7 @@
   const work::Task* task = job == nullptr ? nullptr : job->Find(aKey.first);
   const auto until = aSession.clock.EndAfter(this->options.Lease(), this->now);
   if (task == nullptr || job->IsFinal() || !until) {
-    this->ProposeEnd(
-      live.run.upstream, aKey, work::EndKind::NotStarted, {});
+    this->ProposeEnd(live.run.upstream, aKey, work::EndKind::NotStarted, {});
     return;
   }
   StartTask start;
@@ -34,8 +33,8 @@
   start.payload = job->spec.payload;
   start.leaseUntil = *until;
   start.checkpoint = task->checkpoint;
-  start.ticket = this->tickets.Find(
-    StepOf(aKey.first), live.run.upstream, this->now);
+  start.ticket =
+    this->tickets.Find(StepOf(aKey.first), live.run.upstream, this->now);
   aSession.clock.Granted(*until);
   live.phase = RunPhase::Ordered;
   live.since = this->now;
@@ -117,9 +116,8 @@
   }
   std::vector<RunKey> due;
   for (const auto& [key, live] : aSession.runs) {
-    const bool wanted =
-      (live.stopping && live.phase != RunPhase::Deciding) ||
-      live.phase == RunPhase::Unanswered;
+    const bool wanted = (live.stopping && live.phase != RunPhase::Deciding) ||
+                        live.phase == RunPhase::Unanswered;
     if (wanted && !live.stopInFlight && !live.stopConfirmed &&
         this->now - live.stopSent >= kStopRetry) {
       due.push_back(key);
--- a/src/dispatch/DispatcherSessions.cpp
+++ b/src/dispatch/DispatcherSessions.cpp
@@ -51,10 +51,9 @@
   renew.token = ++this->lastToken;
   renew.to = this->To(aId, aSession);
   renew.lastSeen = aSession.seen;
-  const bool waits = aSession.fenced && executing && !unsure &&
-                     aSession.unanswered == 0;
-  const Duration poll =
-    aSession.paced ? kPacedPoll : this->options.LongPoll();
+  const bool waits =
+    aSession.fenced && executing && !unsure && aSession.unanswered == 0;
+  const Duration poll = aSession.paced ? kPacedPoll : this->options.LongPoll();
   renew.wait = waits ? poll : Duration(0);
   // A silent upstream gets no longer lease: its runs could otherwise never be
   // known to have ended.
@@ -147,8 +146,7 @@
 }
 
 void
-Dispatcher::EndAll(const InstanceId& aId,
-                   std::vector<work::Command>& aCommands)
+Dispatcher::EndAll(const InstanceId& aId, std::vector<work::Command>& aCommands)
 {
   const UpstreamSession* session = this->FindSession(aId);
   if (session == nullptr) {
@@ -298,9 +296,9 @@
   UpstreamSession* session = this->FindSession(aAnnouncement.id);
   if (session != nullptr) {
     const work::Upstream& known = session->record;
-    const bool older = next.boot < known.boot ||
-                       (next.boot == known.boot &&
-                        aAnnouncement.sequence < session->sequence);
+    const bool older =
+      next.boot < known.boot ||
+      (next.boot == known.boot && aAnnouncement.sequence < session->sequence);
     if (older) {
       return commands;
     }
@@ -321,9 +319,9 @@
     }
   }
   for (const auto& [id, other] : this->sessions) {
-    const bool samePlace = other.record.address == next.address ||
-                           (!next.instance.empty() &&
-                            other.record.instance == next.instance);
+    const bool samePlace =
+      other.record.address == next.address ||
+      (!next.instance.empty() && other.record.instance == next.instance);
     if (id == aAnnouncement.id || !samePlace) {
       continue;
     }
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -51,11 +51,11 @@
       work::TaskRef ref = aTask;
       ref.index = i;
       const auto live = session->second.runs.find({ ref, run.number });
-      atWork = atWork || (live != session->second.runs.end() &&
-                          live->second.phase == RunPhase::Confirmed &&
-                          !live->second.stopping &&
-                          live->second.percent >= 100 &&
-                          session->second.unanswered == 0);
+      atWork =
+        atWork ||
+        (live != session->second.runs.end() &&
+         live->second.phase == RunPhase::Confirmed && !live->second.stopping &&
+         live->second.percent >= 100 && session->second.unanswered == 0);
     }
     away += atWork ? 0 : 1;
   }
@@ -207,17 +207,18 @@
   const std::int64_t rounds = (left + atOnce - 1) / atOnce;
   const Duration remaining = aWave.startedAt + aWave.length - this->wall;
   const Duration each = remaining / rounds;
-  return std::max<Duration>(
-    each - this->options.maintenanceTime - kReturnTime, Duration(0));
+  return std::max<Duration>(each - this->options.maintenanceTime - kReturnTime,
+                            Duration(0));
 }
 
 // How many have to be away at once for the wave to end in time.
 std::uint32_t
 Dispatcher::PaceOf(const work::Wave& aWave) const
 {
-  const auto left = static_cast<double>(
-    aWave.instances.size() - aWave.begun.size() - aWave.gone.size());
-  const Duration each = this->options.maintenanceTime + kReturnTime + kEmptyTime;
+  const auto left = static_cast<double>(aWave.instances.size() -
+                                        aWave.begun.size() - aWave.gone.size());
+  const Duration each =
+    this->options.maintenanceTime + kReturnTime + kEmptyTime;
   const Duration remaining =
     aWave.startedAt + aWave.length - this->wall - kWaveMargin;
   if (remaining <= each) {
--- a/src/dispatch/InstanceOwner.h
+++ b/src/dispatch/InstanceOwner.h
@@ -44,9 +44,9 @@
   // Orders without an answer, by instance: they may have been carried out, so
   // they are sent again until an answer comes.
   std::map<std::string, OpenOrder> unsure;
-  std::map<std::string, Arrival> arrivals;   // moves, until they announce
-  std::map<std::string, Time> begunAt;       // maintenance, as known here
-  std::map<std::string, Time> nextTry;       // after a refused order
+  std::map<std::string, Arrival> arrivals; // moves, until they announce
+  std::map<std::string, Time> begunAt;     // maintenance, as known here
+  std::map<std::string, Time> nextTry;     // after a refused order
   PoolBalance balance;
   Time nextBalance{};
 };
--- a/src/dispatch/Instructions.h
+++ b/src/dispatch/Instructions.h
@@ -209,11 +209,8 @@
                                  MaintainInstance,
                                  MoveInstance>;
 
-using Answer = std::variant<LeaseAnswer,
-                            OrderAnswer,
-                            AdviceAnswer,
-                            InstanceList,
-                            InstanceAnswer>;
+using Answer = std::
+  variant<LeaseAnswer, OrderAnswer, AdviceAnswer, InstanceList, InstanceAnswer>;
 
 } // namespace hyssoppaddle::dispatch
 
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -69,7 +69,8 @@
   if (step.fills) {
     need.milliCpus = 0;
   }
-  using Score = std::tuple<bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
+  using Score =
+    std::tuple<bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
   std::optional<Score> best;
   UpstreamSession* chosen = nullptr;
   for (auto& [id, session] : aSessions) {
--- a/src/dispatch/PoolBalance.cpp
+++ b/src/dispatch/PoolBalance.cpp
@@ -61,9 +61,10 @@
       takers.emplace_back(needed - have, &pool);
     }
   }
-  std::sort(takers.begin(), takers.end(), [](const auto& a, const auto& b) {
-    return a.first > b.first;
-  });
+  std::sort(
+    takers.begin(), takers.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
   for (auto& [missing, taker] : takers) {
     for (PoolLoad* giver : givers) {
       while (missing > 0 && !giver->idle.empty()) {
--- a/src/dispatch/PoolBalance.h
+++ b/src/dispatch/PoolBalance.h
@@ -21,12 +21,12 @@
 {
   ServiceId service;
   bool standby = false;
-  double lastingCores = 0;  // taken by tasks that do not end by themselves
-  double backlogCoreMs = 0; // accepted work that is not done
-  double widestCores = 0;   // of one waiting task
-  std::size_t present = 0;  // upstreams that take or will soon take work
-  std::size_t arriving = 0; // instances on their way to this pool
-  double coresEach = 0;     // of an upstream; 0 when none has been seen
+  double lastingCores = 0;       // taken by tasks that do not end by themselves
+  double backlogCoreMs = 0;      // accepted work that is not done
+  double widestCores = 0;        // of one waiting task
+  std::size_t present = 0;       // upstreams that take or will soon take work
+  std::size_t arriving = 0;      // instances on their way to this pool
+  double coresEach = 0;          // of an upstream; 0 when none has been seen
   std::vector<std::string> idle; // instances that run nothing
 };
 
--- a/src/dispatch/Text.cpp
+++ b/src/dispatch/Text.cpp
@@ -7,18 +7,18 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 8> kEnds{
-  "done",   "failed", "stopped",     "lapsed",
-  "broken", "alone",  "not started", "lost"
-};
+constexpr std::array<std::string_view, 8> kEnds{ "done",        "failed",
+                                                 "stopped",     "lapsed",
+                                                 "broken",      "alone",
+                                                 "not started", "lost" };
 constexpr std::array<std::string_view, 5> kStates{ "queued",
                                                    "running",
                                                    "completed",
                                                    "failed",
                                                    "cancelled" };
 constexpr std::array<std::string_view, 11> kResults{
-  "accepted", "fenced",     "superseded", "expired", "no room",
-  "no ticket", "wrong boot", "unhealthy",  "invalid", "not sent", "no answer"
+  "accepted",   "fenced",    "superseded", "expired",  "no room",  "no ticket",
+  "wrong boot", "unhealthy", "invalid",    "not sent", "no answer"
 };
 
 } // namespace
--- a/src/dispatch/TicketBook.cpp
+++ b/src/dispatch/TicketBook.cpp
@@ -103,9 +103,8 @@
 void
 TicketBook::ForgetStep(const JobId& aJob)
 {
-  std::erase_if(this->decisions, [&](const auto& aItem) {
-    return aItem.first.job == aJob;
-  });
+  std::erase_if(this->decisions,
+                [&](const auto& aItem) { return aItem.first.job == aJob; });
 }
 
 void
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -33,13 +33,13 @@
   Time since{}; // of the phase
   bool lasting = false;
   bool fills = false;
-  bool stopping = false;  // a stop has been decided
+  bool stopping = false; // a stop has been decided
   bool stopInFlight = false;
   bool lossProposed = false;
   std::optional<Time> stopConfirmed; // the upstream accepted the stop
   Time stopSent{};
-  std::uint32_t percent = 0; // of its work, as last reported
-  Time progressAt{};         // when that last rose
+  std::uint32_t percent = 0;     // of its work, as last reported
+  Time progressAt{};             // when that last rose
   std::uint32_t paceAsked = 100; // percent, or kUnknownPace
   std::optional<std::int64_t> load;
   std::string checkpoint; // the newest reported
@@ -59,15 +59,15 @@
 
   work::Upstream record;
   LeaseClock clock;
-  Time lastHeard;     // last answer
-  Time lastAnnounced; // last announcement
+  Time lastHeard;             // last answer
+  Time lastAnnounced;         // last announcement
   std::uint64_t sequence = 0; // of the announcements of this boot
-  bool fenced = false; // it has answered under the fence of this leader
+  bool fenced = false;        // it has answered under the fence of this leader
 
-  std::uint64_t seen = 0;     // ends on record up to here
-  std::uint64_t listed = 0;   // highest end that a list has named
-  std::set<RunKey> recording; // listed ends that are not yet on record
-  std::uint64_t seenSent = 0; // as last told
+  std::uint64_t seen = 0;      // ends on record up to here
+  std::uint64_t listed = 0;    // highest end that a list has named
+  std::set<RunKey> recording;  // listed ends that are not yet on record
+  std::uint64_t seenSent = 0;  // as last told
   std::uint64_t holdToken = 0; // 0: none under way
   Time holdSent{};
   Time nextHold{};
@@ -76,10 +76,10 @@
   state::Resources used; // by all live runs that do not fill
   std::map<RunKey, LiveRun> runs;
 
-  Time avoidUntil{}; // no new starts before
+  Time avoidUntil{};                // no new starts before
   std::uint32_t recentFailures = 0; // in a row, without a success between
   std::optional<Time> leavesBy;     // while draining
-  bool paced = false;       // filling tasks run beside serving ones
+  bool paced = false;               // filling tasks run beside serving ones
   Time paceLooked{};
   Time maintainingSince{};
   Time nextOwnerOrder{};
--- a/src/node/CallHandler.cpp
+++ b/src/node/CallHandler.cpp
@@ -92,14 +92,14 @@
 void
 CallHandler::Read(std::function<Reply()> aRead, ReplyCallback aDone)
 {
-  this->ports.confirm([read = std::move(aRead),
-                       done = std::move(aDone)](bool aConfirmed) {
-    if (aConfirmed) {
-      done(read());
-      return;
-    }
-    done(Only(Outcome::NotLeading));
-  });
+  this->ports.confirm(
+    [read = std::move(aRead), done = std::move(aDone)](bool aConfirmed) {
+      if (aConfirmed) {
+        done(read());
+        return;
+      }
+      done(Only(Outcome::NotLeading));
+    });
 }
 
 void
@@ -121,7 +121,9 @@
 }
 
 void
-CallHandler::Refuse(const std::string& aJob, Reply aReply, ReplyCallback aDone)
+CallHandler::Refuse(const std::string& aJob,
+                    Reply aReply,
+                    const ReplyCallback& aDone)
 {
   this->ports.note(
     { "call_refused",
@@ -144,9 +146,8 @@
         // The setup in force may have changed since: the call is then allowed
         // at the next attempt.
         const Access again = this->Check(call);
-        Reply reply = Only(again.refusal == Outcome::Done
-                             ? Outcome::Unavailable
-                             : again.refusal);
+        Reply reply = Only(again.refusal == Outcome::Done ? Outcome::Unavailable
+                                                          : again.refusal);
         reply.retryAfter = kRetryWithoutSetup;
         return reply;
       },
@@ -157,9 +158,9 @@
   }
   if (!aCall.spec || access.job.empty()) {
     Reply reply = Only(Outcome::Malformed);
-    reply.reason = access.job.empty() ? "no job ID in the path"
-                                      : "the job cannot be read";
-    this->Refuse(access.job.value, std::move(reply), std::move(aDone));
+    reply.reason =
+      access.job.empty() ? "no job ID in the path" : "the job cannot be read";
+    this->Refuse(access.job.value, std::move(reply), aDone);
     return;
   }
   if (this->state.FindJob(access.job) != nullptr) {
@@ -173,20 +174,20 @@
   if (retryAfter) {
     Reply reply = Only(Outcome::Overloaded);
     reply.retryAfter = *retryAfter;
-    this->Refuse(access.job.value, std::move(reply), std::move(aDone));
+    this->Refuse(access.job.value, std::move(reply), aDone);
     return;
   }
   this->submitting.insert(access.job);
   std::vector<work::Command> commands;
   commands.emplace_back(work::SubmitJob{
     access.job, access.queue->name, access.workspace, *aCall.spec });
-  this->Propose(std::move(commands),
-                Only(Outcome::Done),
-                [this, job = access.job, done = std::move(aDone)](
-                  Reply aReply) {
-                  this->submitting.erase(job);
-                  done(std::move(aReply));
-                });
+  this->Propose(
+    std::move(commands),
+    Only(Outcome::Done),
+    [this, job = access.job, done = std::move(aDone)](Reply aReply) {
+      this->submitting.erase(job);
+      done(std::move(aReply));
+    });
 }
 
 void
@@ -253,8 +254,7 @@
 void
 CallHandler::On(const DepartCall& aCall, ReplyCallback aDone)
 {
-  std::vector<work::Command> commands =
-    this->dispatcher.Depart(aCall.upstream);
+  std::vector<work::Command> commands = this->dispatcher.Depart(aCall.upstream);
   if (commands.empty()) {
     aDone(Only(Outcome::Done));
     return;
@@ -267,12 +267,12 @@
 {
   work::Setup setup = aCall.setup;
   setup.approvedBy = { kStandingApproval };
-  this->ports.note({ "setup_received",
-                     {},
-                     { { "version", dispatch::Text(setup.version) },
-                       { "held",
-                         dispatch::Text(this->state.CurrentSetup().version) },
-                       { "approved_by", kStandingApproval } } });
+  this->ports.note(
+    { "setup_received",
+      {},
+      { { "version", dispatch::Text(setup.version) },
+        { "held", dispatch::Text(this->state.CurrentSetup().version) },
+        { "approved_by", kStandingApproval } } });
   std::vector<work::Command> commands;
   commands.emplace_back(work::SetSetup{ std::move(setup) });
   this->Propose(std::move(commands), Only(Outcome::Done), std::move(aDone));
@@ -284,8 +284,8 @@
   this->Read(
     [this] {
       const work::Setup& setup = this->state.CurrentSetup();
-      Reply reply = Only(setup.version == 0 ? Outcome::Unavailable
-                                            : Outcome::SetupShown);
+      Reply reply =
+        Only(setup.version == 0 ? Outcome::Unavailable : Outcome::SetupShown);
       reply.document = setup.document;
       reply.retryAfter = kRetryWithoutSetup;
       return reply;
@@ -324,7 +324,7 @@
   Reply reply =
     Only(aCall.knownPath ? Outcome::Malformed : Outcome::NoSuchQueue);
   reply.reason = aCall.reason;
-  this->Refuse({}, std::move(reply), std::move(aDone));
+  this->Refuse({}, std::move(reply), aDone);
 }
 
 } // namespace hyssoppaddle::node
--- a/src/node/CallHandler.h
+++ b/src/node/CallHandler.h
@@ -20,7 +20,7 @@
   using Proposer =
     std::function<void(std::vector<work::Command>, Replica::ProposalCallback)>;
   using Confirmer = std::function<void(Replica::ReadCallback)>;
-  using Noter = std::function<void(dispatch::Decision)>;
+  using Noter = std::function<void(const dispatch::Decision&)>;
 
   struct Ports
   {
@@ -67,7 +67,9 @@
   void Propose(std::vector<work::Command> aCommands,
                Reply aSuccess,
                ReplyCallback aDone);
-  void Refuse(const std::string& aJob, Reply aReply, ReplyCallback aDone);
+  void Refuse(const std::string& aJob,
+              Reply aReply,
+              const ReplyCallback& aDone);
 
   const work::WorkState& state;
   dispatch::Dispatcher& dispatcher;
--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -51,10 +51,9 @@
     return;
   }
   const wire::RemoteCall call = aCall.call;
-  this->ports.handleHere(
-    call, [this, token = call.token](RoutedReply aReply) {
-      this->OnRouted(token, std::move(aReply));
-    });
+  this->ports.handleHere(call, [this, token = call.token](RoutedReply aReply) {
+    this->OnRouted(token, std::move(aReply));
+  });
 }
 
 void
@@ -113,13 +112,13 @@
   Reply reply;
   reply.outcome = call.mayHaveRun ? Outcome::Undecided : Outcome::Unavailable;
   reply.retryAfter = kRetryWithoutLeader;
-  this->ports.note({ "call_given_up",
-                     {},
-                     { { "method", call.call.method },
-                       { "target", call.call.target },
-                       { "sent_to",
-                         call.sentTo ? call.sentTo->value : "no leader known" },
-                       { "may_have_run", call.mayHaveRun ? "yes" : "no" } } });
+  this->ports.note(
+    { "call_given_up",
+      {},
+      { { "method", call.call.method },
+        { "target", call.call.target },
+        { "sent_to", call.sentTo ? call.sentTo->value : "no leader known" },
+        { "may_have_run", call.mayHaveRun ? "yes" : "no" } } });
   this->OnRouted(aToken, { true, false, this->ports.encode(reply) });
 }
 
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -36,7 +36,7 @@
     std::function<void(const wire::RemoteCall&, LocalReply)> handleHere;
     // The answer of this node itself.
     std::function<api::HttpReply(const Reply&)> encode;
-    std::function<void(dispatch::Decision)> note;
+    std::function<void(const dispatch::Decision&)> note;
   };
 
   CallRouter(InstanceId aSelf, Ports aPorts);
@@ -61,7 +61,7 @@
     Time arrived{};
     Time endsBy{};
     std::optional<InstanceId> sentTo; // waits for an answer from there
-    bool unanswered = false; // an earlier leader was lost with it
+    bool unanswered = false;          // an earlier leader was lost with it
     bool mayHaveRun = false;
   };
 
--- a/src/node/Calls.h
+++ b/src/node/Calls.h
@@ -85,12 +85,12 @@
 
 enum class Outcome : std::uint8_t
 {
-  Done,        // accepted, recorded, or already so
-  JobShown,    // with `job`
-  QueueShown,  // with `pending`
-  SetupShown,  // with `document`
-  WaveShown,   // with `waveCompleted`
-  Announced,   // with `announceTo`
+  Done,       // accepted, recorded, or already so
+  JobShown,   // with `job`
+  QueueShown, // with `pending`
+  SetupShown, // with `document`
+  WaveShown,  // with `waveCompleted`
+  Announced,  // with `announceTo`
   NoSuchJob,
   NoSuchQueue,
   NoSuchWave,
--- a/src/node/Cluster.cpp
+++ b/src/node/Cluster.cpp
@@ -111,8 +111,8 @@
 InstanceId
 Cluster::Leader(Time aNow) const
 {
-  const bool fresh = this->leader == this->self ||
-                     aNow - this->leaderHeard < kLeaderNewsHolds;
+  const bool fresh =
+    this->leader == this->self || aNow - this->leaderHeard < kLeaderNewsHolds;
   return fresh ? this->leader : InstanceId();
 }
 
@@ -184,8 +184,8 @@
                                            aActive.learners.front() };
   }
   for (const auto& [node, askedAt] : this->joining) {
-    const bool known = Contains(aActive.voters, node) ||
-                       Contains(aActive.learners, node);
+    const bool known =
+      Contains(aActive.voters, node) || Contains(aActive.learners, node);
     if (!known && !full && aNow - askedAt < kJoinHolds) {
       return agreement::ChangeConfiguration{ 0, ChangeKind::AddLearner, node };
     }
--- a/src/node/HttpClient.cpp
+++ b/src/node/HttpClient.cpp
@@ -195,7 +195,7 @@
   if (!endpoint) {
     co_return false;
   }
-  aConnection.socket = Socket(this->io);
+  aConnection.Close(); // connecting opens it again
   ErrorValue error;
   {
     Deadline connecting(*this->deadlines,
--- a/src/node/LineLog.cpp
+++ b/src/node/LineLog.cpp
@@ -77,9 +77,9 @@
     if (this->dropped > this->droppedTold) {
       const std::uint64_t missing = this->dropped - this->droppedTold;
       this->droppedTold = this->dropped;
-      this->Append({ "lines_dropped", {}, { { "count",
-                                              std::to_string(missing) } } },
-                   aWall);
+      this->Append(
+        { "lines_dropped", {}, { { "count", std::to_string(missing) } } },
+        aWall);
     }
   }
   if (this->written >= this->linesPerSecond) {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -194,8 +194,7 @@
   };
   hooks.saveSnapshot = [this](agreement::SnapshotMeta aMeta,
                               std::string aBytes) {
-    this->storage->Enqueue(
-      SnapshotWork{ std::move(aMeta), std::move(aBytes) });
+    this->storage->Enqueue(SnapshotWork{ std::move(aMeta), std::move(aBytes) });
   };
   hooks.applied = [this](const work::Batch& aBatch,
                          std::span<const work::Verdict> aVerdicts) {
@@ -204,26 +203,28 @@
   };
   hooks.roleChanged = [this](const agreement::RoleChanged& aRole) {
     this->cluster.OnRole(aRole.leader, aRole.term, SuspendAwareNow());
-    this->Note({ "role_changed",
-                 {},
-                 { { "term", std::to_string(aRole.term) },
-                   { "leader", aRole.leader.value },
-                   { "leads",
-                     aRole.role == agreement::Role::Leader ? "yes" : "no" } } });
+    this->Note(
+      { "role_changed",
+        {},
+        { { "term", std::to_string(aRole.term) },
+          { "leader", aRole.leader.value },
+          { "leads",
+            aRole.role == agreement::Role::Leader ? "yes" : "no" } } });
     this->nextStatus = Time{}; // the others learn of it at once
   };
   hooks.unreadable = [this](const Error& aError) {
-    this->NoteAlways({ "log_unreadable", {}, { { "reason", aError.message } } });
+    this->NoteAlways(
+      { "log_unreadable", {}, { { "reason", aError.message } } });
   };
-  this->replica = std::make_unique<Replica>(
-    agreement::Raft(this->self,
-                    std::move(initial),
-                    std::move(recoveredLog),
-                    RandomSeed(),
-                    SuspendAwareNow(),
-                    ElectionTimes(),
-                    LogLimits()),
-    std::move(hooks));
+  this->replica =
+    std::make_unique<Replica>(agreement::Raft(this->self,
+                                              std::move(initial),
+                                              std::move(recoveredLog),
+                                              RandomSeed(),
+                                              SuspendAwareNow(),
+                                              ElectionTimes(),
+                                              LogLimits()),
+                              std::move(hooks));
   this->MakeLeaderParts();
   if (this->storage) {
     return;
@@ -270,8 +271,8 @@
   ports.confirm = [this](Replica::ReadCallback aDone) {
     this->replica->Confirm(SuspendAwareNow(), std::move(aDone));
   };
-  ports.note = [this](dispatch::Decision aDecision) {
-    this->Note(std::move(aDecision));
+  ports.note = [this](const dispatch::Decision& aDecision) {
+    this->Note(aDecision);
   };
   ports.now = SuspendAwareNow;
   this->handler = std::make_unique<CallHandler>(this->replica->State(),
@@ -295,8 +296,8 @@
   ports.encode = [this](const Reply& aReply) {
     return this->protocol->Encode(aReply);
   };
-  ports.note = [this](dispatch::Decision aDecision) {
-    this->Note(std::move(aDecision));
+  ports.note = [this](const dispatch::Decision& aDecision) {
+    this->Note(aDecision);
   };
   this->router = std::make_unique<CallRouter>(this->self, std::move(ports));
 }
@@ -357,22 +358,23 @@
 Node::Impl::MakeServers()
 {
   const auto calls = [this](bool aControl) {
-    return [this, aControl](api::HttpRequest aRequest,
-                            api::ReplyCallback aDone) {
-      this->OnCall(std::move(aRequest), aControl, std::move(aDone));
-    };
+    return
+      [this, aControl](api::HttpRequest aRequest, api::ReplyCallback aDone) {
+        this->OnCall(std::move(aRequest), aControl, std::move(aDone));
+      };
   };
   this->callers = this->MakeServer(this->settings.callersAddress, calls(false));
   this->control = this->MakeServer(this->settings.controlAddress, calls(true));
-  this->ready = this->MakeServer(
-    this->settings.readyAddress,
-    [this](const api::HttpRequest& /*aRequest*/,
-           const api::ReplyCallback& aDone) {
-      api::HttpReply reply;
-      reply.status = this->IsReady(SuspendAwareNow()) ? 200 : 503;
-      reply.contentType = "text/plain";
-      aDone(std::move(reply));
-    });
+  this->ready =
+    this->MakeServer(this->settings.readyAddress,
+                     [this](const api::HttpRequest& /*aRequest*/,
+                            const api::ReplyCallback& aDone) {
+                       api::HttpReply reply;
+                       reply.status =
+                         this->IsReady(SuspendAwareNow()) ? 200 : 503;
+                       reply.contentType = "text/plain";
+                       aDone(std::move(reply));
+                     });
   this->metricsServer = this->MakeServer(
     this->settings.metricsAddress,
     [this](const api::HttpRequest& /*aRequest*/,
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -165,12 +165,12 @@
   }
   this->CheckLeadership();
   dispatch::Output output = this->dispatcher->TakeOutput();
-  for (dispatch::Decision& decision : output.decisions) {
-    this->Note(std::move(decision));
+  for (const dispatch::Decision& decision : output.decisions) {
+    this->Note(decision);
   }
   this->ProposeDecided(std::move(output.commands));
-  for (dispatch::Instruction& instruction : output.instructions) {
-    this->Execute(std::move(instruction));
+  for (const dispatch::Instruction& instruction : output.instructions) {
+    this->Execute(instruction);
   }
 }
 
@@ -190,8 +190,7 @@
     return;
   }
   this->electedAt = SuspendAwareNow();
-  this->dispatcher->BecomeLeader(
-    leads, this->electedAt, shell::WallClockNow());
+  this->dispatcher->BecomeLeader(leads, this->electedAt, shell::WallClockNow());
 }
 
 void
@@ -207,16 +206,15 @@
     return;
   }
   const std::uint64_t term = this->ledTerm;
-  this->Propose(aCommands,
-                [this, term, commands = aCommands](
-                  ProposalEnd aEnd, std::span<const work::Verdict>) {
-                  // While it hands over, a leader takes no proposals.
-                  if (aEnd == ProposalEnd::Rejected && term == this->ledTerm &&
-                      term != 0) {
-                    this->held.insert(
-                      this->held.end(), commands.begin(), commands.end());
-                  }
-                });
+  this->Propose(
+    aCommands,
+    [this, term, commands = aCommands](ProposalEnd aEnd,
+                                       std::span<const work::Verdict>) {
+      // While it hands over, a leader takes no proposals.
+      if (aEnd == ProposalEnd::Rejected && term == this->ledTerm && term != 0) {
+        this->held.insert(this->held.end(), commands.begin(), commands.end());
+      }
+    });
 }
 
 void
@@ -226,8 +224,7 @@
   work::Batch batch;
   batch.stamp = shell::WallClockNow();
   batch.commands = std::move(aCommands);
-  this->replica->Propose(
-    std::move(batch), SuspendAwareNow(), std::move(aDone));
+  this->replica->Propose(std::move(batch), SuspendAwareNow(), std::move(aDone));
   this->SchedulePump();
 }
 
@@ -248,15 +245,15 @@
 }
 
 void
-Node::Impl::Execute(dispatch::Instruction aInstruction)
+Node::Impl::Execute(const dispatch::Instruction& aInstruction)
 {
   const std::uint64_t term = this->ledTerm;
-  const auto answer = [this, term, instruction = aInstruction](
-                        const OutboundResult& aResult) {
-    if (term == this->ledTerm && term != 0) {
-      this->Answer(instruction, aResult);
-    }
-  };
+  const auto answer =
+    [this, term, instruction = aInstruction](const OutboundResult& aResult) {
+      if (term == this->ledTerm && term != 0) {
+        this->Answer(instruction, aResult);
+      }
+    };
   const auto maySend = [this, term] {
     return term == this->ledTerm && term != 0 &&
            this->MayAct(SuspendAwareNow());
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -45,13 +45,15 @@
   void On(const InstanceId& aFrom, wire::RemoteCall& aMessage);
   void On(const InstanceId& aFrom, wire::RemoteReply& aMessage);
   void On(const InstanceId& aFrom, wire::NodeStatus& aMessage);
-  void OnCall(api::HttpRequest aRequest, bool aControl, api::ReplyCallback aDone);
+  void OnCall(api::HttpRequest aRequest,
+              bool aControl,
+              api::ReplyCallback aDone);
   void HandleHere(const wire::RemoteCall& aCall, CallRouter::LocalReply aDone);
   void SchedulePump();
   void Pump();
   void CheckLeadership();
   void ProposeDecided(std::vector<work::Command> aCommands);
-  void Execute(dispatch::Instruction aInstruction);
+  void Execute(const dispatch::Instruction& aInstruction);
   void Answer(const dispatch::Instruction& aInstruction,
               const OutboundResult& aResult);
   void Propose(std::vector<work::Command> aCommands,
@@ -75,8 +77,8 @@
   void Reload();
   [[nodiscard]] bool IsReady(Time aNow) const;
   [[nodiscard]] api::HttpReply MetricsReply() const;
-  void Note(dispatch::Decision aDecision);
-  void NoteAlways(dispatch::Decision aDecision);
+  void Note(const dispatch::Decision& aDecision);
+  void NoteAlways(const dispatch::Decision& aDecision);
 
   NodeSettings settings;
   std::unique_ptr<Protocol> protocol;
@@ -89,7 +91,7 @@
   Cluster cluster;
   std::unique_ptr<shell::DurableLog> durable;
   agreement::RecoveredLog recovered;
-  bool wasEmpty = false; // the data folder, at the start
+  bool wasEmpty = false;            // the data folder, at the start
   std::unique_ptr<Replica> replica; // null without a disk
   std::unique_ptr<shell::StorageThread> storage;
   std::unique_ptr<dispatch::Dispatcher> dispatcher; // null without a disk
@@ -110,7 +112,7 @@
   Time nextJoin{};
   Time nextChange{};
   Time electedAt{};
-  std::uint64_t ledTerm = 0; // the dispatcher was started for this term
+  std::uint64_t ledTerm = 0;       // the dispatcher was started for this term
   std::vector<work::Command> held; // rejected proposals, proposed again
   InstanceId lastLeader;           // as last written to the log
   bool stopping = false;
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -86,10 +86,8 @@
   reader.String("data_folder", settings.dataFolder, Need::Optional);
   reader.Boolean("first_start", settings.firstStart, Need::Optional);
   reader.Address("advisor_address", settings.advisorAddress, 1, Need::Optional);
-  reader.Address("instance_owner_address",
-                 settings.instanceOwnerAddress,
-                 1,
-                 Need::Optional);
+  reader.Address(
+    "instance_owner_address", settings.instanceOwnerAddress, 1, Need::Optional);
   reader.Integer("decision_lines_per_second",
                  settings.decisionLinesPerSecond,
                  { 0, 100000 },
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -28,8 +28,8 @@
   bool firstStart = false;    // of the whole system, with empty disks
   // Peer addresses of some nodes, the same on all nodes at the first start.
   std::vector<std::string> seeds;
-  std::string advisorAddress;       // empty: none
-  std::string instanceOwnerAddress; // empty: none
+  std::string advisorAddress;                  // empty: none
+  std::string instanceOwnerAddress;            // empty: none
   Duration gracePeriod = dispatch::seconds(6); // from the stop signal to an end
   std::uint32_t decisionLinesPerSecond = 200;
   dispatch::Options dispatch;
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -5,8 +5,8 @@
 #include "shell/Clock.h"
 
 #include <algorithm>
-#include <csignal>
 #include <array>
+#include <csignal>
 
 namespace hyssoppaddle::node {
 
@@ -67,10 +67,11 @@
   }
   const InstanceId leader = this->cluster.Leader(now);
   if (leader != this->lastLeader) {
-    this->NoteAlways({ leader.empty() ? "leader_lost" : "leader_known",
-                       {},
-                       { { "leader", leader.value },
-                         { "term", std::to_string(this->cluster.LeaderTerm()) } } });
+    this->NoteAlways(
+      { leader.empty() ? "leader_lost" : "leader_known",
+        {},
+        { { "leader", leader.value },
+          { "term", std::to_string(this->cluster.LeaderTerm()) } } });
     this->lastLeader = leader;
   }
   this->log.Flush();
@@ -148,11 +149,11 @@
     this->cluster.NextChange(raft.ActiveConfiguration(), health, aNow);
   if (change) {
     constexpr std::array<const char*, 3> kKinds{ "add", "promote", "remove" };
-    this->Note({ "replica_change_asked",
-                 {},
-                 { { "replica", change->instance.value },
-                   { "change",
-                     kKinds[static_cast<std::size_t>(change->kind)] } } });
+    this->Note(
+      { "replica_change_asked",
+        {},
+        { { "replica", change->instance.value },
+          { "change", kKinds[static_cast<std::size_t>(change->kind)] } } });
     this->replica->Step(*change, aNow);
   }
 }
@@ -299,13 +300,13 @@
 }
 
 void
-Node::Impl::Note(dispatch::Decision aDecision)
+Node::Impl::Note(const dispatch::Decision& aDecision)
 {
   this->log.Write(aDecision, SuspendAwareNow(), shell::WallClockNow());
 }
 
 void
-Node::Impl::NoteAlways(dispatch::Decision aDecision)
+Node::Impl::NoteAlways(const dispatch::Decision& aDecision)
 {
   this->log.WriteAlways(aDecision, shell::WallClockNow());
 }
--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -28,7 +28,7 @@
 }
 
 void
-Replica::Propose(work::Batch aBatch, Time aNow, ProposalCallback aDone)
+Replica::Propose(const work::Batch& aBatch, Time aNow, ProposalCallback aDone)
 {
   const std::uint64_t token = ++this->lastToken;
   this->proposals[token] = std::move(aDone);
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -48,7 +48,7 @@
 
   void Step(const agreement::Event& aEvent, Time aNow);
   // Proposes on the leader; ends at once as Rejected elsewhere.
-  void Propose(work::Batch aBatch, Time aNow, ProposalCallback aDone);
+  void Propose(const work::Batch& aBatch, Time aNow, ProposalCallback aDone);
   // Confirms that this replica leads and has applied all that was committed
   // before the call.
   void Confirm(Time aNow, ReadCallback aDone);
--- a/src/wire/PeerSchema.h
+++ b/src/wire/PeerSchema.h
@@ -128,15 +128,15 @@
 struct TypeNumbers<PeerMessage>
 {
   static constexpr std::array<std::uint16_t, 12> kNumbers{
-    1, // Greeting
-    2, // GreetingProof
-    3, // RaftMessage
-    4, // Forward
-    5, // ForwardReply
-    6, // Renew
-    7, // RenewReply
-    8, // Heard
-    9, // JoinRequest
+    1,  // Greeting
+    2,  // GreetingProof
+    3,  // RaftMessage
+    4,  // Forward
+    5,  // ForwardReply
+    6,  // Renew
+    7,  // RenewReply
+    8,  // Heard
+    9,  // JoinRequest
     10, // RemoteCall
     11, // RemoteReply
     12, // NodeStatus
--- a/src/work/Commands.h
+++ b/src/work/Commands.h
@@ -111,10 +111,10 @@
 
 enum class Verdict : std::uint8_t
 {
-  Done,      // carried out, or already so
-  Conflict,  // contradicts what is recorded
-  NotFound,  // names nothing known
-  Outdated,  // a newer one is in force
+  Done,     // carried out, or already so
+  Conflict, // contradicts what is recorded
+  NotFound, // names nothing known
+  Outdated, // a newer one is in force
 };
 
 } // namespace hyssoppaddle::work
--- a/src/work/Job.h
+++ b/src/work/Job.h
@@ -20,9 +20,9 @@
   std::string dataRack;             // empty: none
   std::string requiredLabel;        // empty: none
   std::string image;
-  Duration tailTarget{ 0 };            // of a serving task's response times
-  std::uint32_t maxPerUpstream = 0;    // 0: no limit
-  std::uint32_t maxUnavailable = 0;    // through planned stops; 0: no limit
+  Duration tailTarget{ 0 };         // of a serving task's response times
+  std::uint32_t maxPerUpstream = 0; // 0: no limit
+  std::uint32_t maxUnavailable = 0; // through planned stops; 0: no limit
   bool checkpoints = false;
   bool gang = false;      // all tasks run together or none
   bool rackLocal = false; // slower when spread over several racks
--- a/src/work/Upstream.h
+++ b/src/work/Upstream.h
@@ -20,8 +20,8 @@
   DataCentreId dataCentre;
   state::Resources capacity;
   std::vector<std::string> labels; // its kind, then its rack
-  std::uint64_t boot = 0;          // start time in ms since the epoch; 0: unknown
-  std::string instance;            // the instance that it is one life of
+  std::uint64_t boot = 0; // start time in ms since the epoch; 0: unknown
+  std::string instance;   // the instance that it is one life of
   bool draining = false;
   bool operator==(const Upstream&) const = default;
 
--- a/src/work/WorkSchema.h
+++ b/src/work/WorkSchema.h
@@ -28,11 +28,7 @@
                     aIt.needsAdvice,
                     aIt.advice);
 HYSSOPPADDLE_SCHEMA(work::Service, aIt.name, aIt.enforcesCapacity, aIt.standby);
-HYSSOPPADDLE_SCHEMA(work::Workspace,
-                    aIt.name,
-                    aIt.keys,
-                    aIt.weight,
-                    aIt.limit);
+HYSSOPPADDLE_SCHEMA(work::Workspace, aIt.name, aIt.keys, aIt.weight, aIt.limit);
 HYSSOPPADDLE_SCHEMA(work::Setup,
                     aIt.version,
                     aIt.document,
--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -162,8 +162,8 @@
     return Verdict::NotFound;
   }
   Job& job = found->second;
-  const auto run = std::find_if(
-    task->runs.begin(), task->runs.end(), [&](const Run& aRun) {
+  const auto run =
+    std::find_if(task->runs.begin(), task->runs.end(), [&](const Run& aRun) {
       return aRun.number == aCommand.run && aRun.upstream == aCommand.upstream;
     });
   if (run == task->runs.end()) {
--- a/test/dispatch/DispatcherTest.cpp
+++ b/test/dispatch/DispatcherTest.cpp
@@ -44,7 +44,8 @@
   story.Section("a job of two steps, the second after the first", [&] {
     work::Step second = StepOf(2, 2000, milliseconds(300));
     second.after = { 0 };
-    world.Submit("job", "print", { StepOf(3, 2000, milliseconds(500)), second });
+    world.Submit(
+      "job", "print", { StepOf(3, 2000, milliseconds(500)), second });
     world.Run(milliseconds(450));
     EXPECT_EQUAL(story, world.RunningOn("print"), 3U);
     story.Section("the second starts once all of the first are done", [&] {
@@ -73,9 +74,8 @@
     world.Run(milliseconds(50));
     world.holdCommits = true;
     world.Run(milliseconds(600));
-    story.Section("news of the job arrives meanwhile", [&] {
-      world.Run(milliseconds(100));
-    });
+    story.Section("news of the job arrives meanwhile",
+                  [&] { world.Run(milliseconds(100)); });
     world.holdCommits = false;
     world.Run(seconds(1));
     EXPECT_EQUAL(story, world.StateOf("job"), JobState::Completed);
@@ -95,8 +95,7 @@
     }));
   });
   story.Section("no run was stopped", [&] {
-    EXPECT_EQUAL(
-      story, world.upstreams.begin()->second.stopsSeen, 0U);
+    EXPECT_EQUAL(story, world.upstreams.begin()->second.stopsSeen, 0U);
     EXPECT_EQUAL(story, world.rejectedStarts, 0U);
   });
   ExpectNoViolation(story, world);
@@ -153,9 +152,8 @@
   story.Section("the upstream is cut off and works on", [&] {
     world.upstreams.at(InstanceId("up-1")).reachable = false;
     world.Run(seconds(3));
-    EXPECT_EQUAL(story,
-                 world.upstreams.at(InstanceId("up-2")).running.size(),
-                 0U);
+    EXPECT_EQUAL(
+      story, world.upstreams.at(InstanceId("up-2")).running.size(), 0U);
     story.Section("after its lease the task runs elsewhere", [&] {
       EXPECT_THAT(story, world.RunUntil(seconds(6), [&] {
         return world.upstreams.at(InstanceId("up-2")).running.size() == 1;
@@ -205,7 +203,8 @@
     for (const auto& [id, up] : world.upstreams) {
       starts += up.startsSeen;
     }
-    story.Section("no task ran twice", [&] { EXPECT_EQUAL(story, starts, 9U); });
+    story.Section("no task ran twice",
+                  [&] { EXPECT_EQUAL(story, starts, 9U); });
   });
   ExpectNoViolation(story, world);
 }
@@ -245,7 +244,8 @@
   world.Run(seconds(4));
   std::size_t completed = 0;
   for (int i = 0; i < 12; ++i) {
-    completed += world.StateOf("job-" + std::to_string(i)) == JobState::Completed;
+    completed +=
+      world.StateOf("job-" + std::to_string(i)) == JobState::Completed;
   }
   EXPECT_EQUAL(story, completed, 12U);
 }
@@ -274,9 +274,8 @@
   gang.gang = true;
   world.Submit("gang", "print", { gang });
   world.Run(milliseconds(500));
-  story.Section("8 cores hold 4 of its 6 members: none starts", [&] {
-    EXPECT_EQUAL(story, world.RunningOn("print"), 0U);
-  });
+  story.Section("8 cores hold 4 of its 6 members: none starts",
+                [&] { EXPECT_EQUAL(story, world.RunningOn("print"), 0U); });
   story.Section("a second upstream makes room for all", [&] {
     world.AddUpstream("print");
     EXPECT_THAT(story, world.RunUntil(seconds(4), [&] {
--- a/test/dispatch/StrategyTest.cpp
+++ b/test/dispatch/StrategyTest.cpp
@@ -81,7 +81,8 @@
   work::Queue queue;
   queue.stretch = 1.6;
   queue.targetCompletion = milliseconds(600);
-  const work::JobSpec spec = Spec(seconds(1)); // objective 2.2 s, worth to 6.6 s
+  const work::JobSpec spec =
+    Spec(seconds(1)); // objective 2.2 s, worth to 6.6 s
   story.Section("a backlog of 5 s is accepted", [&] {
     EXPECT_THAT(story, !dispatch::RetryAfter({ 50000, 10, 1 }, queue, spec));
   });
@@ -93,7 +94,8 @@
   story.Section("a lasting job is never turned away by it", [&] {
     work::JobSpec lasting = spec;
     lasting.steps[0].lasting = true;
-    EXPECT_THAT(story, !dispatch::RetryAfter({ 100000, 10, 1 }, queue, lasting));
+    EXPECT_THAT(story,
+                !dispatch::RetryAfter({ 100000, 10, 1 }, queue, lasting));
   });
 }
 
@@ -183,11 +185,13 @@
   EXPECT_EQUAL(
     story, book.Find(step, yes, asked + seconds(1)), std::string("ticket"));
   story.Section("a refusal does not change and is not asked again", [&] {
-    EXPECT_EQUAL(story, book.Unknown(step, { no }, asked + seconds(9)).size(), 0U);
+    EXPECT_EQUAL(
+      story, book.Unknown(step, { no }, asked + seconds(9)).size(), 0U);
   });
   story.Section("a ticket is asked again before it ends", [&] {
     EXPECT_EQUAL(
       story, book.Unknown(step, { yes }, asked + seconds(3)).size(), 1U);
-    EXPECT_EQUAL(story, book.Find(step, yes, asked + seconds(3)), std::string());
+    EXPECT_EQUAL(
+      story, book.Find(step, yes, asked + seconds(3)), std::string());
   });
 }
--- a/test/dispatch/World.cpp
+++ b/test/dispatch/World.cpp
@@ -72,7 +72,8 @@
   up.record.service = ServiceId(aService);
   up.record.address = "10.0.0." + number + ":80";
   up.record.capacity = { aMilliCpus, 64000, 0 };
-  up.record.labels = { "kind", "rack-" + std::to_string(this->lastUpstream % 3) };
+  up.record.labels = { "kind",
+                       "rack-" + std::to_string(this->lastUpstream % 3) };
   up.record.boot = this->lastUpstream;
   up.record.instance = "machine-" + number;
   up.bornAt = this->now;
@@ -299,12 +300,12 @@
     }
     instance.phase = dispatch::InstancePhase::Up;
     instance.inWave = 0;
-    const bool standby = std::any_of(
-      this->setup.services.begin(),
-      this->setup.services.end(),
-      [&](const work::Service& aService) {
-        return aService.name == instance.pool && aService.standby;
-      });
+    const bool standby =
+      std::any_of(this->setup.services.begin(),
+                  this->setup.services.end(),
+                  [&](const work::Service& aService) {
+                    return aService.name == instance.pool && aService.standby;
+                  });
     if (standby) {
       continue;
     }
--- a/test/dispatch/World.h
+++ b/test/dispatch/World.h
@@ -8,9 +8,9 @@
 #include "dispatch/Dispatcher.h"
 
 #include <deque>
-#include <memory>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
--- a/test/dispatch/WorldUpstreams.cpp
+++ b/test/dispatch/WorldUpstreams.cpp
@@ -39,7 +39,8 @@
 void
 World::Deliver(dispatch::Instruction aInstruction)
 {
-  std::visit([this](const auto& aOrder) { this->Answer(aOrder); }, aInstruction);
+  std::visit([this](const auto& aOrder) { this->Answer(aOrder); },
+             aInstruction);
 }
 
 void
@@ -65,9 +66,9 @@
     });
   }
   // The wait is played as a short one: an end is listed a little later.
-  const Duration wait =
-    up->ended.empty() ? std::min<Duration>(aOrder.wait, kOrderLimit / 4)
-                      : Duration(0);
+  const Duration wait = up->ended.empty()
+                          ? std::min<Duration>(aOrder.wait, kOrderLimit / 4)
+                          : Duration(0);
   this->answers.push_back({ this->now + kRoundTrip + wait,
                             [this, aOrder] { return this->ListsOf(aOrder); } });
 }
--- /dev/null
+++ b/test/platform/DecodeTest.cpp
@@ -0,0 +1,273 @@
+// What the platform sends, in its words, and what becomes of it.
+#include "../../platform/Decode.h"
+#include "../../platform/PlatformProtocol.h"
+
+#include "support/Story.h"
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+using namespace hyssoppaddle::platform;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kReport =
+  R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
+"slots":8,"state":"ready","cold_remaining_ms":0,"machine":"m-1","born":77,
+"capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},"labels":["a","r1-3"],
+"clock_ms":482113,"sequence":4})";
+
+std::string
+Configuration(const std::string& aRoutes, const std::string& aTenants = "")
+{
+  return R"({"version":7,"routes":[)" + aRoutes +
+         R"(],"services":[{"name":"s","standby":true}],"limits":{},"tenants":[)" +
+         aTenants + "]}";
+}
+
+std::string
+Route(const std::string& aName,
+      const std::string& aPrefix,
+      const std::string& aService = "s",
+      int aTimeout = 3000)
+{
+  return R"({"name":")" + aName + R"(","host":"h","path_prefix":")" + aPrefix +
+         R"(","kind":"non_idempotent","timeout_ms":)" +
+         std::to_string(aTimeout) +
+         R"(,"target_completion_ms":600,"priority":1,"service":")" + aService +
+         R"(","max_attempts":2,"stretch":1.6,"allow_anonymous":true})";
+}
+
+api::HttpRequest
+Request(const char* aMethod,
+        const char* aTarget,
+        std::string aBody,
+        api::Listener aListener)
+{
+  api::HttpRequest request;
+  request.method = aMethod;
+  request.target = aTarget;
+  request.body = std::move(aBody);
+  request.listener = aListener;
+  request.headers = { { "host", "h" }, { "x-api-key", "secret" } };
+  return request;
+}
+
+} // namespace
+
+Test(Decode, AJob)
+{
+  Story story;
+  const auto job = DecodeJob(
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,
+"estimated_ms":900,"data_rack":"r1-3"},{"count":20,"cpu":2000,"after":[0],
+"checkpointing":true,"anti_affinity":2,"allow_speculative":true}]})");
+  EXPECT_THAT(story, job.has_value());
+  EXPECT_EQUAL(story, job->payload, std::string("text"));
+  EXPECT_EQUAL(story, job->steps.size(), 2U);
+  EXPECT_EQUAL(story, job->steps[0].dataRack, std::string("r1-3"));
+  EXPECT_EQUAL(story, job->steps[0].estimate, Duration(milliseconds(900)));
+  EXPECT_THAT(story, job->steps[1].checkpoints && job->steps[1].speculative);
+  EXPECT_EQUAL(story, job->steps[1].maxPerUpstream, 2U);
+  story.Section("one that runs by time", [&] {
+    const auto timed = DecodeJob(
+      R"({"spec":"","steps":[{"count":1}],"repeat_count":4,
+"start_at_ms":1000,"interval_ms":500})");
+    EXPECT_EQUAL(story, timed->occurrences, 4U);
+    EXPECT_EQUAL(story, *timed->firstDue, WallTime(milliseconds(1000)));
+  });
+  story.Section("what cannot be read names no job", [&] {
+    for (const char* text : { "",
+                              "{",
+                              "[]",
+                              "{}",
+                              R"({"steps":[]})",
+                              R"({"steps":[{"count":0}]})",
+                              R"({"steps":[{"count":1,"after":[0]}]})",
+                              R"({"steps":[{"count":-1}]})",
+                              R"({"steps":[{"count":"4"}]})",
+                              R"({"steps":[{"count":4000000000}]})",
+                              R"({"spec":5,"steps":[{"count":1}]})" }) {
+      story.Section(text,
+                    [&] { EXPECT_THAT(story, !DecodeJob(text).has_value()); });
+    }
+  });
+}
+
+Test(Decode, AStatusReport)
+{
+  Story story;
+  const auto said = DecodeAnnouncement("i-1", kReport);
+  EXPECT_THAT(story, said.has_value());
+  EXPECT_EQUAL(story, said->record.boot, 77U);
+  EXPECT_EQUAL(story, said->record.instance, std::string("m-1"));
+  EXPECT_EQUAL(story, said->record.Rack(), std::string("r1-3"));
+  EXPECT_EQUAL(story, said->record.capacity.accelerators, 1);
+  EXPECT_EQUAL(story, said->clock.value_or(0), 482113);
+  EXPECT_THAT(story, !said->record.draining);
+  story.Section("entries of other writers name no upstream", [&] {
+    const auto replaced =
+      [](std::string aText, const std::string& aFrom, const std::string& aTo) {
+        aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+        return aText;
+      };
+    for (const std::string& text :
+         { replaced(kReport, "\"ready\"", "\"asleep\""),
+           replaced(kReport, "\"ready\"", "3"),
+           replaced(kReport, "\"sequence\":4", "\"sequence\":\"4\""),
+           replaced(kReport, "\"capacity\"", "\"room\""),
+           replaced(kReport, "16000", "-1"),
+           std::string("\xff\xfe") }) {
+      EXPECT_THAT(story, !DecodeAnnouncement("i-1", text).has_value());
+    }
+    EXPECT_THAT(story, !DecodeAnnouncement("", kReport).has_value());
+  });
+}
+
+Test(Decode, AConfiguration)
+{
+  Story story;
+  const std::string text = Configuration(Route("a", "/a/"));
+  const auto setup = DecodeSetup(text);
+  EXPECT_THAT(story, setup.has_value());
+  EXPECT_EQUAL(story, setup->document, text);
+  EXPECT_THAT(story, setup->services[0].standby);
+  EXPECT_EQUAL(story, setup->queues[0].maxAttempts, 2U);
+  story.Section("the invalid ones are refused", [&] {
+    const auto refused = [&](const char* aWhy, const std::string& aText) {
+      story.Section(
+        aWhy, [&] { EXPECT_THAT(story, !DecodeSetup(aText).has_value()); });
+    };
+    refused("cut short", text.substr(0, text.size() - 9));
+    refused("an unknown service", Configuration(Route("a", "/a/", "t")));
+    refused("two routes at one place",
+            Configuration(Route("a", "/a/") + "," + Route("b", "/a/")));
+    refused("no time-out", Configuration(Route("a", "/a/", "s", 0)));
+    refused("a key of two tenants",
+            Configuration("",
+                          R"({"name":"t","api_keys":["k"]},
+{"name":"u","api_keys":["k"]})"));
+    refused("no version", R"({"routes":[],"services":[]})");
+  });
+  story.Section("a key twice in one tenant is no conflict", [&] {
+    EXPECT_THAT(
+      story,
+      DecodeSetup(Configuration("", R"({"name":"t","api_keys":["k","k"]})"))
+        .has_value());
+  });
+}
+
+Test(Decode, TaskNames)
+{
+  Story story;
+  const work::TaskRef task{ JobId("5c0e.x"), 2, 1, 17 };
+  EXPECT_EQUAL(story, TaskName(task), std::string("5c0e.x.2.1.17"));
+  EXPECT_THAT(story, ParseTaskName("5c0e.x.2.1.17") == task);
+  for (const char* text : { "", "a", "a.1.2", "a.1.2.x", ".1.2.3", "a.1.2." }) {
+    EXPECT_THAT(story, !ParseTaskName(text).has_value());
+  }
+}
+
+Test(Protocol, DecodesCallsOnce)
+{
+  Story story;
+  const PlatformProtocol protocol({ "node", "", "" });
+  const auto callers = api::Listener::Callers;
+  const auto control = api::Listener::Control;
+  const auto submit = protocol.Decode(Request(
+    "POST", "/a/id?x=1", R"({"spec":"","steps":[{"count":1}]})", callers));
+  const auto* call = std::get_if<node::SubmitCall>(&submit);
+  EXPECT_THAT(story, call != nullptr && call->spec.has_value());
+  EXPECT_EQUAL(story, call->at.path, std::string("/a/id"));
+  EXPECT_EQUAL(story, call->at.key, std::string("secret"));
+  EXPECT_THAT(story,
+              std::holds_alternative<node::DepartCall>(protocol.Decode(
+                Request("DELETE", "/instances/i-1", "", control))));
+  EXPECT_THAT(story,
+              std::holds_alternative<node::MalformedCall>(protocol.Decode(
+                Request("PUT", "/instances/i-1", "{}", control))));
+  EXPECT_THAT(story,
+              std::holds_alternative<node::GetSetupCall>(
+                protocol.Decode(Request("GET", "/config", "", control))));
+  const auto wave =
+    protocol.Decode(Request("GET", "/wave-get/12", "", control));
+  EXPECT_EQUAL(story, std::get<node::ShowWaveCall>(wave).number, 12U);
+}
+
+Test(Protocol, EncodesReplies)
+{
+  Story story;
+  const PlatformProtocol protocol({ "node", "", "" });
+  node::Reply reply;
+  reply.outcome = node::Outcome::Overloaded;
+  reply.retryAfter = milliseconds(1200);
+  const api::HttpReply busy = protocol.Encode(reply);
+  EXPECT_EQUAL(story, busy.status, 429U);
+  EXPECT_EQUAL(story, busy.headers.at(0).value, std::string("2"));
+  reply = {};
+  reply.outcome = node::Outcome::JobShown;
+  reply.job = work::JobState::Completed;
+  EXPECT_EQUAL(story,
+               protocol.Encode(reply).body,
+               std::string(R"({"state":"completed"})"));
+  reply.outcome = node::Outcome::Undecided;
+  EXPECT_EQUAL(story, protocol.Encode(reply).status, 504U);
+}
+
+Test(Protocol, WritesOrdersAndReadsAnswers)
+{
+  Story story;
+  const PlatformProtocol protocol({ "node", "a:1", "o:1" });
+  dispatch::StartTask start;
+  start.token = 5;
+  start.to = { InstanceId("i-1"), "10.0.0.1:80", 7 };
+  start.task = { JobId("j"), 0, 1, 2 };
+  start.run = 3;
+  start.leaseUntil = 5000;
+  const node::OutboundRequest written = protocol.Write(start);
+  EXPECT_EQUAL(story, written.target, std::string("/run-start"));
+  EXPECT_THAT(story,
+              written.body.find(R"("task":"j.0.1.2")") != std::string::npos);
+  EXPECT_THAT(story, written.body.find("checkpoint") == std::string::npos);
+  EXPECT_EQUAL(story, written.headers.at(1).value, std::string("i-1"));
+  const auto result =
+    [&](node::Delivery aDelivery, std::uint32_t aStatus, const char* aBody) {
+      return std::get<dispatch::OrderAnswer>(
+               protocol.Read(start, { aDelivery, aStatus, aBody }))
+        .result;
+    };
+  using dispatch::OrderResult;
+  using node::Delivery;
+  EXPECT_EQUAL(
+    story, result(Delivery::Answered, 200, "{}"), OrderResult::Accepted);
+  EXPECT_EQUAL(story,
+               result(Delivery::Answered, 409, R"({"reason":"old"})"),
+               OrderResult::Superseded);
+  EXPECT_EQUAL(
+    story, result(Delivery::Answered, 421, ""), OrderResult::WrongBoot);
+  EXPECT_EQUAL(story, result(Delivery::Unknown, 0, ""), OrderResult::NoAnswer);
+  EXPECT_EQUAL(story, result(Delivery::NotSent, 0, ""), OrderResult::NotSent);
+  EXPECT_EQUAL(
+    story, result(Delivery::Answered, 500, ""), OrderResult::NoAnswer);
+  story.Section("lists skip the rows that cannot be read", [&] {
+    dispatch::RenewLease renew;
+    renew.to = start.to;
+    const auto lists = std::get<dispatch::LeaseAnswer>(protocol.Read(
+      renew,
+      { Delivery::Answered,
+        200,
+        R"({"clock_ms":9,"born":4,"running":[["j.0.0.1",2,"cp",41,7],["x"],5],
+"ended":[[58,"j.0.1.9",1,"done",""],[59,"j.0.1.9",1,"vanished",""]]})" }));
+    EXPECT_THAT(story, lists.answered);
+    EXPECT_EQUAL(story, lists.boot, 4U);
+    EXPECT_EQUAL(story, lists.running.size(), 1U);
+    EXPECT_EQUAL(story, lists.running[0].load.value_or(0), 7);
+    EXPECT_EQUAL(story, lists.ended.size(), 1U);
+  });
+  story.Section("an answer that is no list counts as none", [&] {
+    dispatch::RenewLease renew;
+    const auto lists = std::get<dispatch::LeaseAnswer>(
+      protocol.Read(renew, { Delivery::Answered, 200, R"({"running":3})" }));
+    EXPECT_THAT(story, !lists.answered);
+  });
+}
--- /dev/null
+++ b/test/work/WorkStateTest.cpp
@@ -0,0 +1,230 @@
+// The replicated state of stepped jobs: what is recorded, what is refused.
+#include "work/WorkState.h"
+
+#include "support/Story.h"
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+using namespace hyssoppaddle::work;
+
+namespace {
+
+struct Recorder
+{
+  WorkState state;
+  std::int64_t second = 0;
+
+  Verdict Do(Command aCommand)
+  {
+    Batch batch;
+    batch.stamp = WallTime(std::chrono::seconds(++this->second));
+    batch.commands.push_back(std::move(aCommand));
+    return this->state.Apply(batch).front();
+  }
+
+  void AddQueue(std::uint32_t aMaxAttempts)
+  {
+    Setup setup;
+    setup.version = 3;
+    Queue queue;
+    queue.name = QueueId("queue");
+    queue.host = "host";
+    queue.pathPrefix = "/queue/";
+    queue.maxAttempts = aMaxAttempts;
+    setup.queues.push_back(queue);
+    this->Do(SetSetup{ setup });
+    Upstream upstream;
+    upstream.boot = 1;
+    this->Do(SetUpstream{ InstanceId("up"), upstream });
+  }
+
+  void Submit(std::vector<Step> aSteps)
+  {
+    SubmitJob submit;
+    submit.id = JobId("job");
+    submit.queue = QueueId("queue");
+    submit.spec.steps = std::move(aSteps);
+    this->Do(submit);
+  }
+
+  Verdict Start(std::uint32_t aStep, std::uint32_t aIndex, std::uint32_t aRun)
+  {
+    Run run;
+    run.number = aRun;
+    run.upstream = InstanceId("up");
+    run.boot = 1;
+    return this->Do(StartRun{ { JobId("job"), 0, aStep, aIndex }, run });
+  }
+
+  Verdict End(std::uint32_t aStep,
+              std::uint32_t aIndex,
+              std::uint32_t aRun,
+              EndKind aKind)
+  {
+    return this->Do(EndRun{
+      { JobId("job"), 0, aStep, aIndex }, aRun, InstanceId("up"), aKind, "" });
+  }
+
+  [[nodiscard]] JobState Job() const
+  {
+    return this->state.FindJob(JobId("job"))->state;
+  }
+};
+
+} // namespace
+
+Test(WorkState, KeepsTheNewestSetup)
+{
+  Story story;
+  Recorder recorder;
+  Setup setup;
+  setup.version = 5;
+  setup.document = "five";
+  EXPECT_EQUAL(story, recorder.Do(SetSetup{ setup }), Verdict::Done);
+  story.Section("an older one and other content under it change nothing", [&] {
+    setup.document = "other";
+    EXPECT_EQUAL(story, recorder.Do(SetSetup{ setup }), Verdict::Outdated);
+    setup.version = 4;
+    EXPECT_EQUAL(story, recorder.Do(SetSetup{ setup }), Verdict::Outdated);
+    EXPECT_EQUAL(
+      story, recorder.state.CurrentSetup().document, std::string("five"));
+  });
+}
+
+Test(WorkState, AResentSubmissionIsTheSameJob)
+{
+  Story story;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  recorder.Submit({ Step{} });
+  recorder.Start(0, 0, 1);
+  recorder.Submit({ Step{}, Step{} });
+  EXPECT_EQUAL(
+    story, recorder.state.FindJob(JobId("job"))->spec.steps.size(), 1U);
+  EXPECT_EQUAL(story, recorder.Job(), JobState::Running);
+}
+
+Test(WorkState, RefusesASecondRunWhileOneMayExecute)
+{
+  Story story;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  recorder.Submit({ Step{} });
+  EXPECT_EQUAL(story, recorder.Start(0, 0, 1), Verdict::Done);
+  EXPECT_EQUAL(story, recorder.Start(0, 0, 2), Verdict::Conflict);
+  story.Section("run numbers only rise", [&] {
+    recorder.End(0, 0, 1, EndKind::NotStarted);
+    EXPECT_EQUAL(story, recorder.Start(0, 0, 1), Verdict::Conflict);
+    EXPECT_EQUAL(story, recorder.Start(0, 0, 2), Verdict::Done);
+  });
+  story.Section("nothing starts on another boot or a draining upstream", [&] {
+    recorder.End(0, 0, 2, EndKind::Lost);
+    Upstream upstream;
+    upstream.boot = 2;
+    recorder.Do(SetUpstream{ InstanceId("up"), upstream });
+    EXPECT_EQUAL(story, recorder.Start(0, 0, 3), Verdict::Conflict);
+  });
+}
+
+Test(WorkState, ALateEndOfALostRunChangesNothing)
+{
+  Story story;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  recorder.Submit({ Step{} });
+  recorder.Start(0, 0, 1);
+  recorder.End(0, 0, 1, EndKind::Lost);
+  EXPECT_EQUAL(story, recorder.End(0, 0, 1, EndKind::Done), Verdict::NotFound);
+  EXPECT_EQUAL(story, recorder.Job(), JobState::Running);
+}
+
+Test(WorkState, EndsAJobByItsTasks)
+{
+  Story story;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  Step pair;
+  pair.count = 2;
+  recorder.Submit({ pair });
+  recorder.Start(0, 0, 1);
+  recorder.Start(0, 1, 1);
+  story.Section("a failure below the bound goes on", [&] {
+    recorder.End(0, 0, 1, EndKind::Failed);
+    EXPECT_EQUAL(story, recorder.Job(), JobState::Running);
+  });
+  story.Section("all done: completed", [&] {
+    recorder.Start(0, 0, 2);
+    recorder.End(0, 0, 2, EndKind::Done);
+    recorder.End(0, 1, 1, EndKind::Done);
+    EXPECT_EQUAL(story, recorder.Job(), JobState::Completed);
+  });
+  story.Section("a cancellation after that changes nothing", [&] {
+    recorder.Do(CancelJob{ JobId("job") });
+    EXPECT_EQUAL(story, recorder.Job(), JobState::Completed);
+  });
+}
+
+Test(WorkState, FailsAJobAfterItsAttempts)
+{
+  Story story;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  recorder.Submit({ Step{} });
+  for (std::uint32_t run = 1; run <= 2; ++run) {
+    EXPECT_EQUAL(story, recorder.Start(0, 0, run), Verdict::Done);
+    recorder.End(0, 0, run, EndKind::Failed);
+  }
+  EXPECT_EQUAL(story, recorder.Job(), JobState::Failed);
+  story.Section("only failures count as attempts", [&] {
+    Recorder other;
+    other.AddQueue(2);
+    other.Submit({ Step{} });
+    for (std::uint32_t run = 1; run <= 5; ++run) {
+      other.Start(0, 0, run);
+      other.End(0, 0, run, EndKind::Stopped);
+    }
+    EXPECT_EQUAL(story, other.Job(), JobState::Running);
+  });
+}
+
+Test(WorkState, KeepsTheTasksOfAnEndedJobWhileOneMayExecute)
+{
+  Story story;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  recorder.Submit({ Step{} });
+  recorder.Start(0, 0, 1);
+  recorder.Do(CancelJob{ JobId("job") });
+  EXPECT_THAT(story, !recorder.state.FindJob(JobId("job"))->tasks.empty());
+  recorder.End(0, 0, 1, EndKind::Stopped);
+  EXPECT_THAT(story, recorder.state.FindJob(JobId("job"))->tasks.empty());
+}
+
+Test(WorkState, SurvivesItsWrittenForm)
+{
+  Story story;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  Step step;
+  step.count = 3;
+  step.image = "image";
+  step.tailTarget = std::chrono::milliseconds(40);
+  recorder.Submit({ step });
+  recorder.Start(0, 1, 1);
+  const std::string bytes = EncodeTables(recorder.state.Tables());
+  const auto read = DecodeTables(bytes);
+  EXPECT_THAT(story, read.has_value());
+  EXPECT_THAT(story, *read == recorder.state.Tables());
+  story.Section("torn bytes are refused", [&] {
+    EXPECT_THAT(
+      story, !DecodeTables(std::string_view(bytes).substr(0, 40)).has_value());
+  });
+  story.Section("a batch with whole numbers in real fields is read", [&] {
+    Batch batch;
+    SetSetup set;
+    set.setup.workspaces.emplace_back().weight = 37;
+    batch.commands.emplace_back(set);
+    const auto back = DecodeBatch(EncodeBatch(batch));
+    EXPECT_THAT(story, back.has_value() && *back == batch);
+  });
+}
