Let no delayed announcement bring back a boot that has ended

Change: the removal of a boot that has surely ended is on record for 600 s, and neither the state nor the leader takes an announcement of it. A boot that was only silent may still return.

Ruled out: the owner's list (its phases were right), the order of counting.

Test: WorkState ADelayedAnnouncementRevivesNoEndedBoot.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -381,8 +381,11 @@
 }
 
 void
-Dispatcher::On(const work::SetUpstream& aCommand, work::Verdict /*aVerdict*/)
+Dispatcher::On(const work::SetUpstream& aCommand, work::Verdict aVerdict)
 {
+  if (aVerdict != work::Verdict::Done) {
+    return;
+  }
   const auto& next = aCommand.upstream;
   UpstreamSession* session = this->FindSession(aCommand.id);
   if (session == nullptr || session->record.boot != next.boot) {
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -269,7 +269,7 @@
     // the boot that is there now is a new one, which was not emptied.
     if (session.record.instance == aOrder.instance && session.maintaining) {
       this->EndAll(id, this->output.commands);
-      this->output.commands.emplace_back(work::RemoveUpstream{ id });
+      this->output.commands.emplace_back(work::RemoveUpstream{ id, true });
     }
   }
   const auto listed = this->owner.instances.find(aOrder.instance);
--- a/src/dispatch/DispatcherSessions.cpp
+++ b/src/dispatch/DispatcherSessions.cpp
@@ -87,7 +87,7 @@
                  { "lost_runs", Text(session->runs.size()) } });
     this->EndAll(aAnswer.upstream, this->output.commands);
     this->output.commands.emplace_back(
-      work::RemoveUpstream{ aAnswer.upstream });
+      work::RemoveUpstream{ aAnswer.upstream, true });
     session->nextHold = this->now + kRenewRetry;
     ++session->unanswered;
     return;
@@ -283,7 +283,7 @@
 {
   const Time heard = std::max(aSession.lastAnnounced, aSession.lastHeard);
   if (aSession.runs.empty() && this->now - heard > kForgetAfter) {
-    this->output.commands.emplace_back(work::RemoveUpstream{ aId });
+    this->output.commands.emplace_back(work::RemoveUpstream{ aId, false });
   }
 }
 
@@ -293,6 +293,9 @@
   this->now = aNow;
   const work::Upstream& next = aAnnouncement.record;
   std::vector<work::Command> commands;
+  if (this->state.HasEnded(aAnnouncement.id, next.boot)) {
+    return commands; // held up on its way since before that boot ended
+  }
   UpstreamSession* session = this->FindSession(aAnnouncement.id);
   if (session != nullptr) {
     const work::Upstream& known = session->record;
@@ -329,7 +332,7 @@
       return {}; // delayed: a younger one is already at its place
     }
     this->EndAll(id, commands);
-    commands.emplace_back(work::RemoveUpstream{ id });
+    commands.emplace_back(work::RemoveUpstream{ id, true });
   }
   commands.emplace_back(work::SetUpstream{ aAnnouncement.id, next });
   return commands;
@@ -341,7 +344,7 @@
   std::vector<work::Command> commands;
   if (this->FindSession(aUpstream) != nullptr) {
     this->EndAll(aUpstream, commands);
-    commands.emplace_back(work::RemoveUpstream{ aUpstream });
+    commands.emplace_back(work::RemoveUpstream{ aUpstream, true });
   }
   return commands;
 }
--- a/src/work/Commands.h
+++ b/src/work/Commands.h
@@ -74,6 +74,9 @@
 struct RemoveUpstream
 {
   InstanceId id;
+  // That boot has surely ended, so a delayed announcement must not bring it
+  // back. False when it was only silent for long.
+  bool ended = false;
   bool operator==(const RemoveUpstream&) const = default;
 };
 
--- a/src/work/WorkSchema.h
+++ b/src/work/WorkSchema.h
@@ -114,7 +114,8 @@
                     aIt.kind,
                     aIt.checkpoint);
 HYSSOPPADDLE_SCHEMA(work::SetUpstream, aIt.id, aIt.upstream);
-HYSSOPPADDLE_SCHEMA(work::RemoveUpstream, aIt.id);
+HYSSOPPADDLE_SCHEMA(work::RemoveUpstream, aIt.id, aIt.ended);
+HYSSOPPADDLE_SCHEMA(work::EndedBoot, aIt.boot, aIt.at);
 HYSSOPPADDLE_SCHEMA(work::StartWave, aIt.number, aIt.wave);
 HYSSOPPADDLE_SCHEMA(work::AdvanceWave, aIt.number, aIt.instance, aIt.gone);
 
@@ -140,6 +141,7 @@
                     aIt.setup,
                     aIt.jobs,
                     aIt.upstreams,
+                    aIt.endedBoots,
                     aIt.waves);
 
 } // namespace hyssoppaddle::wire
--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -212,6 +212,9 @@
 Verdict
 WorkState::Carry(const SetUpstream& aCommand)
 {
+  if (this->HasEnded(aCommand.id, aCommand.upstream.boot)) {
+    return Verdict::Outdated;
+  }
   this->tables.upstreams[aCommand.id] = aCommand.upstream;
   return Verdict::Done;
 }
@@ -219,8 +222,23 @@
 Verdict
 WorkState::Carry(const RemoveUpstream& aCommand)
 {
-  return this->tables.upstreams.erase(aCommand.id) > 0 ? Verdict::Done
-                                                       : Verdict::NotFound;
+  const auto found = this->tables.upstreams.find(aCommand.id);
+  if (found == this->tables.upstreams.end()) {
+    return Verdict::NotFound;
+  }
+  if (aCommand.ended) {
+    this->tables.endedBoots[aCommand.id] = { found->second.boot,
+                                             this->tables.now };
+  }
+  this->tables.upstreams.erase(found);
+  return Verdict::Done;
+}
+
+bool
+WorkState::HasEnded(const InstanceId& aId, std::uint64_t aBoot) const
+{
+  const auto found = this->tables.endedBoots.find(aId);
+  return found != this->tables.endedBoots.end() && aBoot <= found->second.boot;
 }
 
 Verdict
@@ -249,6 +267,9 @@
 void
 WorkState::ForgetOld()
 {
+  std::erase_if(this->tables.endedBoots, [this](const auto& aItem) {
+    return this->tables.now - aItem.second.at > kEndedBootRetention;
+  });
   std::erase_if(this->tables.jobs, [this](const auto& aItem) {
     const Job& job = aItem.second;
     return job.IsFinal() && job.tasks.empty() &&
--- a/src/work/WorkState.h
+++ b/src/work/WorkState.h
@@ -14,12 +14,21 @@
 
 namespace hyssoppaddle::work {
 
+// A boot of an upstream that has surely ended.
+struct EndedBoot
+{
+  std::uint64_t boot = 0;
+  WallTime at{};
+  bool operator==(const EndedBoot&) const = default;
+};
+
 struct WorkTables
 {
   WallTime now{}; // of the last batch, never decreasing
   Setup setup;
   std::map<JobId, Job> jobs;
   std::map<InstanceId, Upstream> upstreams;
+  std::map<InstanceId, EndedBoot> endedBoots; // of kEndedBootRetention
   std::map<std::uint64_t, Wave> waves;
   bool operator==(const WorkTables&) const = default;
 };
@@ -33,6 +42,8 @@
 
   [[nodiscard]] const WorkTables& Tables() const { return this->tables; }
   [[nodiscard]] const Setup& CurrentSetup() const { return this->tables.setup; }
+  // True when this boot, or a later one, is known to have ended.
+  [[nodiscard]] bool HasEnded(const InstanceId& aId, std::uint64_t aBoot) const;
   [[nodiscard]] const Job* FindJob(const JobId& aId) const;
 
   void Restore(WorkTables aTables) { this->tables = std::move(aTables); }
@@ -59,6 +70,10 @@
 // How long the state of an ended job can be asked for.
 inline constexpr Duration kEndedJobRetention = std::chrono::seconds(150);
 
+// How long a delayed announcement of an ended boot is recognised: far longer
+// than any node stands still or is cut off with one in hand.
+inline constexpr Duration kEndedBootRetention = std::chrono::seconds(600);
+
 std::string
 EncodeBatch(const Batch& aBatch);
 Result<Batch>
--- a/test/work/WorkStateTest.cpp
+++ b/test/work/WorkStateTest.cpp
@@ -228,3 +228,30 @@
     EXPECT_THAT(story, back.has_value() && *back == batch);
   });
 }
+
+// Guards against announcements that a node held while it stood still: they
+// brought back the boot that maintenance had ended.
+Test(WorkState, ADelayedAnnouncementRevivesNoEndedBoot)
+{
+  Story story;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  Upstream upstream;
+  upstream.boot = 1;
+  recorder.Do(RemoveUpstream{ InstanceId("up"), true });
+  EXPECT_EQUAL(story,
+               recorder.Do(SetUpstream{ InstanceId("up"), upstream }),
+               Verdict::Outdated);
+  story.Section("a later boot of the same name is another matter", [&] {
+    upstream.boot = 2;
+    EXPECT_EQUAL(story,
+                 recorder.Do(SetUpstream{ InstanceId("up"), upstream }),
+                 Verdict::Done);
+  });
+  story.Section("one that was only silent may come back", [&] {
+    recorder.Do(RemoveUpstream{ InstanceId("up"), false });
+    EXPECT_EQUAL(story,
+                 recorder.Do(SetUpstream{ InstanceId("up"), upstream }),
+                 Verdict::Done);
+  });
+}
