Prove leadership after standing still; refuse reports of unknown services

Change: after 300 ms without a handler a leader confirms its term by a new round before its next order; a stopped run counts as absent only two stop times after its stop was accepted; announcements of unknown services are refused.

--- a/src/dispatch/DispatcherSessions.cpp
+++ b/src/dispatch/DispatcherSessions.cpp
@@ -240,9 +240,13 @@
   for (const auto& [key, live] : aSession.runs) {
     const bool wasThere =
       live.phase == RunPhase::Confirmed && live.since < aAsked;
-    const bool cannotStart =
-      live.stopConfirmed.has_value() && *live.stopConfirmed < aAsked;
-    if ((wasThere || cannotStart) && !aListed.contains(key)) {
+    // While it is being stopped a run may be on neither list.
+    const bool stopped =
+      live.stopConfirmed.has_value() &&
+      *live.stopConfirmed + this->options.stopTime * 2 < aAsked;
+    const bool absent =
+      live.stopping || live.stopConfirmed.has_value() ? stopped : wasThere;
+    if (absent && !aListed.contains(key)) {
       this->ProposeEnd(aId,
                        key,
                        wasThere ? work::EndKind::Lost
--- a/src/node/CallHandler.cpp
+++ b/src/node/CallHandler.cpp
@@ -240,6 +240,14 @@
 void
 CallHandler::On(const AnnounceCall& aCall, ReplyCallback aDone)
 {
+  const work::Setup& setup = this->state.CurrentSetup();
+  const ServiceId& service = aCall.announcement.record.service;
+  if (setup.version != 0 && setup.FindService(service) == nullptr) {
+    Reply refusal = Only(Outcome::Malformed);
+    refusal.reason = "unknown service " + service.value;
+    this->Refuse({}, std::move(refusal), aDone);
+    return;
+  }
   Reply reply = Only(Outcome::Announced);
   reply.announceTo = this->controlAddress;
   std::vector<work::Command> commands =
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -19,6 +19,7 @@
 void
 Node::Impl::OnPeerMessage(const InstanceId& aFrom, wire::PeerMessage aMessage)
 {
+  this->NoticePause(SuspendAwareNow());
   this->cluster.Heard(aFrom, SuspendAwareNow());
   std::visit(
     [&](auto& aConcrete) {
@@ -190,6 +191,7 @@
     return;
   }
   this->electedAt = SuspendAwareNow();
+  this->confirmed = true; // a majority has answered this election
   this->dispatcher->BecomeLeader(leads, this->electedAt, shell::WallClockNow());
 }
 
@@ -232,7 +234,7 @@
 Node::Impl::MayAct(Time aNow) const
 {
   const agreement::Raft& raft = this->replica->Log();
-  if (raft.CurrentRole() != agreement::Role::Leader) {
+  if (raft.CurrentRole() != agreement::Role::Leader || !this->confirmed) {
     return false;
   }
   const auto& voters = raft.ActiveConfiguration().voters;
@@ -255,8 +257,9 @@
       }
     };
   const auto maySend = [this, term] {
-    return term == this->ledTerm && term != 0 &&
-           this->MayAct(SuspendAwareNow());
+    const Time now = SuspendAwareNow();
+    this->NoticePause(now);
+    return term == this->ledTerm && term != 0 && this->MayAct(now);
   };
   if (!maySend()) {
     shell::asio::post(this->io, [answer] {
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -64,7 +64,9 @@
   // NodeTimers.cpp: periodic work, stop and reload.
   void ArmTick();
   void Tick();
+  // Called first in every handler that can lead to an order.
   void NoticePause(Time aNow);
+  void ConfirmLeadership(Time aNow);
   void SendStatus(Time aNow);
   void DialWanted();
   void AskToJoin(Time aNow);
@@ -107,7 +109,9 @@
   shell::asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
 
   bool pumpScheduled = false;
-  Time lastTick{};
+  Time lastAlive{}; // when a handler last ran
+  bool confirming = false;
+  bool confirmed = true; // false after a pause, until a new round has answered
   Time nextStatus{};
   Time nextJoin{};
   Time nextChange{};
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -20,6 +20,9 @@
 constexpr Duration kStatusInterval = milliseconds(500);
 constexpr Duration kJoinInterval = milliseconds(250);
 constexpr Duration kChangeInterval = milliseconds(200);
+// Without a handler for this long, this process must prove that it still leads
+// before its next order: less than the time after which another may lead.
+constexpr Duration kStandstill = milliseconds(300);
 // A tick this late means that this process or its machine stood still.
 constexpr Duration kPause = milliseconds(700);
 // After two missed answers, a second apart, the balancer sends no new callers.
@@ -55,6 +58,7 @@
     this->replica->Step(agreement::Tick{}, now);
     this->cluster.SetReplicas(this->replica->Log().ActiveConfiguration());
     this->CheckLeadership();
+    this->ConfirmLeadership(now);
     this->dispatcher->Tick(now, shell::WallClockNow());
     this->AskToJoin(now);
     this->ChangeReplicas(now);
@@ -80,13 +84,32 @@
 void
 Node::Impl::NoticePause(Time aNow)
 {
-  const Duration gap = aNow - this->lastTick;
-  if (this->lastTick != Time{} && gap > kPause) {
+  const Duration gap = aNow - this->lastAlive;
+  const bool isFirst = this->lastAlive == Time{};
+  this->lastAlive = aNow;
+  if (isFirst || gap <= kStandstill) {
+    return;
+  }
+  // Messages that arrived meanwhile prove nothing about the present.
+  this->confirmed = false;
+  if (gap > kPause) {
     this->cluster.Forgive(aNow);
     this->NoteAlways(
       { "paused", {}, { { "ms", std::to_string(gap.count() / 1000) } } });
   }
-  this->lastTick = aNow;
+}
+
+void
+Node::Impl::ConfirmLeadership(Time aNow)
+{
+  if (this->confirmed || this->confirming || !this->replica->Leads()) {
+    return;
+  }
+  this->confirming = true;
+  this->replica->Confirm(aNow, [this](bool aConfirmed) {
+    this->confirming = false;
+    this->confirmed = aConfirmed;
+  });
 }
 
 void
