--- a/src/cli/ExitCode.h
+++ b/src/cli/ExitCode.h
@@ -1,4 +1,4 @@
-// Exit codes of the command line, documented in docs/operations.md.
+// Exit codes of the command line, documented in docs/OPERATIONS.md.
 #ifndef hyssoppaddle_cli_ExitCode_h
 #define hyssoppaddle_cli_ExitCode_h
 
