Count instances that can move here at admission; pack lasting tasks

Change: RetryAfter weighs the backlog against the cores that can be reached; lasting tasks go to the fullest upstream that their step allows.

Ruled out: workspace limits.

--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -24,7 +24,8 @@
     std::any_of(aSpec.steps.begin(),
                 aSpec.steps.end(),
                 [](const work::Step& aStep) { return aStep.lasting; });
-  if (lasts || aSpec.firstDue || aLoad.capacity <= 0) {
+  const double cores = aLoad.capacity + aLoad.reachable;
+  if (lasts || aSpec.firstDue || cores <= 0) {
     return std::nullopt; // they wait without losing what they are worth
   }
   double chainMs = 0;
@@ -34,7 +35,7 @@
   const double objectiveMs =
     chainMs * aQueue.stretch +
     std::chrono::duration<double, std::milli>(aQueue.targetCompletion).count();
-  const double waitMs = aLoad.backlog / aLoad.capacity;
+  const double waitMs = aLoad.backlog / cores;
   const double excess = waitMs - objectiveMs * kHopelessAfter;
   if (excess <= 0) {
     return std::nullopt;
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -513,7 +513,9 @@
 Dispatcher::RetryAfter(const work::Queue& aQueue,
                        const work::JobSpec& aSpec) const
 {
-  return dispatch::RetryAfter(this->LoadOf(aQueue.service), aQueue, aSpec);
+  ServiceLoad load = this->LoadOf(aQueue.service);
+  load.reachable = this->ReachableCores(aQueue.service);
+  return dispatch::RetryAfter(load, aQueue, aSpec);
 }
 
 std::uint64_t
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -108,6 +108,27 @@
   return pools;
 }
 
+// Cores of instances on their way here, or that run nothing elsewhere.
+double
+Dispatcher::ReachableCores(const ServiceId& aService) const
+{
+  if (!this->owner.listed) {
+    return 0;
+  }
+  double each = 0;
+  std::size_t count = 0;
+  for (const PoolLoad& pool : this->PoolLoads()) {
+    each = std::max(each, pool.coresEach);
+    const std::size_t needed = PoolBalance::Needed(pool);
+    const std::size_t spare = pool.present > needed ? pool.present - needed : 0;
+    const bool isHere = pool.service == aService;
+    count += isHere         ? pool.arriving
+             : pool.standby ? pool.idle.size()
+                            : std::min(spare, pool.idle.size());
+  }
+  return each * static_cast<double>(count);
+}
+
 void
 Dispatcher::AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const
 {
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -93,13 +93,9 @@
     const std::string& wanted =
       step.dataRack.empty() ? aQuery.rack : step.dataRack;
     const bool away = !wanted.empty() && session.record.Rack() != wanted;
-    // Lasting tasks of a step spread over upstreams, so that the loss of one
-    // takes few of them.
-    const std::uint32_t crowd =
-      step.lasting ? CountOfStep(session, aQuery.task) : 0;
     const Score score{ id == aQuery.avoid,
                        away,
-                       crowd + session.recentFailures,
+                       session.recentFailures,
                        Disturbance(session, step),
                        free.milliCpus };
     if (!best || score < *best) {
--- a/test/dispatch/StrategyTest.cpp
+++ b/test/dispatch/StrategyTest.cpp
@@ -84,18 +84,22 @@
   const work::JobSpec spec =
     Spec(seconds(1)); // objective 2.2 s, worth to 6.6 s
   story.Section("a backlog of 5 s is accepted", [&] {
-    EXPECT_THAT(story, !dispatch::RetryAfter({ 50000, 10, 1 }, queue, spec));
+    EXPECT_THAT(story, !dispatch::RetryAfter({ 50000, 10, 0, 1 }, queue, spec));
   });
   story.Section("one of 10 s names the time that it needs", [&] {
-    const auto retry = dispatch::RetryAfter({ 100000, 10, 1 }, queue, spec);
+    const auto retry = dispatch::RetryAfter({ 100000, 10, 0, 1 }, queue, spec);
     EXPECT_THAT(story, retry.has_value());
     EXPECT_THAT(story, *retry > seconds(3) && *retry < seconds(4));
   });
+  story.Section("instances that can move here count", [&] {
+    EXPECT_THAT(story,
+                !dispatch::RetryAfter({ 100000, 10, 10, 1 }, queue, spec));
+  });
   story.Section("a lasting job is never turned away by it", [&] {
     work::JobSpec lasting = spec;
     lasting.steps[0].lasting = true;
     EXPECT_THAT(story,
-                !dispatch::RetryAfter({ 100000, 10, 1 }, queue, lasting));
+                !dispatch::RetryAfter({ 100000, 10, 0, 1 }, queue, lasting));
   });
 }
 
