Size pools by what runs and waits, not by the whole backlog

Change: a pool needs the cores of its running and waiting tasks and its reserve. Test: PoolBalance TakesFromAPoolWhoseTurnHasPassed.

Ruled out: moves refused by the owner (215 of 215 done), workspace limits (0).

--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -82,7 +82,7 @@
     PoolLoad& pool = pools.emplace_back();
     pool.service = service.name;
     pool.standby = service.standby;
-    pool.backlogCoreMs = this->LoadOf(service.name).backlog;
+    pool.waitingCores = this->WaitingCores(service.name);
     for (const auto& [id, session] : this->sessions) {
       withUpstream.insert(session.record.instance);
       if (session.record.service != service.name) {
@@ -108,6 +108,25 @@
   return pools;
 }
 
+// Cores of the tasks that wait for nothing but room.
+double
+Dispatcher::WaitingCores(const ServiceId& aService) const
+{
+  std::int64_t milliCpus = 0;
+  for (const auto& [id, view] : this->views) {
+    if (view.service != aService || view.pending.empty()) {
+      continue;
+    }
+    const work::Job& job = *this->FindJob(id);
+    for (const work::TaskRef& task : view.pending) {
+      const work::Step& step = job.spec.steps[task.step];
+      const bool allowed = this->IsWithinLimit(view.workspace, step.size);
+      milliCpus += step.fills || !allowed ? 0 : step.size.milliCpus;
+    }
+  }
+  return static_cast<double>(milliCpus) / 1000.0;
+}
+
 // Cores of instances on their way here, or that run nothing elsewhere.
 double
 Dispatcher::ReachableCores(const ServiceId& aService) const
@@ -136,8 +155,10 @@
     return static_cast<double>(aMilliCpus) / 1000.0;
   };
   for (const auto& [key, live] : aSession.runs) {
-    aPool.lastingCores +=
-      live.lasting && !live.fills ? cores(live.size.milliCpus) : 0;
+    if (!live.fills) {
+      (live.lasting ? aPool.lastingCores : aPool.runningCores) +=
+        cores(live.size.milliCpus);
+    }
   }
   aPool.coresEach = cores(aSession.record.capacity.milliCpus);
   const bool works = !aSession.record.draining && !aSession.maintaining &&
--- a/src/dispatch/PoolBalance.cpp
+++ b/src/dispatch/PoolBalance.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// The backlog should be worked off in this time: about the chain of a job, so
-// that a queue in its steady state asks for what it uses.
-constexpr double kClearMs = 1000.0;
 // Kept beyond the need of the moment: a wide job arrives at once, and an
 // instance takes seconds to come.
 constexpr std::size_t kReserve = 3;
@@ -29,7 +26,9 @@
     return 0;
   }
   const double each = aPool.coresEach > 0 ? aPool.coresEach : kAssumedCores;
-  const double cores = aPool.lastingCores + aPool.backlogCoreMs / kClearMs;
+  // Not the whole backlog: later steps of a job need room only in their turn.
+  const double cores =
+    aPool.lastingCores + aPool.runningCores + aPool.waitingCores;
   return static_cast<std::size_t>(std::ceil(cores / each)) + kReserve;
 }
 
@@ -57,7 +56,7 @@
     }
     this->surplusSince.erase(pool.service);
     pool.idle.clear();
-    if (have < needed && pool.backlogCoreMs > 0) {
+    if (have < needed && pool.waitingCores > 0) {
       takers.emplace_back(needed - have, &pool);
     }
   }
--- a/test/dispatch/InstancesTest.cpp
+++ b/test/dispatch/InstancesTest.cpp
@@ -13,12 +13,12 @@
 namespace {
 
 dispatch::PoolLoad
-Pool(const char* aName, std::size_t aPresent, double aBacklogCoreMs)
+Pool(const char* aName, std::size_t aPresent, double aWaitingCores)
 {
   dispatch::PoolLoad pool;
   pool.service = ServiceId(aName);
   pool.present = aPresent;
-  pool.backlogCoreMs = aBacklogCoreMs;
+  pool.waitingCores = aWaitingCores;
   pool.coresEach = 10;
   for (std::size_t i = 0; i < aPresent; ++i) {
     pool.idle.push_back(std::string(aName) + "-" + std::to_string(i));
@@ -35,7 +35,7 @@
   const Time now{ seconds(100) };
   dispatch::PoolLoad standby = Pool("standby", 2, 0);
   standby.standby = true;
-  dispatch::PoolLoad busy = Pool("busy", 4, 90000); // 9 upstreams for a second
+  dispatch::PoolLoad busy = Pool("busy", 4, 90); // of 9 upstreams
   busy.idle.clear();
   const dispatch::PoolLoad quiet = Pool("quiet", 8, 0);
   const auto moves = balance.Next({ busy, quiet, standby }, now);
@@ -49,6 +49,22 @@
   });
 }
 
+// Load pattern: the turn of a queue has passed, its long tasks run on, and the
+// next queue has its turn. What still runs keeps its room; the rest moves on.
+Test(PoolBalance, TakesFromAPoolWhoseTurnHasPassed)
+{
+  Story story;
+  dispatch::PoolBalance balance;
+  dispatch::PoolLoad past = Pool("past", 31, 0);
+  past.runningCores = 120; // of 12 upstreams
+  past.idle.resize(16);
+  dispatch::PoolLoad next = Pool("next", 4, 200);
+  next.runningCores = 40;
+  next.idle.clear();
+  EXPECT_EQUAL(
+    story, balance.Next({ past, next }, Time(seconds(100))).size(), 16U);
+}
+
 Test(PoolBalance, GivesALastingSurplusToStandby)
 {
   Story story;
