Keep the room of later steps in a pool

Change: a pool needs at least the mean cores of its accepted jobs, each its remaining work over its remaining chain. Test: PoolBalance KeepsTheRoomOfLaterSteps.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -174,6 +174,7 @@
   void BalancePools();
   void OrderMove(const PoolMove& aMove);
   [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
+  [[nodiscard]] double PlannedCores(const ServiceId& aService) const;
   [[nodiscard]] double WaitingCores(const ServiceId& aService) const;
   [[nodiscard]] double ReachableCores(const ServiceId& aService) const;
   void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -13,6 +13,8 @@
 // The list changes by our own orders and by losses: often enough to see an
 // instance that comes back, seldom enough to cost little.
 constexpr Duration kListInterval = seconds(2);
+// Estimates below this say little.
+constexpr Duration kShortestChain = milliseconds(500);
 constexpr Duration kListRetry = milliseconds(500);
 constexpr Duration kBalanceInterval = milliseconds(100);
 // A moved instance that has not announced itself by then is not counted on.
@@ -83,6 +85,7 @@
     pool.service = service.name;
     pool.standby = service.standby;
     pool.waitingCores = this->WaitingCores(service.name);
+    pool.plannedCores = this->PlannedCores(service.name);
     for (const auto& [id, session] : this->sessions) {
       withUpstream.insert(session.record.instance);
       if (session.record.service != service.name) {
@@ -127,6 +130,19 @@
   return static_cast<double>(milliCpus) / 1000.0;
 }
 
+double
+Dispatcher::PlannedCores(const ServiceId& aService) const
+{
+  double cores = 0;
+  for (const auto& [id, view] : this->views) {
+    if (view.service == aService && !view.lasting) {
+      const Duration chain = std::max(view.remainingChain, kShortestChain);
+      cores += view.remainingWork * 1000.0 / static_cast<double>(chain.count());
+    }
+  }
+  return cores;
+}
+
 // Cores of instances on their way here, or that run nothing elsewhere.
 double
 Dispatcher::ReachableCores(const ServiceId& aService) const
--- a/src/dispatch/PoolBalance.cpp
+++ b/src/dispatch/PoolBalance.cpp
@@ -26,9 +26,10 @@
     return 0;
   }
   const double each = aPool.coresEach > 0 ? aPool.coresEach : kAssumedCores;
-  // Not the whole backlog: later steps of a job need room only in their turn.
+  // The plan keeps the room of later steps while earlier ones end.
   const double cores =
-    aPool.lastingCores + aPool.runningCores + aPool.waitingCores;
+    aPool.lastingCores +
+    std::max(aPool.runningCores + aPool.waitingCores, aPool.plannedCores);
   return static_cast<std::size_t>(std::ceil(cores / each)) + kReserve;
 }
 
--- a/src/dispatch/PoolBalance.h
+++ b/src/dispatch/PoolBalance.h
@@ -21,9 +21,12 @@
 {
   ServiceId service;
   bool standby = false;
-  double lastingCores = 0;       // taken by tasks that do not end by themselves
-  double runningCores = 0;       // taken by the other tasks
-  double waitingCores = 0;       // of tasks that could start now
+  double lastingCores = 0; // taken by tasks that do not end by themselves
+  double runningCores = 0; // taken by the other tasks
+  double waitingCores = 0; // of tasks that could start now
+  // That the accepted jobs use on the mean until they end: each its remaining
+  // work over its remaining chain.
+  double plannedCores = 0;
   std::size_t present = 0;       // upstreams that take or will soon take work
   std::size_t arriving = 0;      // instances on their way to this pool
   double coresEach = 0;          // of an upstream; 0 when none has been seen
--- a/test/dispatch/InstancesTest.cpp
+++ b/test/dispatch/InstancesTest.cpp
@@ -65,6 +65,16 @@
     story, balance.Next({ past, next }, Time(seconds(100))).size(), 16U);
 }
 
+// Load pattern: jobs of short steps, between which a pool looks idle.
+Test(PoolBalance, KeepsTheRoomOfLaterSteps)
+{
+  Story story;
+  dispatch::PoolLoad pool = Pool("pool", 10, 0);
+  pool.runningCores = 5;
+  pool.plannedCores = 70;
+  EXPECT_EQUAL(story, dispatch::PoolBalance::Needed(pool), 10U);
+}
+
 Test(PoolBalance, GivesALastingSurplusToStandby)
 {
   Story story;
