--- /dev/null
+++ b/fuzz/DecodePlatformFuzz.cpp
@@ -0,0 +1,25 @@
+// Decoders of everything that clients, workers and operators of the platform
+// send: any bytes give a value or nothing.
+#include "../platform/Decode.h"
+#include "../platform/PlatformProtocol.h"
+
+#include <cstddef>
+#include <cstdint>
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  using namespace hyssoppaddle;
+  const std::string text(reinterpret_cast<const char*>(aData), aSize);
+  (void)platform::DecodeJob(text);
+  (void)platform::DecodeAnnouncement("i-1", text);
+  (void)platform::DecodeSetup(text);
+  (void)platform::DecodeWave(text);
+  (void)platform::ParseTaskName(text);
+  const platform::PlatformProtocol protocol({ "node", "a:1", "o:1" });
+  const node::OutboundResult result{ node::Delivery::Answered, 200, text };
+  (void)protocol.Read(dispatch::RenewLease{}, result);
+  (void)protocol.Read(dispatch::AskAdvice{}, result);
+  (void)protocol.Read(dispatch::ListInstances{}, result);
+  return 0;
+}
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -234,7 +234,7 @@
 Dispatcher::MayEnd(const UpstreamSession& aSession) const
 {
   return std::none_of(
-    aSession.runs.begin(), aSession.runs.end(), [this](const auto& aItem) {
+    aSession.runs.begin(), aSession.runs.end(), [](const auto& aItem) {
       const LiveRun& live = aItem.second;
       return live.phase == RunPhase::Deciding ||
              (live.lasting && !live.stopConfirmed);
