Mend the last three lint findings

Cause: a reply callback and a batch were passed on in ways that the linter refuses, and PeerNetwork::Drop takes its pointer by value on purpose.

--- a/src/node/CallHandler.cpp
+++ b/src/node/CallHandler.cpp
@@ -332,7 +332,8 @@
   Reply reply =
     Only(aCall.knownPath ? Outcome::Malformed : Outcome::NoSuchQueue);
   reply.reason = aCall.reason;
-  this->Refuse({}, std::move(reply), aDone);
+  const ReplyCallback done = std::move(aDone);
+  this->Refuse({}, std::move(reply), done);
 }
 
 } // namespace hyssoppaddle::node
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -226,7 +226,7 @@
   work::Batch batch;
   batch.stamp = shell::WallClockNow();
   batch.commands = std::move(aCommands);
-  this->replica->Propose(std::move(batch), SuspendAwareNow(), std::move(aDone));
+  this->replica->Propose(batch, SuspendAwareNow(), std::move(aDone));
   this->SchedulePump();
 }
 
--- a/src/shell/PeerNetwork.cpp
+++ b/src/shell/PeerNetwork.cpp
@@ -348,6 +348,7 @@
 }
 
 void
+// NOLINTNEXTLINE(performance-unnecessary-value-param): see the header
 PeerNetwork::Drop(std::shared_ptr<PeerLink> aLink, const std::string& aReason)
 {
   aLink->Close();
