--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -12,7 +12,6 @@
 // An earlier leader may act for this long after the election that replaced it:
 // until its check of the quorum ends its role.
 constexpr Duration kOldLeaderActs = milliseconds(500);
-constexpr Duration kLoadInterval = seconds(1);
 
 } // namespace
 
@@ -468,47 +467,6 @@
   this->Plan();
 }
 
-// The figures that rejections and moves rest on, once a second.
-void
-Dispatcher::NoteLoads()
-{
-  if (this->now - this->loadsNoted < kLoadInterval) {
-    return;
-  }
-  this->loadsNoted = this->now;
-  std::set<ServiceId> services;
-  for (const work::Queue& queue : this->state.CurrentSetup().queues) {
-    services.insert(queue.service);
-  }
-  for (const ServiceId& service : services) {
-    const ServiceLoad load = this->LoadOf(service);
-    std::int64_t busy = 0;
-    for (const auto& [id, session] : this->sessions) {
-      busy += session.record.service == service ? session.used.milliCpus : 0;
-    }
-    std::size_t waiting = 0;
-    std::size_t limited = 0;
-    for (const auto& [id, view] : this->views) {
-      if (view.service == service && !view.pending.empty()) {
-        ++waiting;
-        const work::Job& job = *this->FindJob(id);
-        const auto& step = job.spec.steps[view.pending.front().step];
-        limited += this->IsWithinLimit(view.workspace, step.size) ? 0 : 1;
-      }
-    }
-    this->Note(
-      "service_load",
-      {},
-      { { "service", service.value },
-        { "upstreams", Text(load.upstreams) },
-        { "cores", Text(static_cast<std::int64_t>(load.capacity)) },
-        { "busy_millicores", Text(busy) },
-        { "backlog_core_ms", Text(static_cast<std::int64_t>(load.backlog)) },
-        { "waiting_jobs", Text(waiting) },
-        { "at_workspace_limit", Text(limited) } });
-  }
-}
-
 std::optional<Duration>
 Dispatcher::RetryAfter(const work::Queue& aQueue,
                        const work::JobSpec& aSpec) const
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -162,7 +162,6 @@
   void RunWaves();
   void AdvanceOne(std::uint64_t aNumber, const work::Wave& aWave);
   [[nodiscard]] Duration SlotOf(const work::Wave& aWave) const;
-  [[nodiscard]] bool MayEnd(const UpstreamSession& aSession) const;
   bool IsBack(const std::string& aInstance, bool aPresent);
   [[nodiscard]] bool IsOrdered(const std::string& aInstance) const;
   void OrderMaintenance(std::uint64_t aWave, const std::string& aInstance);
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -13,6 +13,9 @@
 // full, and the next end or upstream plans again.
 constexpr std::size_t kMissesPerPlan = 40;
 
+// Between two service_load lines.
+constexpr Duration kLoadInterval = seconds(1);
+
 bool
 Exceeds(std::int64_t aUsed, std::int64_t aMore, std::int64_t aLimit)
 {
@@ -86,6 +89,47 @@
   return load;
 }
 
+// The figures that rejections and moves rest on, once a second.
+void
+Dispatcher::NoteLoads()
+{
+  if (this->now - this->loadsNoted < kLoadInterval) {
+    return;
+  }
+  this->loadsNoted = this->now;
+  std::set<ServiceId> services;
+  for (const work::Queue& queue : this->state.CurrentSetup().queues) {
+    services.insert(queue.service);
+  }
+  for (const ServiceId& service : services) {
+    const ServiceLoad load = this->LoadOf(service);
+    std::int64_t busy = 0;
+    for (const auto& [id, session] : this->sessions) {
+      busy += session.record.service == service ? session.used.milliCpus : 0;
+    }
+    std::size_t waiting = 0;
+    std::size_t limited = 0;
+    for (const auto& [id, view] : this->views) {
+      if (view.service == service && !view.pending.empty()) {
+        ++waiting;
+        const work::Job& job = *this->FindJob(id);
+        const auto& step = job.spec.steps[view.pending.front().step];
+        limited += this->IsWithinLimit(view.workspace, step.size) ? 0 : 1;
+      }
+    }
+    this->Note(
+      "service_load",
+      {},
+      { { "service", service.value },
+        { "upstreams", Text(load.upstreams) },
+        { "cores", Text(static_cast<std::int64_t>(load.capacity)) },
+        { "busy_millicores", Text(busy) },
+        { "backlog_core_ms", Text(static_cast<std::int64_t>(load.backlog)) },
+        { "waiting_jobs", Text(waiting) },
+        { "at_workspace_limit", Text(limited) } });
+  }
+}
+
 bool
 Dispatcher::IsWithinLimit(const WorkspaceId& aWorkspace,
                           const state::Resources& aSize) const
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -21,6 +21,18 @@
 constexpr Duration kOrderRetry = milliseconds(400);
 constexpr Duration kMissingRetry = milliseconds(1000);
 
+// Ending what is left is allowed unless a lasting task must stay.
+bool
+MayEnd(const UpstreamSession& aSession)
+{
+  return std::none_of(
+    aSession.runs.begin(), aSession.runs.end(), [](const auto& aItem) {
+      const LiveRun& live = aItem.second;
+      return live.phase == RunPhase::Deciding ||
+             (live.lasting && !live.stopConfirmed);
+    });
+}
+
 } // namespace
 
 // True when a planned stop of this lasting task leaves its step with as many
@@ -167,7 +179,7 @@
     auto& [id, session] = present[instance];
     const bool empty = this->Empty(*session);
     const bool waited =
-      this->now - session->maintainingSince > slot && this->MayEnd(*session);
+      this->now - session->maintainingSince > slot && MayEnd(*session);
     if ((empty || waited) && this->now >= session->nextOwnerOrder) {
       session->nextOwnerOrder = this->now + kOrderRetry;
       this->OrderMaintenance(aNumber, instance);
@@ -229,18 +241,6 @@
   return static_cast<std::uint32_t>(std::ceil(left / rounds));
 }
 
-// Ending what is left is allowed unless a lasting task must stay.
-bool
-Dispatcher::MayEnd(const UpstreamSession& aSession) const
-{
-  return std::none_of(
-    aSession.runs.begin(), aSession.runs.end(), [](const auto& aItem) {
-      const LiveRun& live = aItem.second;
-      return live.phase == RunPhase::Deciding ||
-             (live.lasting && !live.stopConfirmed);
-    });
-}
-
 // Back from its maintenance: its next boot has announced itself, or, on
 // standby, where none does, its owner has listed it as up since.
 bool
--- a/src/dispatch/Instructions.h
+++ b/src/dispatch/Instructions.h
@@ -132,7 +132,6 @@
 {
   std::uint64_t token = 0;
   bool answered = false;
-  bool busy = false;
   std::vector<std::pair<InstanceId, std::string>> tickets;
 };
 
--- a/src/dispatch/Options.h
+++ b/src/dispatch/Options.h
@@ -22,12 +22,8 @@
   Duration announceInterval = milliseconds(1500); // of upstreams
   Duration maxLease = milliseconds(6000);         // longer ones are shortened
   Duration stopTime = milliseconds(400);          // longest stop of a task
-  Duration gangTime = milliseconds(3000); // a member waits this for the others
-  Duration orderLease = milliseconds(3000); // between two holders' orders
-  Duration awayNotice = milliseconds(4500); // counts as away for maintenance
-  Duration tailHarm = milliseconds(4000);   // longest time over a tail target
+  Duration orderLease = milliseconds(3000);       // between two holders' orders
   Duration maintenanceTime = seconds(2);
-  double remotePenalty = 2.0; // run time away from the data, as a factor
   bool hasInstanceOwner = false;
   bool hasAdvisor = false;
 
--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -45,7 +45,6 @@
 CallRouter::Forward(OpenCall& aCall, const InstanceId& aLeader)
 {
   aCall.sentTo = aLeader;
-  aCall.mayHaveRun = true;
   if (aLeader != this->self) {
     this->ports.send(aLeader, aCall.call);
     return;
@@ -67,7 +66,6 @@
   if (!aReply.decided) {
     call.sentTo.reset();
     call.unanswered = call.unanswered || aReply.mayHaveRun;
-    call.mayHaveRun = call.unanswered;
     return;
   }
   const api::ReplyCallback done = std::move(call.done);
@@ -110,7 +108,7 @@
 {
   const OpenCall& call = this->calls.at(aToken);
   Reply reply;
-  reply.outcome = call.mayHaveRun ? Outcome::Undecided : Outcome::Unavailable;
+  reply.outcome = call.MayHaveRun() ? Outcome::Undecided : Outcome::Unavailable;
   reply.retryAfter = kRetryWithoutLeader;
   this->ports.note(
     { "call_given_up",
@@ -118,7 +116,7 @@
       { { "method", call.call.method },
         { "target", call.call.target },
         { "sent_to", call.sentTo ? call.sentTo->value : "no leader known" },
-        { "may_have_run", call.mayHaveRun ? "yes" : "no" } } });
+        { "may_have_run", call.MayHaveRun() ? "yes" : "no" } } });
   this->OnRouted(aToken, { true, false, this->ports.encode(reply) });
 }
 
@@ -130,7 +128,7 @@
   std::vector<std::uint64_t> waiting;
   for (auto& [token, call] : this->calls) {
     const bool refused =
-      !call.mayHaveRun && aNow - call.arrived >= kWaitForLeader;
+      !call.MayHaveRun() && aNow - call.arrived >= kWaitForLeader;
     if (aNow >= call.endsBy || (leader.empty() && refused)) {
       ended.push_back(token);
     } else if (!call.sentTo && !leader.empty()) {
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -62,7 +62,11 @@
     Time endsBy{};
     std::optional<InstanceId> sentTo; // waits for an answer from there
     bool unanswered = false;          // an earlier leader was lost with it
-    bool mayHaveRun = false;
+
+    [[nodiscard]] bool MayHaveRun() const
+    {
+      return this->sentTo.has_value() || this->unanswered;
+    }
   };
 
   void Forward(OpenCall& aCall, const InstanceId& aLeader);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -4,8 +4,6 @@
 #include "node/Clock.h"
 #include "shell/Clock.h"
 #include "shell/JsonLog.h"
-#include "storage/FileLayer.h"
-#include "storage/LogStore.h"
 
 #include <nlohmann/json.hpp>
 #include <sodium.h>
@@ -56,32 +54,6 @@
   return limits;
 }
 
-// The store of one node as the storage thread sees it.
-class NodeLog final : public DurableLog
-{
-public:
-  explicit NodeLog(storage::LogStore aStore)
-    : store(std::move(aStore))
-  {
-  }
-  agreement::RecoveredLog TakeRecovered() override
-  {
-    return this->store.TakeRecovered();
-  }
-  Result<void> Write(std::span<const agreement::Persist> aBatch) override
-  {
-    return this->store.Write(aBatch);
-  }
-  Result<void> SaveSnapshot(const agreement::SnapshotMeta& aMeta,
-                            std::string_view aBytes) override
-  {
-    return this->store.SaveSnapshot(aMeta, aBytes);
-  }
-
-private:
-  storage::LogStore store;
-};
-
 } // namespace
 
 Node::Impl::Impl(NodeSettings aSettings,
@@ -152,23 +124,12 @@
   if (this->settings.dataFolder.empty()) {
     return {};
   }
-  auto files = storage::OpenPosixFolder(this->settings.dataFolder);
-  if (!files) {
-    return tl::unexpected<Error>(files.error());
-  }
-  storage::LogStoreOptions options;
-  options.cluster = kClusterName;
-  options.owner = this->self;
-  auto store = storage::LogStore::Open(std::move(*files), options);
-  if (!store) {
-    return tl::unexpected<Error>(store.error());
-  }
-  if (store->TornBytes() > 0) {
-    this->NoteAlways({ "torn_log_tail_truncated",
-                       {},
-                       { { "bytes", std::to_string(store->TornBytes()) } } });
+  auto opened =
+    OpenLogFolder(this->settings.dataFolder, kClusterName, this->self);
+  if (!opened) {
+    return tl::unexpected<Error>(opened.error());
   }
-  this->durable = std::make_unique<NodeLog>(std::move(*store));
+  this->durable = std::move(*opened);
   this->recovered = this->durable->TakeRecovered();
   this->wasEmpty = !this->recovered.remembersVotes;
   return {};
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -56,11 +56,7 @@
   time("announce_ms", options.announceInterval);
   time("max_lease_ms", options.maxLease);
   time("stop_ms", options.stopTime);
-  time("gang_ms", options.gangTime);
   time("order_lease_ms", options.orderLease);
-  time("away_notice_ms", options.awayNotice);
-  time("tail_harm_ms", options.tailHarm);
-  reader.Real("remote_penalty", options.remotePenalty, 1.0, 100.0);
   reader.Finish();
 }
 
--- a/src/shell/DurableLog.cpp
+++ b/src/shell/DurableLog.cpp
@@ -45,13 +45,22 @@
 Result<std::unique_ptr<DurableLog>>
 OpenDurableLog(const config::Settings& aSettings)
 {
-  auto files = storage::OpenPosixFolder(aSettings.dataFolder);
+  return OpenLogFolder(
+    aSettings.dataFolder, aSettings.cluster, aSettings.instance);
+}
+
+Result<std::unique_ptr<DurableLog>>
+OpenLogFolder(std::string_view aFolder,
+              std::string_view aCluster,
+              const InstanceId& aOwner)
+{
+  auto files = storage::OpenPosixFolder(aFolder);
   if (!files) {
     return tl::unexpected<Error>(files.error());
   }
   storage::LogStoreOptions options;
-  options.cluster = aSettings.cluster;
-  options.owner = aSettings.instance;
+  options.cluster = aCluster;
+  options.owner = aOwner;
   auto store = storage::LogStore::Open(std::move(*files), options);
   if (!store) {
     return tl::unexpected<Error>(store.error());
--- a/src/shell/DurableLog.h
+++ b/src/shell/DurableLog.h
@@ -36,6 +36,12 @@
 Result<std::unique_ptr<DurableLog>>
 OpenDurableLog(const config::Settings& aSettings);
 
+// The log store in aFolder, which belongs to aOwner of aCluster.
+Result<std::unique_ptr<DurableLog>>
+OpenLogFolder(std::string_view aFolder,
+              std::string_view aCluster,
+              const InstanceId& aOwner);
+
 } // namespace hyssoppaddle::shell
 
 #endif
--- a/test/dispatch/World.cpp
+++ b/test/dispatch/World.cpp
@@ -11,7 +11,6 @@
 
 constexpr Duration kStep = dispatch::milliseconds(5);
 constexpr Duration kAnnounceInterval = dispatch::milliseconds(1500);
-constexpr Duration kMoveTime = dispatch::milliseconds(1500);
 
 } // namespace
 
@@ -210,7 +209,6 @@
     batch.stamp = this->Wall();
     batch.commands = std::move(this->proposed.front());
     this->proposed.pop_front();
-    this->commands += static_cast<std::uint32_t>(batch.commands.size());
     const std::vector<work::Verdict> verdicts = this->state.Apply(batch);
     for (std::size_t i = 0; i < verdicts.size(); ++i) {
       const auto* end = std::get_if<work::EndRun>(&batch.commands[i]);
--- a/test/dispatch/World.h
+++ b/test/dispatch/World.h
@@ -94,10 +94,8 @@
   work::WorkState state;
   std::map<InstanceId, FakeUpstream> upstreams;
   std::map<std::string, FakeInstance> instances;
-  std::set<std::uint64_t> tokensWithoutAnswer;
-  bool holdCommits = false;   // proposals wait
-  bool ownerSilent = false;   // the owner carries orders out unanswered
-  std::uint32_t commands = 0; // applied
+  bool holdCommits = false; // proposals wait
+  bool ownerSilent = false; // the owner carries orders out unanswered
   std::uint32_t moves = 0;
   std::uint32_t rejectedStarts = 0;
   std::size_t mostAway = 0; // instances in maintenance at once
@@ -129,6 +127,11 @@
   void AdvanceInstances();
   void Check();
   FakeUpstream* Reach(const InstanceId& aId);
+  // The upstream of an order and the answer to fill in; null when it is out of
+  // reach, and the answer is then on its way as none.
+  FakeUpstream* ReachForOrder(std::uint64_t aToken,
+                              const InstanceId& aId,
+                              dispatch::OrderAnswer& aAnswer);
   [[nodiscard]] dispatch::UpstreamClock ClockOf(const FakeUpstream& aUp) const;
   [[nodiscard]] WallTime Wall() const;
 
--- a/test/dispatch/WorldUpstreams.cpp
+++ b/test/dispatch/WorldUpstreams.cpp
@@ -94,19 +94,32 @@
   return answer;
 }
 
+FakeUpstream*
+World::ReachForOrder(std::uint64_t aToken,
+                     const InstanceId& aId,
+                     dispatch::OrderAnswer& aAnswer)
+{
+  aAnswer.token = aToken;
+  aAnswer.upstream = aId;
+  FakeUpstream* up = this->Reach(aId);
+  if (up == nullptr) {
+    this->ReplyLate(aAnswer, kOrderLimit);
+    return nullptr;
+  }
+  aAnswer.clock = this->ClockOf(*up);
+  return up;
+}
+
 void
 World::Answer(const dispatch::StartTask& aOrder)
 {
   dispatch::OrderAnswer answer;
-  answer.token = aOrder.token;
-  answer.upstream = aOrder.to.upstream;
-  FakeUpstream* up = this->Reach(aOrder.to.upstream);
+  FakeUpstream* up =
+    this->ReachForOrder(aOrder.token, aOrder.to.upstream, answer);
   if (up == nullptr) {
-    this->ReplyLate(std::move(answer), kOrderLimit);
     return;
   }
   ++up->startsSeen;
-  answer.clock = this->ClockOf(*up);
   const work::Job* job = this->state.FindJob(aOrder.task.job);
   const work::Step& step = job->spec.steps[aOrder.task.step];
   const auto ended = up->highestEnded.find(aOrder.task);
@@ -147,15 +160,12 @@
 World::Answer(const dispatch::StopTask& aOrder)
 {
   dispatch::OrderAnswer answer;
-  answer.token = aOrder.token;
-  answer.upstream = aOrder.to.upstream;
-  FakeUpstream* up = this->Reach(aOrder.to.upstream);
+  FakeUpstream* up =
+    this->ReachForOrder(aOrder.token, aOrder.to.upstream, answer);
   if (up == nullptr) {
-    this->ReplyLate(std::move(answer), kOrderLimit);
     return;
   }
   ++up->stopsSeen;
-  answer.clock = this->ClockOf(*up);
   answer.result = dispatch::OrderResult::Accepted;
   const auto running = up->running.find(aOrder.task);
   if (running != up->running.end() && running->second.run <= aOrder.run) {
