Move instances before the first task of a turn waits

Change: DemandForecast adds the work that will arrive during a move to a pool's need; a pool asks before a task waits; an instance on standby is free when its move has ended (times.move_s). One that is still busy is asked again after 0.3 s. Ruled out: workspace limits (at_workspace_limit 0 throughout), throttled or refused orders (none in the log). MoveOnFromStandbyAtOnce fails without the change; MovesBeforeTheFirstTaskWaits needs the forecast.

--- /dev/null
+++ b/src/dispatch/DemandForecast.cpp
@@ -0,0 +1,46 @@
+// Exponentially weighted arrivals.
+#include "dispatch/DemandForecast.h"
+
+#include <cmath>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// A job counts 1/e of its weight after this: half a move, long enough to hold
+// several jobs of a peak.
+constexpr Duration kMemory = std::chrono::milliseconds(700);
+
+double
+Ratio(Duration aPart, Duration aWhole)
+{
+  return static_cast<double>(aPart.count()) /
+         static_cast<double>(aWhole.count());
+}
+
+} // namespace
+
+void
+DemandForecast::Accepted(const ServiceId& aService, double aCores, Time aNow)
+{
+  Arrivals& known = this->arrivals[aService];
+  known.cores =
+    known.cores * std::exp(-Ratio(aNow - known.at, kMemory)) + aCores;
+  known.at = aNow;
+}
+
+double
+DemandForecast::Expected(const ServiceId& aService,
+                         Duration aAhead,
+                         Time aNow) const
+{
+  const auto found = this->arrivals.find(aService);
+  if (found == this->arrivals.end()) {
+    return 0;
+  }
+  const Arrivals& known = found->second;
+  return known.cores * std::exp(-Ratio(aNow - known.at, kMemory)) *
+         Ratio(aAhead, kMemory);
+}
+
+} // namespace hyssoppaddle::dispatch
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -52,6 +52,7 @@
   this->dirty.clear();
   this->tickets.Clear();
   this->owner = {};
+  this->forecast = {};
 }
 
 // Everything on record may be executing: an earlier leader decided it.
@@ -197,6 +198,7 @@
   this->now = aNow;
   this->wall = aWall;
   std::set<JobId> touched;
+  std::vector<JobId> accepted;
   for (std::size_t i = 0; i < aBatch.commands.size(); ++i) {
     std::visit(
       [&](const auto& aConcrete) {
@@ -208,6 +210,9 @@
                              std::is_same_v<T, work::CancelJob>) {
           touched.insert(aConcrete.id);
         }
+        if constexpr (std::is_same_v<T, work::SubmitJob>) {
+          accepted.push_back(aConcrete.id);
+        }
         this->On(aConcrete, aVerdicts[i]);
       },
       aBatch.commands[i]);
@@ -219,6 +224,12 @@
     }
     this->RefreshView(id);
   }
+  for (const JobId& id : accepted) {
+    if (const auto view = this->views.find(id); view != this->views.end()) {
+      this->forecast.Accepted(
+        view->second.service, CoresOf(view->second), aNow);
+    }
+  }
   this->Plan();
 }
 
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -12,6 +12,7 @@
 #include "dispatch/Admission.h"
 #include "dispatch/Announcement.h"
 #include "dispatch/Decision.h"
+#include "dispatch/DemandForecast.h"
 #include "dispatch/InstanceOwner.h"
 #include "dispatch/JobView.h"
 #include "dispatch/Options.h"
@@ -173,11 +174,14 @@
   void BalancePools();
   void OrderMove(const PoolMove& aMove);
   [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
+  [[nodiscard]] static double CoresOf(const JobView& aView);
   [[nodiscard]] double PlannedCores(const ServiceId& aService) const;
   [[nodiscard]] double WaitingCores(const ServiceId& aService) const;
   [[nodiscard]] double ReachableCores(const ServiceId& aService) const;
   void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
   [[nodiscard]] bool IsFree(const std::string& aInstance) const;
+  [[nodiscard]] bool IsUp(const InstanceRow& aRow) const;
+  [[nodiscard]] bool IsStandby(const ServiceId& aService) const;
   void OnInstanceTaken(const InstanceOwner::OpenOrder& aOrder);
   void OnMoveFailed(const InstanceOwner::OpenOrder& aOrder);
   void RepeatUnsure();
@@ -222,6 +226,7 @@
   std::set<ServiceId> dirty;        // services whose plan may have changed
   TicketBook tickets;
   InstanceOwner owner;
+  DemandForecast forecast;
 };
 
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -16,11 +16,18 @@
 // Estimates below this say little.
 constexpr Duration kShortestChain = milliseconds(500);
 constexpr Duration kListRetry = milliseconds(500);
+// From the end of a move to the first start: the announcement, its record and
+// the first renewal of the lease.
+constexpr Duration kArrivalDelay = milliseconds(300);
 constexpr Duration kBalanceInterval = milliseconds(100);
 // A moved instance that has not announced itself by then is not counted on.
 constexpr Duration kArrivalTime = seconds(5);
 // After a refused order the instance is left alone for this long.
 constexpr Duration kAfterRefusal = seconds(2);
+// After an order that came too early for an instance that is still moving.
+constexpr Duration kAfterBusy = milliseconds(300);
+// Added to the time of a move before the instance is ordered again.
+constexpr Duration kMoveMargin = milliseconds(100);
 // An order without an answer is sent again after this.
 constexpr Duration kOrderAgain = milliseconds(400);
 
@@ -86,6 +93,8 @@
     pool.standby = service.standby;
     pool.waitingCores = this->WaitingCores(service.name);
     pool.plannedCores = this->PlannedCores(service.name);
+    pool.expectedCores = this->forecast.Expected(
+      service.name, this->options.moveTime + kArrivalDelay, this->now);
     for (const auto& [id, session] : this->sessions) {
       withUpstream.insert(session.record.instance);
       if (session.record.service != service.name) {
@@ -100,8 +109,7 @@
   for (PoolLoad& pool : pools) {
     for (const auto& [instance, row] : this->owner.instances) {
       const bool free = row.pool == pool.service && pool.standby &&
-                        row.phase == InstancePhase::Up &&
-                        !withUpstream.contains(instance) &&
+                        this->IsUp(row) && !withUpstream.contains(instance) &&
                         this->IsFree(instance);
       if (free) {
         pool.idle.push_back(instance);
@@ -111,6 +119,27 @@
   return pools;
 }
 
+// Its instances run nothing, so none of them ever announces itself.
+bool
+Dispatcher::IsStandby(const ServiceId& aService) const
+{
+  const auto& services = this->state.CurrentSetup().services;
+  return std::any_of(
+    services.begin(), services.end(), [&](const work::Service& aItem) {
+      return aItem.name == aService && aItem.standby;
+    });
+}
+
+// The list is seconds old at times; a move that was ordered here ends in time.
+bool
+Dispatcher::IsUp(const InstanceRow& aRow) const
+{
+  const auto moved = this->owner.movedBy.find(aRow.instance);
+  return aRow.phase == InstancePhase::Up ||
+         (aRow.phase == InstancePhase::Moving &&
+          moved != this->owner.movedBy.end() && this->now >= moved->second);
+}
+
 // Cores of the tasks that wait for nothing but room.
 double
 Dispatcher::WaitingCores(const ServiceId& aService) const
@@ -130,15 +159,23 @@
   return static_cast<double>(milliCpus) / 1000.0;
 }
 
+// Cores that the job keeps busy on the mean until it ends.
+double
+Dispatcher::CoresOf(const JobView& aView)
+{
+  if (aView.lasting) {
+    return 0;
+  }
+  const Duration chain = std::max(aView.remainingChain, kShortestChain);
+  return aView.remainingWork * 1000.0 / static_cast<double>(chain.count());
+}
+
 double
 Dispatcher::PlannedCores(const ServiceId& aService) const
 {
   double cores = 0;
   for (const auto& [id, view] : this->views) {
-    if (view.service == aService && !view.lasting) {
-      const Duration chain = std::max(view.remainingChain, kShortestChain);
-      cores += view.remainingWork * 1000.0 / static_cast<double>(chain.count());
-    }
+    cores += view.service == aService ? CoresOf(view) : 0;
   }
   return cores;
 }
@@ -256,7 +293,9 @@
   order.pool = aMove.to;
   order.fence = this->term;
   this->owner.orders[order.token] = { aMove.instance, 0, aMove.to };
-  this->owner.arrivals[aMove.instance] = { aMove.to, this->now };
+  if (!this->IsStandby(aMove.to)) {
+    this->owner.arrivals[aMove.instance] = { aMove.to, this->now };
+  }
   this->output.instructions.emplace_back(std::move(order));
 }
 
@@ -303,7 +342,9 @@
                      (aAnswer.result == InstanceResult::Throttled &&
                       this->owner.unsure.contains(order.instance));
   this->owner.nextTry[order.instance] =
-    this->now + (again ? kOrderAgain : kAfterRefusal);
+    this->now + (again                                    ? kOrderAgain
+                 : aAnswer.result == InstanceResult::Busy ? kAfterBusy
+                                                          : kAfterRefusal);
   if (again) {
     this->owner.unsure[order.instance] = order;
     return;
@@ -340,7 +381,11 @@
     }
     return;
   }
-  this->owner.arrivals[aOrder.instance] = { aOrder.pool, this->now };
+  if (!this->IsStandby(aOrder.pool)) {
+    this->owner.arrivals[aOrder.instance] = { aOrder.pool, this->now };
+  }
+  this->owner.movedBy[aOrder.instance] =
+    this->now + this->options.moveTime + kMoveMargin;
   if (listed != this->owner.instances.end()) {
     listed->second.phase = InstancePhase::Moving;
     listed->second.pool = aOrder.pool;
--- a/src/dispatch/InstanceOwner.h
+++ b/src/dispatch/InstanceOwner.h
@@ -47,6 +47,8 @@
   std::map<std::string, Arrival> arrivals; // moves, until they announce
   std::map<std::string, Time> begunAt;     // maintenance, as known here
   std::map<std::string, Time> nextTry;     // after a refused order
+  // When a move ordered here ends; the list may still show it as under way.
+  std::map<std::string, Time> movedBy;
   PoolBalance balance;
   Time nextBalance{};
 };
--- a/src/dispatch/Options.h
+++ b/src/dispatch/Options.h
@@ -24,6 +24,7 @@
   Duration stopTime = milliseconds(400);          // longest stop of a task
   Duration orderLease = milliseconds(3000);       // between two holders' orders
   Duration maintenanceTime = seconds(2);
+  Duration moveTime = milliseconds(1500); // of an instance between two pools
   bool hasInstanceOwner = false;
   bool hasAdvisor = false;
 
--- a/src/dispatch/PoolBalance.cpp
+++ b/src/dispatch/PoolBalance.cpp
@@ -28,8 +28,8 @@
   const double each = aPool.coresEach > 0 ? aPool.coresEach : kAssumedCores;
   // The plan keeps the room of later steps while earlier ones end.
   const double cores =
-    aPool.lastingCores +
-    std::max(aPool.runningCores + aPool.waitingCores, aPool.plannedCores);
+    aPool.lastingCores + std::max(aPool.runningCores + aPool.waitingCores,
+                                  aPool.plannedCores + aPool.expectedCores);
   return static_cast<std::size_t>(std::ceil(cores / each)) + kReserve;
 }
 
@@ -57,7 +57,8 @@
     }
     this->surplusSince.erase(pool.service);
     pool.idle.clear();
-    if (have < needed && pool.waitingCores > 0) {
+    const bool asks = pool.waitingCores > 0 || pool.expectedCores > 0;
+    if (have < needed && asks) {
       takers.emplace_back(needed - have, &pool);
     }
   }
--- a/src/dispatch/PoolBalance.h
+++ b/src/dispatch/PoolBalance.h
@@ -27,6 +27,8 @@
   // That the accepted jobs use on the mean until they end: each its remaining
   // work over its remaining chain.
   double plannedCores = 0;
+  // Of jobs that will arrive before an instance ordered now is there.
+  double expectedCores = 0;
   std::size_t present = 0;       // upstreams that take or will soon take work
   std::size_t arriving = 0;      // instances on their way to this pool
   double coresEach = 0;          // of an upstream; 0 when none has been seen
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -53,6 +53,7 @@
   };
   span("grace_s", aSettings.gracePeriod);
   span("maintenance_s", options.maintenanceTime);
+  span("move_s", options.moveTime);
   time("announce_ms", options.announceInterval);
   time("max_lease_ms", options.maxLease);
   time("stop_ms", options.stopTime);
--- a/test/dispatch/InstancesTest.cpp
+++ b/test/dispatch/InstancesTest.cpp
@@ -1,6 +1,7 @@
 // Instances: demand by turns, and maintenance waves.
 #include "World.h"
 
+#include "dispatch/DemandForecast.h"
 #include "dispatch/PoolBalance.h"
 #include "support/Story.h"
 
@@ -90,6 +91,84 @@
   });
 }
 
+// Load pattern: the turn of a queue begins. Its first jobs still fit, and what
+// comes before an instance can be there does not.
+Test(PoolBalance, MovesBeforeTheFirstTaskWaits)
+{
+  Story story;
+  dispatch::PoolBalance balance;
+  dispatch::PoolLoad standby = Pool("standby", 10, 0);
+  standby.standby = true;
+  dispatch::PoolLoad busy = Pool("busy", 4, 0);
+  busy.idle.clear();
+  busy.runningCores = 30;
+  busy.plannedCores = 30;
+  EXPECT_EQUAL(
+    story, balance.Next({ busy, standby }, Time(seconds(100))).size(), 0U);
+  busy.expectedCores = 50; // 8 of 10 cores and the reserve
+  EXPECT_EQUAL(
+    story, balance.Next({ busy, standby }, Time(seconds(100))).size(), 7U);
+}
+
+Test(DemandForecast, FollowsTheLastArrivals)
+{
+  Story story;
+  dispatch::DemandForecast forecast;
+  const ServiceId queue("queue");
+  const Duration ahead = milliseconds(1800);
+  Time now{ seconds(100) };
+  story.Section("nothing is expected before the first job", [&] {
+    EXPECT_EQUAL(story, forecast.Expected(queue, ahead, now), 0.0);
+  });
+  for (int i = 0; i < 30; ++i) {
+    now += milliseconds(100);
+    forecast.Accepted(queue, 10, now);
+  }
+  story.Section("100 cores a second give 180 in 1.8 s", [&] {
+    const double cores = forecast.Expected(queue, ahead, now);
+    EXPECT_THAT(story, cores > 160 && cores < 210);
+  });
+  story.Section("three seconds without a job leave next to nothing", [&] {
+    EXPECT_THAT(story, forecast.Expected(queue, ahead, now + seconds(3)) < 5);
+  });
+  story.Section("other services expect nothing", [&] {
+    EXPECT_EQUAL(story, forecast.Expected(ServiceId("other"), ahead, now), 0.0);
+  });
+}
+
+// Load pattern: the turn of the second queue begins while the instances of the
+// first are on their way to standby. No announcement ever tells that they have
+// arrived there.
+Test(Instances, MoveOnFromStandbyAtOnce)
+{
+  Story story;
+  World world;
+  world.AddService("day");
+  world.AddService("night");
+  world.AddService("spare", true);
+  for (int i = 0; i < 10; ++i) {
+    world.AddUpstream("day");
+  }
+  for (int i = 0; i < 3; ++i) {
+    world.AddUpstream("night");
+  }
+  world.Lead();
+  story.Section("the idle pool gives its instances to standby", [&] {
+    EXPECT_THAT(story, world.RunUntil(seconds(9), [&] {
+      return world.UpstreamsOf("day") == 3;
+    }));
+  });
+  story.Section("they are back at work two moves later", [&] {
+    for (int i = 0; i < 12; ++i) {
+      world.Submit(
+        "night-" + std::to_string(i), "night", { StepOf(4, 2000, seconds(3)) });
+    }
+    EXPECT_THAT(story, world.RunUntil(milliseconds(3600), [&] {
+      return world.UpstreamsOf("night") >= 9;
+    }));
+  });
+}
+
 // The load pattern of PoolBalance: one queue asks for twice what its pool holds
 // for eight seconds while the other is idle. Without moves a quarter of the
 // jobs ends after its objective.
