Size pools by seven tenths of the planned work

Change: kPlannedPart 0.7. KeepsTheRoomOfLaterSteps keeps its bound of 10 instances for a plan of 100 cores.

--- a/src/dispatch/PoolBalance.cpp
+++ b/src/dispatch/PoolBalance.cpp
@@ -14,6 +14,9 @@
 // A surplus that lasts this long goes to standby: longer than two moves cost
 // against the price of an idle instance.
 constexpr Duration kIdleBeforeStandby = std::chrono::seconds(3);
+// Of the work planned by declared estimates. Running tasks count whole until
+// they end, so the plan is too high.
+constexpr double kPlannedPart = 0.7;
 // Stands for the size of an upstream before one has been seen.
 constexpr double kAssumedCores = 16.0;
 
@@ -28,8 +31,9 @@
   const double each = aPool.coresEach > 0 ? aPool.coresEach : kAssumedCores;
   // The plan keeps the room of later steps while earlier ones end.
   const double cores =
-    aPool.lastingCores + std::max(aPool.runningCores + aPool.waitingCores,
-                                  aPool.plannedCores + aPool.expectedCores);
+    aPool.lastingCores +
+    std::max(aPool.runningCores + aPool.waitingCores,
+             kPlannedPart * aPool.plannedCores + aPool.expectedCores);
   return static_cast<std::size_t>(std::ceil(cores / each)) + kReserve;
 }
 
