Write a line for what is placed of a job

Cause: between job_accepted and run_ended the log said nothing of a job, so a late job could not be told from a slow one. Change: tasks_placed, one line a job and plan, with what was placed, what waits on, the jobs ahead and the outlook.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -26,6 +26,8 @@
 
 namespace hyssoppaddle::dispatch {
 
+struct WorkRank;
+
 struct Output
 {
   std::vector<work::Command> commands; // to be proposed as one batch
@@ -144,6 +146,10 @@
   // DispatcherPlan.cpp: what runs next and where.
   void Plan();
   void PlanService(const ServiceId& aService);
+  void NotePlaced(const JobView& aView,
+                  std::span<const work::TaskRef> aBefore,
+                  const WorkRank& aRank,
+                  std::size_t aAhead);
   bool PlaceTask(JobView& aView, const work::TaskRef& aTask);
   bool PlaceGang(JobView& aView, const work::TaskRef& aTask);
   bool Decide(const JobView& aView,
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/WorkOrder.h"
 
 #include <algorithm>
+#include <array>
 
 namespace hyssoppaddle::dispatch {
 
@@ -51,7 +52,8 @@
       return aLeft.second->id < aRight.second->id;
     });
   std::size_t misses = 0;
-  for (auto& [rank, view] : waiting) {
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    auto& [rank, view] = waiting[i];
     const std::vector<work::TaskRef> pending = view->pending;
     for (const work::TaskRef& task : pending) {
       const work::Job* job = this->FindJob(task.job);
@@ -60,10 +62,40 @@
                             : this->PlaceTask(*view, task);
       misses += placed ? 0 : 1;
       if (misses > kMissesPerPlan) {
-        return;
+        break;
       }
     }
+    this->NotePlaced(*view, pending, rank, i);
+    if (misses > kMissesPerPlan) {
+      return;
+    }
+  }
+}
+
+// One line a job and plan: single tasks would be hundreds of lines a second.
+void
+Dispatcher::NotePlaced(const JobView& aView,
+                       std::span<const work::TaskRef> aBefore,
+                       const WorkRank& aRank,
+                       std::size_t aAhead)
+{
+  constexpr std::array<std::string_view, 3> kOutlooks{ "in time",
+                                                       "late",
+                                                       "hopeless" };
+  const std::size_t placed = aBefore.size() - aView.pending.size();
+  if (placed == 0) {
+    return; // service_load counts the jobs that wait
   }
+  this->Note(
+    "tasks_placed",
+    aView.id.value,
+    { { "first", Text(aBefore.front()) },
+      { "placed", Text(placed) },
+      { "waiting", Text(aView.pending.size()) },
+      { "jobs_ahead", Text(aAhead) },
+      { "outlook",
+        std::string(kOutlooks[static_cast<std::size_t>(aRank.outlook)]) },
+      { "setup", Text(this->state.CurrentSetup().version) } });
 }
 
 ServiceLoad
--- a/test/dispatch/DispatcherTest.cpp
+++ b/test/dispatch/DispatcherTest.cpp
@@ -4,6 +4,8 @@
 
 #include "support/Story.h"
 
+#include <algorithm>
+
 using namespace hyssoppaddle;
 using namespace hyssoppaddle::test;
 using dispatch::milliseconds;
@@ -36,6 +38,34 @@
 
 } // namespace
 
+// The log leads from the ID of a job to what was placed of it and when.
+Test(Dispatcher, TellsWhatItPlaces)
+{
+  Story story;
+  World world;
+  MakeReady(world, 2);
+  world.Submit("job", "print", { StepOf(20, 2000, milliseconds(400)) });
+  world.Run(milliseconds(100));
+  const auto line = std::find_if(
+    world.decisions.begin(), world.decisions.end(), [](const auto& aItem) {
+      return aItem.kind == "tasks_placed" && aItem.job == "job";
+    });
+  EXPECT_THAT(story, line != world.decisions.end());
+  const auto field = [&](std::string_view aName) {
+    for (const auto& [name, value] : line->fields) {
+      if (name == aName) {
+        return value;
+      }
+    }
+    return std::string("none");
+  };
+  story.Section("eight of twenty tasks fit on two upstreams", [&] {
+    EXPECT_EQUAL(story, field("placed"), std::string("8"));
+    EXPECT_EQUAL(story, field("waiting"), std::string("12"));
+    EXPECT_EQUAL(story, field("outlook"), std::string("in time"));
+  });
+}
+
 Test(Dispatcher, RunsAJobOfSteps)
 {
   Story story;
