--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -1,6 +1,8 @@
 // Open calls and their ends.
 #include "node/CallRouter.h"
 
+#include "dispatch/Text.h"
+
 #include <algorithm>
 
 namespace hyssoppaddle::node {
@@ -10,7 +12,12 @@
 // Without a leader a call is refused after this: an election takes longer, and
 // the caller can use its time elsewhere.
 constexpr Duration kWaitForLeader = std::chrono::milliseconds(120);
-constexpr Duration kRetryWithoutLeader = std::chrono::seconds(1);
+// Load pattern: all replicas are down for some seconds and callers have a few
+// attempts each. An outage is expected to last as long again as it has lasted,
+// within these bounds: an election is over in the first; past the second a
+// caller that waits longer loses more than one that asks again.
+constexpr Duration kShortestRetry = std::chrono::seconds(1);
+constexpr Duration kLongestRetry = std::chrono::seconds(3);
 // The answer must reach the sender before its limit.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(60);
 
@@ -104,19 +111,23 @@
 }
 
 void
-CallRouter::GiveUp(std::uint64_t aToken)
+CallRouter::GiveUp(std::uint64_t aToken, Time aNow)
 {
   const OpenCall& call = this->calls.at(aToken);
+  const Duration outage =
+    this->leaderless ? aNow - *this->leaderless : Duration(0);
   Reply reply;
   reply.outcome = call.MayHaveRun() ? Outcome::Undecided : Outcome::Unavailable;
-  reply.retryAfter = kRetryWithoutLeader;
+  reply.retryAfter = std::clamp(outage, kShortestRetry, kLongestRetry);
   this->ports.note(
     { "call_given_up",
       {},
       { { "method", call.call.method },
         { "target", call.call.target },
         { "sent_to", call.sentTo ? call.sentTo->value : "no leader known" },
-        { "may_have_run", call.MayHaveRun() ? "yes" : "no" } } });
+        { "may_have_run", call.MayHaveRun() ? "yes" : "no" },
+        { "leaderless_ms", dispatch::Text(outage) },
+        { "retry_after_ms", dispatch::Text(reply.retryAfter) } } });
   this->OnRouted(aToken, { true, false, this->ports.encode(reply) });
 }
 
@@ -124,6 +135,11 @@
 CallRouter::Tick(Time aNow)
 {
   const InstanceId leader = this->ports.leader();
+  if (!leader.empty()) {
+    this->leaderless.reset();
+  } else if (!this->leaderless) {
+    this->leaderless = aNow;
+  }
   std::vector<std::uint64_t> ended;
   std::vector<std::uint64_t> waiting;
   for (auto& [token, call] : this->calls) {
@@ -140,7 +156,7 @@
   }
   for (const std::uint64_t token : ended) {
     if (this->calls.contains(token)) {
-      this->GiveUp(token);
+      this->GiveUp(token, aNow);
     }
   }
 }
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -71,11 +71,12 @@
 
   void Forward(OpenCall& aCall, const InstanceId& aLeader);
   void OnRouted(std::uint64_t aToken, RoutedReply aReply);
-  void GiveUp(std::uint64_t aToken);
+  void GiveUp(std::uint64_t aToken, Time aNow);
 
   InstanceId self;
   Ports ports;
   std::uint64_t lastToken = 0;
+  std::optional<Time> leaderless; // since when no leader is known
   std::map<std::uint64_t, OpenCall> calls;
 };
 
