--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -1,8 +1,6 @@
 // Open calls and their ends.
 #include "node/CallRouter.h"
 
-#include "dispatch/Text.h"
-
 #include <algorithm>
 
 namespace hyssoppaddle::node {
@@ -12,12 +10,7 @@
 // Without a leader a call is refused after this: an election takes longer, and
 // the caller can use its time elsewhere.
 constexpr Duration kWaitForLeader = std::chrono::milliseconds(120);
-// Load pattern: all replicas are down for some seconds and callers have a few
-// attempts each. An outage is expected to last as long again as it has lasted,
-// within these bounds: an election is over in the first; past the second a
-// caller that waits longer loses more than one that asks again.
-constexpr Duration kShortestRetry = std::chrono::seconds(1);
-constexpr Duration kLongestRetry = std::chrono::seconds(3);
+constexpr Duration kRetryWithoutLeader = std::chrono::seconds(1);
 // The answer must reach the sender before its limit.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(60);
 
@@ -111,23 +104,19 @@
 }
 
 void
-CallRouter::GiveUp(std::uint64_t aToken, Time aNow)
+CallRouter::GiveUp(std::uint64_t aToken)
 {
   const OpenCall& call = this->calls.at(aToken);
-  const Duration outage =
-    this->leaderless ? aNow - *this->leaderless : Duration(0);
   Reply reply;
   reply.outcome = call.MayHaveRun() ? Outcome::Undecided : Outcome::Unavailable;
-  reply.retryAfter = std::clamp(outage, kShortestRetry, kLongestRetry);
+  reply.retryAfter = kRetryWithoutLeader;
   this->ports.note(
     { "call_given_up",
       {},
       { { "method", call.call.method },
         { "target", call.call.target },
         { "sent_to", call.sentTo ? call.sentTo->value : "no leader known" },
-        { "may_have_run", call.MayHaveRun() ? "yes" : "no" },
-        { "leaderless_ms", dispatch::Text(outage) },
-        { "retry_after_ms", dispatch::Text(reply.retryAfter) } } });
+        { "may_have_run", call.MayHaveRun() ? "yes" : "no" } } });
   this->OnRouted(aToken, { true, false, this->ports.encode(reply) });
 }
 
@@ -135,11 +124,6 @@
 CallRouter::Tick(Time aNow)
 {
   const InstanceId leader = this->ports.leader();
-  if (!leader.empty()) {
-    this->leaderless.reset();
-  } else if (!this->leaderless) {
-    this->leaderless = aNow;
-  }
   std::vector<std::uint64_t> ended;
   std::vector<std::uint64_t> waiting;
   for (auto& [token, call] : this->calls) {
@@ -156,7 +140,7 @@
   }
   for (const std::uint64_t token : ended) {
     if (this->calls.contains(token)) {
-      this->GiveUp(token, aNow);
+      this->GiveUp(token);
     }
   }
 }
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -71,12 +71,11 @@
 
   void Forward(OpenCall& aCall, const InstanceId& aLeader);
   void OnRouted(std::uint64_t aToken, RoutedReply aReply);
-  void GiveUp(std::uint64_t aToken, Time aNow);
+  void GiveUp(std::uint64_t aToken);
 
   InstanceId self;
   Ports ports;
   std::uint64_t lastToken = 0;
-  std::optional<Time> leaderless; // since when no leader is known
   std::map<std::uint64_t, OpenCall> calls;
 };
 
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -23,7 +23,6 @@
   InstanceId leader{ "b" };
   std::vector<std::pair<InstanceId, std::uint64_t>> sent;
   std::vector<api::HttpReply> replies;
-  std::vector<Duration> retries; // told with the replies
   CallRouter router{ InstanceId("a"), this->Ports() };
 
   CallRouter::Ports Ports()
@@ -39,17 +38,13 @@
       reply.status = aReply.outcome == Outcome::Undecided ? 504 : 503;
       return reply;
     };
-    ports.encode = [this, status = ports.encode](const Reply& aReply) {
-      this->retries.push_back(aReply.retryAfter);
-      return status(aReply);
-    };
     ports.note = [](const dispatch::Decision&) {};
     return ports;
   }
 
-  void Route(Time aAt = kStart)
+  void Route()
   {
-    this->router.Route({}, seconds(2), aAt, [this](api::HttpReply aReply) {
+    this->router.Route({}, seconds(2), kStart, [this](api::HttpReply aReply) {
       this->replies.push_back(std::move(aReply));
     });
   }
@@ -70,34 +65,6 @@
                 [&] { EXPECT_EQUAL(story, world.replies.at(0).status, 503U); });
 }
 
-// Load pattern: all replicas are down for seconds. Callers that came back every
-// second had used up their attempts before one was up again.
-Test(CallRouter, SendsCallersAwayForAsLongAsTheOutageHasLasted)
-{
-  Story story;
-  RouterWorld world;
-  world.leader = InstanceId();
-  for (const int second : { 0, 2, 9 }) {
-    const Time at = kStart + seconds(second);
-    world.router.Tick(at);
-    world.Route(at);
-    world.router.Tick(at + milliseconds(130));
-  }
-  EXPECT_EQUAL(story, world.retries.at(0), Duration(seconds(1)));
-  EXPECT_EQUAL(story, world.retries.at(1), Duration(milliseconds(2130)));
-  EXPECT_EQUAL(story, world.retries.at(2), Duration(seconds(3)));
-  story.Section("a leader ends the outage", [&] {
-    world.leader = InstanceId("b");
-    world.router.Tick(kStart + seconds(10));
-    world.leader = InstanceId();
-    const Time at = kStart + seconds(11);
-    world.router.Tick(at);
-    world.Route(at);
-    world.router.Tick(at + milliseconds(130));
-    EXPECT_EQUAL(story, world.retries.at(3), Duration(seconds(1)));
-  });
-}
-
 Test(CallRouter, SendsAnUnansweredCallToTheNextLeader)
 {
   Story story;
