--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -209,7 +209,9 @@
           touched.insert(aConcrete.id);
         }
         if constexpr (std::is_same_v<T, work::SubmitJob>) {
-          accepted.push_back(aConcrete.id);
+          if (!this->views.contains(aConcrete.id)) {
+            accepted.push_back(aConcrete.id); // not a resent one
+          }
         }
         this->On(aConcrete, aVerdicts[i]);
       },
@@ -476,25 +478,6 @@
   this->Plan();
 }
 
-std::optional<Duration>
-Dispatcher::RetryAfter(const work::Queue& aQueue,
-                       const work::JobSpec& aSpec) const
-{
-  ServiceLoad load = this->LoadOf(aQueue.service);
-  load.reachable = this->ReachableCores(aQueue.service);
-  return dispatch::RetryAfter(load, aQueue, aSpec);
-}
-
-std::uint64_t
-Dispatcher::Pending(const work::Queue& aQueue) const
-{
-  std::uint64_t count = 0;
-  for (const auto& [id, job] : this->state.Tables().jobs) {
-    count += job.queue == aQueue.name && job.state == work::JobState::Queued;
-  }
-  return count;
-}
-
 Output
 Dispatcher::TakeOutput()
 {
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -143,7 +143,7 @@
   void CheckSilent(const InstanceId& aId, const UpstreamSession& aSession);
   void EndAll(const InstanceId& aId, std::vector<work::Command>& aCommands);
 
-  // DispatcherPlan.cpp: what runs next and where.
+  // DispatcherPlan.cpp: what runs next and where, and what is rejected.
   void Plan();
   void PlanService(const ServiceId& aService);
   void NotePlaced(const JobView& aView,
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -1,4 +1,4 @@
-// What runs next and where.
+// What runs next and where, and what is rejected.
 #include "dispatch/Dispatcher.h"
 #include "dispatch/Text.h"
 #include "dispatch/WorkOrder.h"
@@ -121,6 +121,25 @@
   return load;
 }
 
+std::optional<Duration>
+Dispatcher::RetryAfter(const work::Queue& aQueue,
+                       const work::JobSpec& aSpec) const
+{
+  ServiceLoad load = this->LoadOf(aQueue.service);
+  load.reachable = this->ReachableCores(aQueue.service);
+  return dispatch::RetryAfter(load, aQueue, aSpec);
+}
+
+std::uint64_t
+Dispatcher::Pending(const work::Queue& aQueue) const
+{
+  std::uint64_t count = 0;
+  for (const auto& [id, job] : this->state.Tables().jobs) {
+    count += job.queue == aQueue.name && job.state == work::JobState::Queued;
+  }
+  return count;
+}
+
 // The figures that rejections and moves rest on, once a second.
 void
 Dispatcher::NoteLoads()
