--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -124,8 +124,15 @@
   if (this->settings.dataFolder.empty()) {
     return {};
   }
-  auto opened =
-    OpenLogFolder(this->settings.dataFolder, kClusterName, this->self);
+  auto opened = OpenLogFolder(this->settings.dataFolder,
+                              kClusterName,
+                              this->self,
+                              [this](std::uint64_t aBytes) {
+                                this->NoteAlways(
+                                  { "torn_log_tail_truncated",
+                                    {},
+                                    { { "bytes", std::to_string(aBytes) } } });
+                              });
   if (!opened) {
     return tl::unexpected<Error>(opened.error());
   }
--- a/src/shell/DurableLog.cpp
+++ b/src/shell/DurableLog.cpp
@@ -45,14 +45,21 @@
 Result<std::unique_ptr<DurableLog>>
 OpenDurableLog(const config::Settings& aSettings)
 {
-  return OpenLogFolder(
-    aSettings.dataFolder, aSettings.cluster, aSettings.instance);
+  return OpenLogFolder(aSettings.dataFolder,
+                       aSettings.cluster,
+                       aSettings.instance,
+                       [](std::uint64_t aBytes) {
+                         Log(LogLevel::Warning,
+                             "torn_log_tail_truncated",
+                             { { "bytes", aBytes } });
+                       });
 }
 
 Result<std::unique_ptr<DurableLog>>
 OpenLogFolder(std::string_view aFolder,
               std::string_view aCluster,
-              const InstanceId& aOwner)
+              const InstanceId& aOwner,
+              const TornTailHook& aTorn)
 {
   auto files = storage::OpenPosixFolder(aFolder);
   if (!files) {
@@ -66,9 +73,7 @@
     return tl::unexpected<Error>(store.error());
   }
   if (store->TornBytes() > 0) {
-    Log(LogLevel::Warning,
-        "torn_log_tail_truncated",
-        { { "bytes", store->TornBytes() } });
+    aTorn(store->TornBytes());
   }
   return std::make_unique<StoredLog>(std::move(*store));
 }
--- a/src/shell/DurableLog.h
+++ b/src/shell/DurableLog.h
@@ -36,11 +36,15 @@
 Result<std::unique_ptr<DurableLog>>
 OpenDurableLog(const config::Settings& aSettings);
 
+// Told how many bytes of an unfinished last write were cut off.
+using TornTailHook = std::function<void(std::uint64_t aBytes)>;
+
 // The log store in aFolder, which belongs to aOwner of aCluster.
 Result<std::unique_ptr<DurableLog>>
 OpenLogFolder(std::string_view aFolder,
               std::string_view aCluster,
-              const InstanceId& aOwner);
+              const InstanceId& aOwner,
+              const TornTailHook& aTorn);
 
 } // namespace hyssoppaddle::shell
 
