Keep the voters that the tolerated losses need

Cause: the leader removed each voter that had been silent for 6 s while more than three were left. Two of six voters were down for 7 s, so four were left. Two of these lost their disks later, as the deployment allows at any moment, and two of four voters are no majority. The removed voters had returned long before, but their own logs still named them voters, so they did not ask to join.

Change: agreement::Membership takes the decisions that Cluster took. A silent voter is removed only if the voters that are left still bear the tolerated losses, which the settings now state. A replica asks to join whenever it does not follow the leader that other nodes report, whatever its own log says. A learner that stops before its promotion no longer blocks all later changes.

Evidence: of the six tests in MembershipTest, three fail with the two old rules put back into the new class ("expected 5, actual 4" voters, no leader after the second loss) and pass with the new ones. The policy test of NodeTest moved to MembershipTest with all its checks.

--- /dev/null
+++ b/src/agreement/Membership.h
@@ -0,0 +1,64 @@
+// Selects the next change of the replica configuration on the leader: adds
+// instances that ask to join, promotes learners that have caught up, and
+// removes replicas that are silent.
+#ifndef hyssoppaddle_agreement_Membership_h
+#define hyssoppaddle_agreement_Membership_h
+
+#include "agreement/Events.h"
+#include "agreement/FaultTolerance.h"
+#include "base/Time.h"
+
+#include <map>
+#include <optional>
+#include <span>
+
+namespace hyssoppaddle::agreement {
+
+class Raft;
+
+// A replica of the active configuration as the leader sees it.
+struct ReplicaHealth
+{
+  InstanceId replica;
+  Time lastHeard{};
+  // For a learner: whether it may become a voter now.
+  bool isCaughtUp = false;
+};
+
+class Membership
+{
+public:
+  Membership(InstanceId aSelf, FaultTolerance aTolerance);
+
+  void RecordJoinRequest(const InstanceId& aFrom, Time aNow);
+
+  // aHealth has an entry for each replica of aActive but this one. Returns
+  // nothing if no change is due.
+  [[nodiscard]] std::optional<ChangeConfiguration> NextChange(
+    const Configuration& aActive,
+    std::span<const ReplicaHealth> aHealth,
+    Time aNow) const;
+
+  // Whether a replica must ask aLeader to join. This does not depend on the
+  // configuration in its own log alone: an instance that was removed while it
+  // was down has not received the entry that removes it.
+  [[nodiscard]] static bool MustJoin(const Raft& aRaft,
+                                     const InstanceId& aSelf,
+                                     const InstanceId& aLeader);
+
+private:
+  [[nodiscard]] bool MayRemoveVoter(const Configuration& aActive) const;
+  [[nodiscard]] std::size_t MaxVoters() const;
+  [[nodiscard]] std::optional<InstanceId> NextJoiner(
+    const Configuration& aActive,
+    Time aNow) const;
+
+  InstanceId self;
+  FaultTolerance tolerance;
+  // Time of the last request of each instance that asked to join.
+  std::map<InstanceId, Time> joinRequests;
+};
+
+} // namespace hyssoppaddle::agreement
+
+#endif
--- a/src/agreement/Raft.cpp
+++ b/src/agreement/Raft.cpp
@@ -482,6 +482,12 @@
                                              : found->second.lastHeard;
 }
 
+bool
+Raft::IsCaughtUp(const InstanceId& aLearner) const
+{
+  return this->impl->IsCaughtUp(aLearner);
+}
+
 LogIndex
 Raft::MatchIndex(const InstanceId& aReplica) const
 {
--- a/src/agreement/Raft.h
+++ b/src/agreement/Raft.h
@@ -81,6 +81,8 @@
   [[nodiscard]] const Configuration& ActiveConfiguration() const;
   // On the leader: time of the last reply from that replica.
   [[nodiscard]] std::optional<Time> LastHeard(const InstanceId& aReplica) const;
+  // On the leader: whether that learner may become a voter now.
+  [[nodiscard]] bool IsCaughtUp(const InstanceId& aLearner) const;
   // On the leader: index up to which that replica is durable; 0 when unknown.
   [[nodiscard]] LogIndex MatchIndex(const InstanceId& aReplica) const;
 
--- a/src/node/Cluster.cpp
+++ b/src/node/Cluster.cpp
@@ -1,8 +1,6 @@
-// Tracks leader, replicas and node health, and selects replica changes.
+// Tracks leader, replicas and node health.
 #include "node/Cluster.h"
 
-#include <algorithm>
-
 namespace hyssoppaddle::node {
 
 namespace {
@@ -12,18 +10,6 @@
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(1600);
 // A report of the leader is ignored when it is older than this.
 constexpr Duration kLeaderInfoLifetime = std::chrono::milliseconds(1600);
-constexpr Duration kJoinRequestLifetime = std::chrono::milliseconds(1500);
-// A voter that is silent for longer is removed when the other voters form a
-// majority without it; it joins again when it returns.
-constexpr Duration kSilentVoterRemovalDelay = std::chrono::seconds(6);
-constexpr std::size_t kMaxVoters = 7;
-constexpr std::size_t kMinVoters = 3;
-
-bool
-Contains(const std::vector<InstanceId>& aList, const InstanceId& aName)
-{
-  return std::find(aList.begin(), aList.end(), aName) != aList.end();
-}
 
 } // namespace
 
@@ -71,12 +57,6 @@
   }
 }
 
-void
-Cluster::OnJoin(const InstanceId& aFrom, Time aNow)
-{
-  this->joinRequests[aFrom] = aNow;
-}
-
 void
 Cluster::RemoveNode(const InstanceId& aPeer)
 {
@@ -174,38 +154,4 @@
   return false;
 }
 
-std::optional<agreement::ChangeConfiguration>
-Cluster::NextChange(const agreement::Configuration& aActive,
-                    std::span<const ReplicaHealth> aHealth,
-                    Time aNow) const
-{
-  using agreement::ChangeKind;
-  const bool full = aActive.voters.size() >= kMaxVoters;
-  if (!full && !aActive.learners.empty()) {
-    return agreement::ChangeConfiguration{ 0,
-                                           ChangeKind::PromoteToVoter,
-                                           aActive.learners.front() };
-  }
-  for (const auto& [node, askedAt] : this->joinRequests) {
-    const bool known =
-      Contains(aActive.voters, node) || Contains(aActive.learners, node);
-    if (!known && !full && aNow - askedAt < kJoinRequestLifetime) {
-      return agreement::ChangeConfiguration{ 0, ChangeKind::AddLearner, node };
-    }
-  }
-  if (aActive.voters.size() <= kMinVoters) {
-    return std::nullopt;
-  }
-  for (const ReplicaHealth& health : aHealth) {
-    const bool silent =
-      health.lastHeard && aNow - *health.lastHeard > kSilentVoterRemovalDelay;
-    if (silent && health.replica != this->self) {
-      return agreement::ChangeConfiguration{ 0,
-                                             ChangeKind::Remove,
-                                             health.replica };
-    }
-  }
-  return std::nullopt;
-}
-
 } // namespace hyssoppaddle::node
--- a/src/node/Cluster.h
+++ b/src/node/Cluster.h
@@ -1,6 +1,5 @@
 // This node's view of the cluster: the seeds from its settings, the replicas
-// reported by other nodes, and the leader. Selects the nodes to connect to and
-// the next change of the replica configuration that the leader requests.
+// reported by other nodes, and the leader. Selects the nodes to connect to.
 #ifndef hyssoppaddle_node_Cluster_h
 #define hyssoppaddle_node_Cluster_h
 
@@ -9,7 +8,6 @@
 #include "wire/PeerMessage.h"
 
 #include <map>
-#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -24,13 +22,6 @@
   bool hasReportedDisk = false; // true once it has sent a status message
 };
 
-// When the leader last heard from a replica.
-struct ReplicaHealth
-{
-  InstanceId replica;
-  std::optional<Time> lastHeard;
-};
-
 class Cluster
 {
 public:
@@ -45,7 +36,6 @@
   void OnStatus(const InstanceId& aFrom,
                 const wire::NodeStatus& aStatus,
                 Time aNow);
-  void OnJoin(const InstanceId& aFrom, Time aNow);
   void RemoveNode(const InstanceId& aPeer);
   // Records the leader and term as seen by the Raft replica on this node.
   void OnRole(const InstanceId& aLeader, agreement::Term aTerm, Time aNow);
@@ -69,21 +59,12 @@
   // creates it.
   [[nodiscard]] bool IsFounder() const;
 
-  // On the leader, returns the next change of the replica configuration, if one
-  // is due.
-  [[nodiscard]] std::optional<agreement::ChangeConfiguration> NextChange(
-    const agreement::Configuration& aActive,
-    std::span<const ReplicaHealth> aHealth,
-    Time aNow) const;
-
 private:
   InstanceId self;
   bool hasDisk;
   std::vector<InstanceId> seeds;
   std::set<InstanceId> replicas;
   std::map<InstanceId, KnownNode> nodes; // connected nodes
-  // Nodes that requested to become replicas, with the time of the last request.
-  std::map<InstanceId, Time> joinRequests;
   InstanceId leader;
   agreement::Term term = 0;
   Time leaderHeardAt{};
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -54,7 +54,7 @@
 Node::Impl::On(const InstanceId& aFrom, wire::JoinRequest& aMessage)
 {
   if (aMessage.wantsVote) {
-    this->cluster.OnJoin(aFrom, SuspendAwareNow());
+    this->membership.RecordJoinRequest(aFrom, SuspendAwareNow());
   }
 }
 
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -2,6 +2,7 @@
 #ifndef hyssoppaddle_node_NodeImpl_h
 #define hyssoppaddle_node_NodeImpl_h
 
+#include "agreement/Membership.h"
 #include "dispatch/Dispatcher.h"
 #include "node/CallHandler.h"
 #include "node/CallRouter.h"
@@ -93,6 +94,7 @@
   std::shared_ptr<shell::Metrics> metrics;
   LineLog log;
   Cluster cluster;
+  agreement::Membership membership;
   std::unique_ptr<shell::DurableLog> durableLog;
   agreement::RecoveredLog recovered;
   // Whether the data folder was empty at process start.
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -17,6 +17,7 @@
 // few seconds.
 constexpr config::Range kTimeRangeMs{ 1, 3600000 };
 constexpr double kMaxSeconds = 3600.0;
+constexpr config::Range kCountRange{ 0, 100 };
 
 void
 ReadSeeds(ObjectReader& aReader, NodeSettings& aSettings, FindingLog& aLog)
@@ -62,6 +63,31 @@
   reader.Finish();
 }
 
+// Only the number of data centres matters, not their names.
+void
+ReadDataCentres(ObjectReader& aReader, NodeSettings& aSettings)
+{
+  std::vector<LocatedNode> names;
+  if (aReader.Array("data_centres", names, Need::Optional)) {
+    aSettings.tolerance.dataCentreCount = names.size();
+  }
+}
+
+void
+ReadTolerance(ObjectReader& aParent, NodeSettings& aSettings, FindingLog& aLog)
+{
+  LocatedNode located;
+  if (!aParent.Object("tolerated_losses", located, Need::Optional)) {
+    return;
+  }
+  ObjectReader reader(located, aLog);
+  agreement::FaultTolerance& tolerance = aSettings.tolerance;
+  reader.Integer("instances", tolerance.instances, kCountRange, Need::Optional);
+  reader.Integer(
+    "data_centres", tolerance.dataCentres, kCountRange, Need::Optional);
+  reader.Finish();
+}
+
 } // namespace
 
 tl::expected<NodeSettings, Findings>
@@ -91,6 +117,8 @@
                  { 0, 100000 },
                  Need::Optional);
   ReadSeeds(reader, settings, log);
+  ReadDataCentres(reader, settings);
+  ReadTolerance(reader, settings, log);
   ReadTimes(reader, settings, log);
   reader.Finish();
   if (!log.IsEmpty()) {
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -3,6 +3,7 @@
 #ifndef hyssoppaddle_node_NodeSettings_h
 #define hyssoppaddle_node_NodeSettings_h
 
+#include "agreement/FaultTolerance.h"
 #include "base/Finding.h"
 #include "dispatch/Options.h"
 
@@ -35,6 +36,7 @@
   std::string instanceOwnerAddress; // empty when there is none
   // Longest time from the stop signal to the exit.
   Duration gracePeriod = dispatch::seconds(6);
+  agreement::FaultTolerance tolerance;
   std::uint32_t decisionLinesPerSecond = 200;
   dispatch::Options dispatch;
 };
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -152,11 +152,9 @@
     return;
   }
   this->nextJoinRequest = aNow + kJoinInterval;
-  const auto& voters = this->replica->RaftState().ActiveConfiguration().voters;
   const InstanceId leader = this->cluster.Leader(aNow);
-  const bool isVoter =
-    std::find(voters.begin(), voters.end(), this->self) != voters.end();
-  if (!isVoter && !leader.empty() && leader != this->self) {
+  if (agreement::Membership::MustJoin(
+        this->replica->RaftState(), this->self, leader)) {
     this->peers->Send(leader, wire::JoinRequest{ true });
   }
 }
@@ -170,20 +168,25 @@
   }
   this->nextReplicaChange = aNow + kChangeInterval;
   const agreement::Raft& raft = this->replica->RaftState();
-  std::vector<ReplicaHealth> health;
-  for (const InstanceId& voter : raft.ActiveConfiguration().voters) {
-    const auto heard = raft.LastHeard(voter);
-    health.push_back({ voter, heard ? heard : this->electedAt });
+  const agreement::Configuration& active = raft.ActiveConfiguration();
+  std::vector<agreement::ReplicaHealth> health;
+  for (const auto& group : { active.voters, active.learners }) {
+    for (const InstanceId& member : group) {
+      health.push_back({ member,
+                         raft.LastHeard(member).value_or(this->electedAt),
+                         raft.IsCaughtUp(member) });
+    }
   }
-  const auto change =
-    this->cluster.NextChange(raft.ActiveConfiguration(), health, aNow);
+  const auto change = this->membership.NextChange(active, health, aNow);
   if (change) {
     constexpr std::array<const char*, 3> kKinds{ "add", "promote", "remove" };
     this->LogThrottled(
       { "replica_change_asked",
         {},
         { { "replica", change->instance.value },
-          { "change", kKinds[static_cast<std::size_t>(change->kind)] } } });
+          { "change", kKinds[static_cast<std::size_t>(change->kind)] },
+          { "voters", std::to_string(active.voters.size()) },
+          { "learners", std::to_string(active.learners.size()) } } });
     this->replica->Step(*change, aNow);
   }
 }
--- /dev/null
+++ b/test/agreement/MembershipTest.cpp
@@ -0,0 +1,275 @@
+// Tests of the changes of the replica configuration: which change comes next,
+// and what a cluster that follows them survives.
+#include "agreement/Membership.h"
+#include "agreement/Simulation.h"
+#include "support/TestTrace.h"
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::agreement;
+using hyssoppaddle::test::Simulation;
+using hyssoppaddle::test::TestTrace;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Time kStart{ seconds(100) };
+constexpr FaultTolerance kTwoInstances{ 2, 0, 1 };
+
+std::vector<InstanceId>
+Names(std::initializer_list<const char*> aNames)
+{
+  return { aNames.begin(), aNames.end() };
+}
+
+// A cluster in virtual time whose leader makes the selected changes and whose
+// other nodes ask to join when they must.
+class JoiningCluster
+{
+public:
+  explicit JoiningCluster(std::size_t aNodes)
+    : simulation(1, 21)
+  {
+    while (this->simulation.Size() < aNodes) {
+      this->simulation.AddNode({}, true);
+    }
+    this->Run(seconds(10));
+  }
+
+  void Run(Duration aFor)
+  {
+    constexpr Duration kStep = milliseconds(200);
+    for (Duration left = aFor; left > Duration(0); left -= kStep) {
+      this->simulation.Run(kStep);
+      this->ChangeReplicas();
+    }
+  }
+
+  [[nodiscard]] std::size_t Leader() const
+  {
+    return *this->simulation.LeaderNode();
+  }
+  [[nodiscard]] const Configuration& Active()
+  {
+    return this->simulation.At(this->Leader()).ActiveConfiguration();
+  }
+  // Nodes other than the leader, in order.
+  [[nodiscard]] std::vector<std::size_t> Followers() const
+  {
+    std::vector<std::size_t> followers;
+    for (std::size_t i = 0; i < this->simulation.Size(); ++i) {
+      if (i != this->Leader()) {
+        followers.push_back(i);
+      }
+    }
+    return followers;
+  }
+
+  Simulation simulation;
+
+private:
+  static InstanceId NameOf(std::size_t aNode)
+  {
+    return InstanceId("n" + std::to_string(aNode));
+  }
+
+  void ChangeReplicas()
+  {
+    const auto leader = this->simulation.LeaderNode();
+    if (!leader) {
+      return;
+    }
+    const Time now(this->simulation.now);
+    auto [found, isNew] =
+      this->memberships.try_emplace(*leader, NameOf(*leader), kTwoInstances);
+    Membership& membership = found->second;
+    for (std::size_t i = 0; i < this->simulation.Size(); ++i) {
+      if (this->simulation.IsUp(i) &&
+          Membership::MustJoin(
+            this->simulation.At(i), NameOf(i), NameOf(*leader))) {
+        membership.RecordJoinRequest(NameOf(i), now);
+      }
+    }
+    const Raft& raft = this->simulation.At(*leader);
+    std::vector<ReplicaHealth> health;
+    for (std::size_t i = 0; i < this->simulation.Size(); ++i) {
+      const InstanceId name = NameOf(i);
+      health.push_back(
+        { name, raft.LastHeard(name).value_or(Time{}), raft.IsCaughtUp(name) });
+    }
+    const auto change =
+      membership.NextChange(raft.ActiveConfiguration(), health, now);
+    if (change) {
+      this->simulation.Change(change->kind,
+                              std::stoul(change->instance.value.substr(1)));
+    }
+  }
+
+  std::map<std::size_t, Membership> memberships;
+};
+
+} // namespace
+
+Test(Membership, KeepsTheVotersThatTheToleratedLossesNeed)
+{
+  TestTrace trace;
+  const Membership membership(InstanceId("a"), kTwoInstances);
+  Configuration active;
+  active.voters = Names({ "a", "b", "c", "d", "e", "f" });
+  const std::vector<ReplicaHealth> health{ { InstanceId("b"), kStart },
+                                           { InstanceId("c"), kStart } };
+  const Time later = kStart + seconds(7);
+  trace.Section("of six voters a silent one is removed", [&] {
+    EXPECT_EQUAL(trace,
+                 membership.NextChange(active, health, later)->kind,
+                 ChangeKind::Remove);
+  });
+  trace.Section("of five voters none is removed", [&] {
+    std::erase(active.voters, InstanceId("b"));
+    EXPECT_THAT(trace, !membership.NextChange(active, health, later));
+  });
+  trace.Section("until another instance has taken its place", [&] {
+    active.voters.emplace_back("g");
+    EXPECT_EQUAL(trace,
+                 membership.NextChange(active, health, later)->instance,
+                 InstanceId("c"));
+  });
+}
+
+Test(Membership, KeepsTheVotersThatALostDataCentreNeeds)
+{
+  TestTrace trace;
+  const FaultTolerance oneOfThree{ 0, 1, 3 };
+  trace.Section("two of six voters are in each data centre",
+                [&] { EXPECT_THAT(trace, oneOfThree.IsMetBy(6)); });
+  trace.Section("two of four voters may be in one data centre",
+                [&] { EXPECT_THAT(trace, !oneOfThree.IsMetBy(4)); });
+}
+
+Test(Membership, AddsPromotesAndRemovesOneInstanceAtATime)
+{
+  TestTrace trace;
+  Membership membership(InstanceId("a"), {});
+  Configuration active;
+  active.voters = Names({ "a" });
+  membership.RecordJoinRequest(InstanceId("b"), kStart);
+  EXPECT_EQUAL(trace,
+               membership.NextChange(active, {}, kStart)->kind,
+               ChangeKind::AddLearner);
+  active.learners = Names({ "b" });
+  trace.Section("a learner is promoted once it has caught up", [&] {
+    const std::vector<ReplicaHealth> behind{ { InstanceId("b"), kStart } };
+    EXPECT_THAT(trace, !membership.NextChange(active, behind, kStart));
+    const std::vector<ReplicaHealth> caughtUp{
+      { InstanceId("b"), kStart, true }
+    };
+    EXPECT_EQUAL(trace,
+                 membership.NextChange(active, caughtUp, kStart)->kind,
+                 ChangeKind::PromoteToVoter);
+  });
+  trace.Section("a silent voter is removed only with four or more voters", [&] {
+    active.learners.clear();
+    active.voters = Names({ "a", "b", "c" });
+    const std::vector<ReplicaHealth> health{ { InstanceId("c"),
+                                               kStart - seconds(10) } };
+    EXPECT_THAT(trace,
+                !membership.NextChange(active, health, kStart + seconds(5)));
+    active.voters.emplace_back("d");
+    EXPECT_EQUAL(
+      trace,
+      membership.NextChange(active, health, kStart + seconds(5))->kind,
+      ChangeKind::Remove);
+  });
+}
+
+// Guards against a learner that stops for good before its promotion and blocks
+// all later changes.
+Test(Membership, ASilentLearnerDoesNotBlockOtherChanges)
+{
+  TestTrace trace;
+  Membership membership(InstanceId("a"), {});
+  Configuration active;
+  active.voters = Names({ "a", "b", "c" });
+  active.learners = Names({ "d" });
+  membership.RecordJoinRequest(InstanceId("e"), kStart);
+  const std::vector<ReplicaHealth> health{ { InstanceId("d"), kStart } };
+  trace.Section("another instance can join", [&] {
+    EXPECT_EQUAL(trace,
+                 membership.NextChange(active, health, kStart)->instance,
+                 InstanceId("e"));
+  });
+  trace.Section("the silent learner is removed", [&] {
+    const auto change =
+      membership.NextChange(active, health, kStart + seconds(7));
+    EXPECT_EQUAL(trace, change->kind, ChangeKind::Remove);
+    EXPECT_EQUAL(trace, change->instance, InstanceId("d"));
+  });
+}
+
+// Guards against the loss of acknowledged entries after two voters were down
+// for longer than the removal delay: too few voters with intact disks were left
+// for a later loss of two disks.
+Test(Membership, SurvivesTwoLostDisksAfterTwoVotersWereDown)
+{
+  TestTrace trace;
+  JoiningCluster cluster(6);
+  EXPECT_EQUAL(trace, cluster.Active().voters.size(), 6U);
+  const std::vector<std::size_t> followers = cluster.Followers();
+  trace.Section("two voters are down for 10 s", [&] {
+    cluster.simulation.Crash(followers[0]);
+    cluster.simulation.Crash(followers[1]);
+    cluster.Run(seconds(10));
+    EXPECT_EQUAL(trace, cluster.Active().voters.size(), 5U);
+  });
+  trace.Section("they are voters again once they have returned", [&] {
+    cluster.simulation.Restart(followers[0]);
+    cluster.simulation.Restart(followers[1]);
+    cluster.Run(seconds(4));
+    EXPECT_EQUAL(trace, cluster.Active().voters.size(), 6U);
+  });
+  trace.Section("all nodes stop, and two others lose their disks", [&] {
+    cluster.simulation.Propose(cluster.Leader());
+    cluster.Run(seconds(1));
+    EXPECT_EQUAL(trace, cluster.simulation.committedProposals, 1U);
+    for (std::size_t i = 0; i < cluster.simulation.Size(); ++i) {
+      cluster.simulation.Crash(i);
+    }
+    cluster.simulation.Wipe(followers[2]);
+    cluster.simulation.Wipe(followers[3]);
+    cluster.simulation.HealAll();
+    cluster.Run(seconds(5));
+    EXPECT_THAT(trace, cluster.simulation.LeaderNode().has_value());
+  });
+  trace.Section("all nodes hold what was committed", [&] {
+    EXPECT_THAT(trace,
+                cluster.simulation.RunUntil(
+                  [&] { return cluster.simulation.Converged(); }, seconds(8)));
+    EXPECT_EQUAL(trace, cluster.simulation.violation, "");
+  });
+}
+
+// The same loss while the two voters are still down: nothing is served until
+// they return, but nothing committed is lost.
+Test(Membership, SurvivesTwoLostDisksWhileTwoVotersAreDown)
+{
+  TestTrace trace;
+  JoiningCluster cluster(6);
+  const std::vector<std::size_t> followers = cluster.Followers();
+  cluster.simulation.Crash(followers[0]);
+  cluster.simulation.Crash(followers[1]);
+  cluster.Run(seconds(10));
+  cluster.simulation.Propose(cluster.Leader());
+  cluster.Run(seconds(1));
+  EXPECT_EQUAL(trace, cluster.simulation.committedProposals, 1U);
+  trace.Section("two others lose their disks, then all return", [&] {
+    for (const std::size_t wiped : { followers[2], followers[3] }) {
+      cluster.simulation.Crash(wiped);
+      cluster.simulation.Wipe(wiped);
+    }
+    cluster.simulation.HealAll();
+    cluster.Run(seconds(10));
+    EXPECT_THAT(trace, cluster.simulation.LeaderNode().has_value());
+    EXPECT_EQUAL(trace, cluster.Active().voters.size(), 6U);
+    EXPECT_EQUAL(trace, cluster.simulation.violation, "");
+  });
+}
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -151,33 +151,6 @@
                 [&] { EXPECT_EQUAL(trace, cluster.LinkTargets().size(), 2U); });
 }
 
-Test(Cluster, ChangesReplicasOneAtATime)
-{
-  TestTrace trace;
-  Cluster cluster(InstanceId("a"), true);
-  agreement::Configuration active;
-  active.voters = { InstanceId("a") };
-  cluster.OnJoin(InstanceId("b"), kStart);
-  const auto add = cluster.NextChange(active, {}, kStart);
-  EXPECT_EQUAL(trace, add->kind, agreement::ChangeKind::AddLearner);
-  active.learners = { InstanceId("b") };
-  EXPECT_EQUAL(trace,
-               cluster.NextChange(active, {}, kStart)->kind,
-               agreement::ChangeKind::PromoteToVoter);
-  trace.Section("a silent voter is removed only with four or more voters", [&] {
-    active.learners.clear();
-    active.voters = { InstanceId("a"), InstanceId("b"), InstanceId("c") };
-    const std::vector<ReplicaHealth> health{ { InstanceId("c"),
-                                               kStart - seconds(10) } };
-    EXPECT_THAT(trace,
-                !cluster.NextChange(active, health, kStart + seconds(5)));
-    active.voters.emplace_back("d");
-    EXPECT_EQUAL(trace,
-                 cluster.NextChange(active, health, kStart + seconds(5))->kind,
-                 agreement::ChangeKind::Remove);
-  });
-}
-
 // Guards against blocking when the reader of the log stops reading.
 Test(LineLog, DropsLinesWhenTheReaderIsSlow)
 {
@@ -235,8 +208,11 @@
     "name": "n", "data_centre": "d", "callers_address": "127.0.0.1:1",
     "control_address": "127.0.0.1:2", "ready_address": "127.0.0.1:3",
     "peers_address": "127.0.0.1:4", "seeds": ["127.0.0.1:4"],
+    "data_centres": ["d", "e", "f"],
+    "tolerated_losses": { "instances": 2, "data_centres": 1 },
     "times": { "grace_s": 6, "maintenance_s": 1.5, "max_lease_ms": 9000 } })");
   EXPECT_THAT(trace, good.has_value());
+  EXPECT_THAT(trace, good->tolerance == agreement::FaultTolerance({ 2, 1, 3 }));
   EXPECT_EQUAL(trace, good->dispatch.maxLease, Duration(seconds(9)));
   EXPECT_EQUAL(
     trace, good->dispatch.maintenanceTime, Duration(milliseconds(1500)));
