Log the time of the event loop by part

No log line or metric told why one node of 44 answered late while the mean use of a processor was 0.01 of a core: a slow handler, a long queue of messages and a full link all looked alike.

LoopMeter accounts the time between the start and the end of a handler to a part of the code, nested parts exclusively, and keeps the longest delay of the timer. The leader writes `loop_load` once a second, other nodes when their timer was late by 100 ms; the metrics address serves the same as hyssoppaddle_loop_seconds_total.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -68,6 +68,7 @@
   , log(this->settings.name,
         this->settings.decisionLinesPerSecond,
         WriteToStandardOutput)
+  , loopMeter(SuspendAwareNow)
   , cluster(this->self, !this->settings.dataFolder.empty())
   , membership(this->self, this->settings.tolerance)
   , client(std::make_shared<HttpClient>(this->io, this->deadlines))
@@ -169,6 +170,7 @@
   };
   hooks.applied = [this](const work::Batch& aBatch,
                          std::span<const work::Verdict> aVerdicts) {
+    const LoopMeter::Scope scope(this->loopMeter, LoopPart::Apply);
     this->dispatcher->Applied(
       aBatch, aVerdicts, SuspendAwareNow(), WallClockNow());
   };
@@ -206,13 +208,13 @@
   }
   StorageHooks storageHooks;
   storageHooks.written = [this](std::uint64_t aSequence) {
-    this->replica->Step(agreement::Persisted{ aSequence }, SuspendAwareNow());
+    this->StepReplica(agreement::Persisted{ aSequence }, SuspendAwareNow());
     this->ScheduleOutputProcessing();
   };
   storageHooks.saved = [this](SnapshotWork aSnapshot) {
-    this->replica->Step(agreement::SnapshotTaken{ std::move(aSnapshot.meta),
-                                                  std::move(aSnapshot.bytes) },
-                        SuspendAwareNow());
+    this->StepReplica(agreement::SnapshotTaken{ std::move(aSnapshot.meta),
+                                                std::move(aSnapshot.bytes) },
+                      SuspendAwareNow());
     this->ScheduleOutputProcessing();
   };
   storageHooks.synced = [this](Duration aElapsed) {
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -21,6 +21,7 @@
 void
 Node::Impl::OnPeerMessage(const InstanceId& aFrom, wire::PeerMessage aMessage)
 {
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::PeerMessages);
   this->DetectPause(SuspendAwareNow());
   this->cluster.RecordContact(aFrom, SuspendAwareNow());
   std::visit(
@@ -43,7 +44,7 @@
 Node::Impl::On(const InstanceId& aFrom, wire::RaftMessage& aMessage)
 {
   if (this->replica) {
-    this->replica->Step(
+    this->StepReplica(
       agreement::MessageReceived{ aFrom, std::move(aMessage.message) },
       SuspendAwareNow());
     this->ScheduleOutputProcessing();
@@ -98,6 +99,7 @@
                    bool aControl,
                    api::ReplyCallback aDone)
 {
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Calls);
   aRequest.listener =
     aControl ? api::Listener::Control : api::Listener::Callers;
   const Duration limit = this->protocol->TimeLimit(aRequest);
@@ -121,6 +123,7 @@
 Node::Impl::HandleLocally(const wire::RemoteCall& aCall,
                           CallRouter::RoutedReplyCallback aDone)
 {
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Handling);
   api::HttpRequest request;
   request.method = aCall.method;
   request.target = aCall.target;
@@ -164,6 +167,7 @@
 void
 Node::Impl::ProcessDispatcherOutput()
 {
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Output);
   this->outputProcessingScheduled = false;
   if (!this->replica) {
     return;
@@ -235,6 +239,7 @@
   work::Batch batch;
   batch.stamp = shell::WallClockNow();
   batch.commands = std::move(aCommands);
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Raft);
   this->replica->Propose(batch, SuspendAwareNow(), std::move(aDone));
   this->ScheduleOutputProcessing();
 }
@@ -288,6 +293,7 @@
 Node::Impl::HandleAnswer(const dispatch::Instruction& aInstruction,
                          const OutboundResult& aResult)
 {
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Answers);
   if (aResult.delivery != Delivery::Answered) {
     this->metrics->Add(shell::Counter::InstructionsFailed);
   }
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -9,6 +9,7 @@
 #include "node/Cluster.h"
 #include "node/HttpClient.h"
 #include "node/LineLog.h"
+#include "node/LoopMeter.h"
 #include "node/Node.h"
 #include "node/Protocol.h"
 #include "node/Replica.h"
@@ -66,6 +67,8 @@
   // NodeTimers.cpp: periodic tasks, stop and reload.
   void ArmTick();
   void Tick();
+  void StepReplica(const agreement::Event& aEvent, Time aNow);
+  void TickDispatcher(Time aNow);
   // Must be called first in every handler that can send an order to an
   // upstream.
   void DetectPause(Time aNow);
@@ -93,6 +96,7 @@
   std::shared_ptr<shell::DeadlineQueue> deadlines;
   std::shared_ptr<shell::Metrics> metrics;
   LineLog log;
+  LoopMeter loopMeter;
   Cluster cluster;
   agreement::Membership membership;
   std::unique_ptr<shell::DurableLog> durableLog;
@@ -111,6 +115,7 @@
   std::shared_ptr<shell::HttpServer> readyServer;
   std::shared_ptr<shell::HttpServer> metricsServer;
   shell::Timer tickTimer{ io };
+  Time tickDueAt{};
   shell::asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
 
   bool outputProcessingScheduled = false;
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -39,8 +39,10 @@
 void
 Node::Impl::ArmTick()
 {
-  this->tickTimer.expires_after(this->dispatcherTerm != 0 ? kLeaderTick
-                                                          : kNonLeaderTick);
+  const Duration interval =
+    this->dispatcherTerm != 0 ? kLeaderTick : kNonLeaderTick;
+  this->tickDueAt = SuspendAwareNow() + interval;
+  this->tickTimer.expires_after(interval);
   this->tickTimer.async_wait([this](shell::ErrorValue aError) {
     if (!aError) {
       this->Tick();
@@ -53,17 +55,18 @@
 Node::Impl::Tick()
 {
   const Time now = SuspendAwareNow();
+  this->loopMeter.RecordTimer(this->tickDueAt, now);
   this->DetectPause(now);
   for (const InstanceId& peer : this->cluster.SilentNodes(now)) {
     this->peers->Disconnect(peer, "silent");
   }
   if (this->replica) {
     this->FoundClusterIfDue();
-    this->replica->Step(agreement::Tick{}, now);
+    this->StepReplica(agreement::Tick{}, now);
     this->cluster.SetReplicas(this->replica->RaftState().ActiveConfiguration());
     this->CheckLeadership();
     this->ConfirmLeadership(now);
-    this->dispatcher->Tick(now, shell::WallClockNow());
+    this->TickDispatcher(now);
     this->RequestJoin(now);
     this->ChangeReplicas(now);
     this->ProcessDispatcherOutput();
@@ -82,9 +85,27 @@
           { "term", std::to_string(this->cluster.LeaderTerm()) } } });
     this->lastLoggedLeader = leader;
   }
+  if (const auto load =
+        this->loopMeter.TakeReport(now, this->dispatcherTerm != 0)) {
+    this->LogUnthrottled(*load);
+  }
   this->log.Flush();
 }
 
+void
+Node::Impl::StepReplica(const agreement::Event& aEvent, Time aNow)
+{
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Raft);
+  this->replica->Step(aEvent, aNow);
+}
+
+void
+Node::Impl::TickDispatcher(Time aNow)
+{
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::DispatchTick);
+  this->dispatcher->Tick(aNow, shell::WallClockNow());
+}
+
 void
 Node::Impl::DetectPause(Time aNow)
 {
@@ -187,7 +208,7 @@
           { "change", kKinds[static_cast<std::size_t>(change->kind)] },
           { "voters", std::to_string(active.voters.size()) },
           { "learners", std::to_string(active.learners.size()) } } });
-    this->replica->Step(*change, aNow);
+    this->StepReplica(*change, aNow);
   }
 }
 
@@ -261,7 +282,7 @@
   const bool leads = this->replica && this->replica->IsLeader();
   if (leads && aNow >= this->nextTransferAttempt) {
     this->nextTransferAttempt = aNow + kTransferRetryInterval;
-    this->replica->Step(agreement::TransferLeadership{}, aNow);
+    this->StepReplica(agreement::TransferLeadership{}, aNow);
   }
   const bool late = waited > this->settings.gracePeriod - kKillMargin;
   if (!this->listenersStopped && (waited > kBalancerDrainTime || late)) {
@@ -326,6 +347,15 @@
                        number(this->replica->RaftState().CommitIndex()) });
   }
   std::string text = this->metrics->Render(gauges);
+  text += "# HELP hyssoppaddle_loop_seconds_total Time of the event loop.\n"
+          "# TYPE hyssoppaddle_loop_seconds_total counter\n";
+  for (std::size_t i = 0; i < LoopMeter::kParts; ++i) {
+    const auto part = static_cast<LoopPart>(i);
+    const std::chrono::duration<double> total = this->loopMeter.Total(part);
+    text += "hyssoppaddle_loop_seconds_total{part=\"" +
+            std::string(LoopMeter::NameOf(part)) + "\"} " +
+            std::to_string(total.count()) + "\n";
+  }
   text += "# HELP hyssoppaddle_decisions_total Decisions by kind.\n"
           "# TYPE hyssoppaddle_decisions_total counter\n";
   for (const auto& [kind, count] : this->log.Counts()) {
