Answer open calls before a stopping node ends

Cause: CheckStop ended the process at the end of the grace period whatever was still open.

Change: StopSequence, a small object without I/O, orders the steps of a stop. Before it ends, the node answers every open call: 503 where the call was not forwarded, 504 where it may have run.

--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -121,6 +121,18 @@
   this->OnRoutedReply(aToken, { true, false, this->callbacks.encode(reply) });
 }
 
+void
+CallRouter::GiveUpAll()
+{
+  std::vector<std::uint64_t> open;
+  for (const auto& [token, call] : this->calls) {
+    open.push_back(token);
+  }
+  for (const std::uint64_t token : open) {
+    this->GiveUp(token);
+  }
+}
+
 void
 CallRouter::Tick(Time aNow)
 {
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -56,6 +56,8 @@
   // Sends the unsent calls when a leader is known, and gives up the calls that
   // have waited too long.
   void Tick(Time aNow);
+  // Replies to all open calls, for a node that is about to end.
+  void GiveUpAll();
   [[nodiscard]] std::size_t CountOpenCalls() const
   {
     return this->calls.size();
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -72,6 +72,7 @@
   , cluster(this->self, !this->settings.dataFolder.empty())
   , membership(this->self, this->settings.tolerance)
   , client(std::make_shared<HttpClient>(this->io, this->deadlines))
+  , stop(this->settings.gracePeriod)
 {
 }
 
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -13,6 +13,7 @@
 #include "node/Node.h"
 #include "node/Protocol.h"
 #include "node/Replica.h"
+#include "node/StopSequence.h"
 #include "shell/HttpServer.h"
 #include "shell/PeerNetwork.h"
 #include "shell/StorageThread.h"
@@ -132,9 +133,7 @@
   // Commands of rejected proposals, to be proposed again.
   std::vector<work::Command> rejectedCommands;
   InstanceId lastLoggedLeader; // leader last reported in the log
-  bool stopping = false;
-  bool listenersStopped = false;
-  Time stopBeganAt{};
+  StopSequence stop;
   Time nextTransferAttempt{};
 };
 
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -26,12 +26,6 @@
 constexpr Duration kMaxUnconfirmedGap = milliseconds(300);
 // If no handler has run for this long, the process or its machine was paused.
 constexpr Duration kPauseThreshold = milliseconds(700);
-// The load balancer polls readiness every second and sends no new callers after
-// two failures.
-constexpr Duration kBalancerDrainTime = milliseconds(2600);
-// Time reserved for the last replies before the end of the grace period, when
-// the process would be killed.
-constexpr Duration kKillMargin = milliseconds(900);
 constexpr Duration kTransferRetryInterval = milliseconds(400);
 
 } // namespace
@@ -73,7 +67,7 @@
   }
   this->router->Tick(now);
   this->SendStatus(now);
-  if (this->stopping) {
+  if (this->stop.HasBegun()) {
     this->CheckStop(now);
   }
   const InstanceId leader = this->cluster.Leader(now);
@@ -169,7 +163,7 @@
 void
 Node::Impl::RequestJoin(Time aNow)
 {
-  if (aNow < this->nextJoinRequest || this->stopping) {
+  if (aNow < this->nextJoinRequest || this->stop.HasBegun()) {
     return;
   }
   this->nextJoinRequest = aNow + kJoinInterval;
@@ -184,7 +178,7 @@
 Node::Impl::ChangeReplicas(Time aNow)
 {
   if (aNow < this->nextReplicaChange || this->dispatcherTerm == 0 ||
-      this->stopping) {
+      this->stop.HasBegun()) {
     return;
   }
   this->nextReplicaChange = aNow + kChangeInterval;
@@ -265,35 +259,37 @@
 void
 Node::Impl::BeginStop()
 {
-  if (this->stopping) {
+  if (this->stop.HasBegun()) {
     return;
   }
-  this->stopping = true;
-  this->stopBeganAt = SuspendAwareNow();
+  this->stop.Begin(SuspendAwareNow());
   this->LogUnthrottled({ "stopping", {}, {} });
 }
 
-// The node reports not ready at once, but accepts calls until the load balancer
-// has noticed and all open calls are answered.
 void
 Node::Impl::CheckStop(Time aNow)
 {
-  const Duration waited = aNow - this->stopBeganAt;
   const bool leads = this->replica && this->replica->IsLeader();
   if (leads && aNow >= this->nextTransferAttempt) {
     this->nextTransferAttempt = aNow + kTransferRetryInterval;
     this->StepReplica(agreement::TransferLeadership{}, aNow);
   }
-  const bool late = waited > this->settings.gracePeriod - kKillMargin;
-  if (!this->listenersStopped && (waited > kBalancerDrainTime || late)) {
-    this->listenersStopped = true;
-    this->callersServer->Stop();
-    this->controlServer->Stop();
-  }
-  const std::size_t open =
-    this->callersServer->Connections() + this->controlServer->Connections();
-  if (late || (this->listenersStopped && open == 0 && !leads)) {
-    this->Finish();
+  const auto next = [&] {
+    const StopProgress progress{ this->callersServer->Connections() +
+                                   this->controlServer->Connections(),
+                                 leads };
+    return this->stop.Next(progress, aNow);
+  };
+  for (StopAction action = next(); action != StopAction::None;
+       action = next()) {
+    if (action == StopAction::StopListening) {
+      this->callersServer->Stop();
+      this->controlServer->Stop();
+    } else if (action == StopAction::AnswerOpenCalls) {
+      this->router->GiveUpAll();
+    } else {
+      this->Finish();
+    }
   }
 }
 
@@ -313,7 +309,7 @@
 bool
 Node::Impl::IsReady(Time aNow) const
 {
-  return !this->stopping && !this->cluster.Leader(aNow).empty();
+  return !this->stop.HasBegun() && !this->cluster.Leader(aNow).empty();
 }
 
 api::HttpReply
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -106,6 +106,22 @@
   EXPECT_EQUAL(trace, fixture.replies.at(0).status, 503U);
 }
 
+Test(CallRouter, AnswersAllOpenCallsOfANodeThatEnds)
+{
+  TestTrace trace;
+  RouterFixture fixture;
+  fixture.Route();
+  fixture.leader = InstanceId();
+  fixture.Route();
+  fixture.router.GiveUpAll();
+  EXPECT_EQUAL(trace, fixture.replies.size(), 2U);
+  trace.Section("a forwarded call may have run",
+                [&] { EXPECT_EQUAL(trace, fixture.replies[0].status, 504U); });
+  trace.Section("a call that was not sent has not",
+                [&] { EXPECT_EQUAL(trace, fixture.replies[1].status, 503U); });
+  EXPECT_EQUAL(trace, fixture.router.CountOpenCalls(), 0U);
+}
+
 Test(Cluster, TheFirstSeedWithADiskCreatesTheCluster)
 {
   TestTrace trace;
