Find expired entries of the state without a scan

Too little was served on the grown deployments: the cost of each committed batch grew with the number of jobs that had ended before it. EraseExpired walked all known jobs, ended boots and instance orders, on every replica and for each batch.

ExpiryQueue keeps the keys in the order of their times, so that a batch costs what expires.

--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -37,6 +37,19 @@
   return true;
 }
 
+// Erases the entries that were last written before aLimit.
+template<typename Table, typename Key>
+void
+EraseOlder(Table& aTable, ExpiryQueue<Key>& aTimes, WallTime aLimit)
+{
+  for (const Key& key : aTimes.TakeBefore(aLimit)) {
+    const auto found = aTable.find(key);
+    if (found != aTable.end() && found->second.at < aLimit) {
+      aTable.erase(found);
+    }
+  }
+}
+
 } // namespace
 
 std::vector<Verdict>
@@ -101,26 +114,27 @@
     return Verdict::NotFound;
   }
   if (!found->second.IsFinal()) {
-    this->FinishJob(found->second, JobState::Cancelled);
+    this->FinishJob(aCommand.id, found->second, JobState::Cancelled);
   }
   return Verdict::Done;
 }
 
 void
-WorkState::FinishJob(Job& aJob, JobState aState)
+WorkState::FinishJob(const JobId& aId, Job& aJob, JobState aState)
 {
   aJob.state = aState;
   aJob.endedAt = this->tables.now;
-  this->ReleaseTasksIfEnded(aJob);
+  this->ReleaseTasksIfEnded(aId, aJob);
 }
 
 // Frees the tasks of an ended job once none of them can still be executing.
 void
-WorkState::ReleaseTasksIfEnded(Job& aJob)
+WorkState::ReleaseTasksIfEnded(const JobId& aId, Job& aJob)
 {
   if (aJob.IsFinal() && !HasRuns(aJob)) {
     aJob.tasks.clear();
     aJob.spec = JobSpec{};
+    this->endedJobs.Add(aJob.endedAt, aId);
   }
 }
 
@@ -186,15 +200,15 @@
     const bool attemptsExhausted =
       queue != nullptr && task->failures >= queue->maxAttempts;
     if (attemptsExhausted && !step.longRunning && !job.IsFinal()) {
-      this->FinishJob(job, JobState::Failed);
+      this->FinishJob(aCommand.task.job, job, JobState::Failed);
       return Verdict::Done;
     }
   }
   if (!job.IsFinal() && AllTasksDone(job)) {
-    this->FinishJob(job, JobState::Completed);
+    this->FinishJob(aCommand.task.job, job, JobState::Completed);
     return Verdict::Done;
   }
-  this->ReleaseTasksIfEnded(job);
+  this->ReleaseTasksIfEnded(aCommand.task.job, job);
   return Verdict::Done;
 }
 
@@ -230,6 +244,7 @@
   if (aCommand.ended) {
     this->tables.endedBoots[aCommand.id] = { found->second.boot,
                                              this->tables.now };
+    this->endedBootTimes.Add(this->tables.now, aCommand.id);
   }
   this->tables.upstreams.erase(found);
   return Verdict::Done;
@@ -270,23 +285,42 @@
 {
   this->tables.instanceOrders[aCommand.instance] = { aCommand.holder,
                                                      this->tables.now };
+  this->instanceOrderTimes.Add(this->tables.now, aCommand.instance);
   return Verdict::Done;
 }
 
+void
+WorkState::Restore(WorkTables aTables)
+{
+  this->tables = std::move(aTables);
+  this->endedJobs = {};
+  this->endedBootTimes = {};
+  this->instanceOrderTimes = {};
+  for (const auto& [id, job] : this->tables.jobs) {
+    if (job.IsFinal() && job.tasks.empty()) {
+      this->endedJobs.Add(job.endedAt, id);
+    }
+  }
+  for (const auto& [id, boot] : this->tables.endedBoots) {
+    this->endedBootTimes.Add(boot.at, id);
+  }
+  for (const auto& [instance, order] : this->tables.instanceOrders) {
+    this->instanceOrderTimes.Add(order.at, instance);
+  }
+}
+
 void
 WorkState::EraseExpired()
 {
-  std::erase_if(this->tables.endedBoots, [this](const auto& aItem) {
-    return this->tables.now - aItem.second.at > kEndedBootRetention;
-  });
-  std::erase_if(this->tables.instanceOrders, [this](const auto& aItem) {
-    return this->tables.now - aItem.second.at > kInstanceOrderRetention;
-  });
-  std::erase_if(this->tables.jobs, [this](const auto& aItem) {
-    const Job& job = aItem.second;
-    return job.IsFinal() && job.tasks.empty() &&
-           this->tables.now - job.endedAt > kEndedJobRetention;
-  });
+  const WallTime now = this->tables.now;
+  for (const JobId& id : this->endedJobs.TakeBefore(now - kEndedJobRetention)) {
+    this->tables.jobs.erase(id);
+  }
+  EraseOlder(
+    this->tables.endedBoots, this->endedBootTimes, now - kEndedBootRetention);
+  EraseOlder(this->tables.instanceOrders,
+             this->instanceOrderTimes,
+             now - kInstanceOrderRetention);
 }
 
 } // namespace hyssoppaddle::work
--- a/src/work/WorkState.h
+++ b/src/work/WorkState.h
@@ -5,6 +5,7 @@
 
 #include "base/Result.h"
 #include "work/Commands.h"
+#include "work/ExpiryQueue.h"
 
 #include <map>
 #include <span>
@@ -56,7 +57,7 @@
   [[nodiscard]] bool HasEnded(const InstanceId& aId, std::uint64_t aBoot) const;
   [[nodiscard]] const Job* FindJob(const JobId& aId) const;
 
-  void Restore(WorkTables aTables) { this->tables = std::move(aTables); }
+  void Restore(WorkTables aTables);
 
 private:
   Verdict ApplyCommand(const SetSetup& aCommand);
@@ -70,12 +71,17 @@
   Verdict ApplyCommand(const AdvanceWave& aCommand);
   Verdict ApplyCommand(const OrderInstance& aCommand);
 
-  void FinishJob(Job& aJob, JobState aState);
+  void FinishJob(const JobId& aId, Job& aJob, JobState aState);
   void CompleteGang(Job& aJob, const TaskRef& aTask, std::uint32_t aRun);
-  void ReleaseTasksIfEnded(Job& aJob);
+  void ReleaseTasksIfEnded(const JobId& aId, Job& aJob);
   void EraseExpired();
 
   WorkTables tables;
+  // Derived from the tables. An entry that was replaced later has two items
+  // here; the older one is ignored when it is taken.
+  ExpiryQueue<JobId> endedJobs; // without tasks, by the time of their end
+  ExpiryQueue<InstanceId> endedBootTimes;
+  ExpiryQueue<std::string> instanceOrderTimes;
 };
 
 // How long the state of an ended job can be queried.
--- a/test/work/WorkStateTest.cpp
+++ b/test/work/WorkStateTest.cpp
@@ -288,3 +288,53 @@
                  Verdict::Done);
   });
 }
+
+// Guards against a scan of all known jobs for each batch: the cost of a batch
+// must not grow with the jobs that ended before it.
+Test(WorkState, ForgetsEndedJobsAfterTheirRetention)
+{
+  TestTrace trace;
+  Recorder recorder;
+  recorder.AddQueue(1);
+  recorder.Submit({ Step{} });
+  recorder.Start(0, 0, 1);
+  recorder.End(0, 0, 1, EndKind::Done);
+  EXPECT_THAT(trace, recorder.Job() == JobState::Completed);
+  const auto retention =
+    std::chrono::duration_cast<std::chrono::seconds>(kEndedJobRetention)
+      .count();
+  trace.Section("it is known until then", [&] {
+    recorder.second += retention - 1;
+    recorder.Do(CancelJob{ JobId("other") });
+    EXPECT_THAT(trace, recorder.state.FindJob(JobId("job")) != nullptr);
+  });
+  trace.Section("also after a restart from a snapshot", [&] {
+    WorkState restored;
+    restored.Restore(recorder.state.Tables());
+    recorder.state = restored;
+    EXPECT_THAT(trace, recorder.state.FindJob(JobId("job")) != nullptr);
+  });
+  trace.Section("and not afterwards", [&] {
+    recorder.second += 1;
+    recorder.Do(CancelJob{ JobId("other") });
+    EXPECT_THAT(trace, recorder.state.FindJob(JobId("job")) == nullptr);
+  });
+}
+
+Test(WorkState, KeepsAnInstanceOrderThatWasRenewed)
+{
+  TestTrace trace;
+  Recorder recorder;
+  const auto retention =
+    std::chrono::duration_cast<std::chrono::seconds>(kInstanceOrderRetention)
+      .count();
+  recorder.Do(OrderInstance{ "i1", InstanceId("a"), 1 });
+  recorder.second += retention - 5;
+  recorder.Do(OrderInstance{ "i1", InstanceId("b"), 2 });
+  recorder.second += 10;
+  recorder.Do(CancelJob{ JobId("other") });
+  EXPECT_THAT(trace, recorder.state.Tables().instanceOrders.contains("i1"));
+  recorder.second += retention;
+  recorder.Do(CancelJob{ JobId("other") });
+  EXPECT_THAT(trace, recorder.state.Tables().instanceOrders.empty());
+}
