Compute the loads of all pools in one pass

A submission computed the loads of all pools to find out which cores could move to its service, although these only matter when the job would be rejected. Each computation walked all upstreams once per service and built a set of all instance names.

RetryAfter looks at reachable cores only when the present ones do not suffice, which gives the same answer. PoolLoads visits each upstream and instance once. CountQueuedJobs counts the open jobs instead of all jobs of the last 150 s.

--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -90,7 +90,6 @@
 Dispatcher::PoolLoads() const
 {
   std::vector<PoolLoad> pools;
-  std::set<std::string> withUpstream;
   for (const work::Service& service : this->state.CurrentSetup().services) {
     PoolLoad& pool = pools.emplace_back();
     pool.service = service.name;
@@ -99,31 +98,38 @@
     pool.plannedCores = this->PlannedCores(service.name);
     pool.expectedCores = this->forecast.ExpectedCores(
       service.name, this->options.moveTime + kArrivalDelay, this->now);
-    for (const auto& [id, session] : this->sessions) {
-      withUpstream.insert(session.record.instance);
-      if (session.record.service != service.name) {
-        continue;
-      }
-      this->AddToPool(session, pool);
+  }
+  const auto find = [&pools](const ServiceId& aService) {
+    return std::find_if(pools.begin(), pools.end(), [&](const PoolLoad& aPool) {
+      return aPool.service == aService;
+    });
+  };
+  std::set<std::string_view> withUpstream;
+  for (const auto& [id, session] : this->sessions) {
+    withUpstream.insert(session.record.instance);
+    const auto pool = find(session.record.service);
+    if (pool != pools.end()) {
+      this->AddToPool(session, *pool);
     }
-    for (const auto& [instance, arrival] : this->owner.arrivals) {
-      pool.arriving += arrival.pool == service.name ? 1 : 0;
+  }
+  for (const auto& [instance, arrival] : this->owner.arrivals) {
+    const auto pool = find(arrival.pool);
+    if (pool != pools.end()) {
+      ++pool->arriving;
     }
   }
-  for (PoolLoad& pool : pools) {
-    for (const auto& [instance, row] : this->owner.instances) {
-      // A move that an earlier leader ordered.
-      const bool isArriving = row.pool == pool.service && !pool.standby &&
-                              row.phase == InstancePhase::Moving &&
-                              !withUpstream.contains(instance) &&
-                              !this->owner.arrivals.contains(instance);
-      pool.arriving += isArriving ? 1 : 0;
-      const bool isSpare =
-        row.pool == pool.service && pool.standby && this->IsUp(row) &&
-        !withUpstream.contains(instance) && this->IsFree(instance);
-      if (isSpare) {
-        pool.idle.push_back(instance);
-      }
+  for (const auto& [instance, row] : this->owner.instances) {
+    const auto pool = find(row.pool);
+    if (pool == pools.end() || withUpstream.contains(instance)) {
+      continue;
+    }
+    // A move that an earlier leader ordered.
+    const bool isArriving = !pool->standby &&
+                            row.phase == InstancePhase::Moving &&
+                            !this->owner.arrivals.contains(instance);
+    pool->arriving += isArriving ? 1 : 0;
+    if (pool->standby && this->IsUp(row) && this->IsFree(instance)) {
+      pool->idle.push_back(instance);
     }
   }
   return pools;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -129,6 +129,11 @@
                        const work::JobSpec& aSpec) const
 {
   ServiceLoad load = this->LoadOf(aQueue.service);
+  const bool hasRoom =
+    load.capacity > 0 && !dispatch::RetryAfter(load, aQueue, aSpec);
+  if (hasRoom) {
+    return std::nullopt; // more cores would not change the answer
+  }
   load.reachable = this->ReachableCores(aQueue.service);
   return dispatch::RetryAfter(load, aQueue, aSpec);
 }
@@ -137,8 +142,8 @@
 Dispatcher::CountQueuedJobs(const work::Queue& aQueue) const
 {
   std::uint64_t count = 0;
-  for (const auto& [id, job] : this->state.Tables().jobs) {
-    count += job.queue == aQueue.name && job.state == work::JobState::Queued;
+  for (const auto& [id, view] : this->views) {
+    count += view.queue == aQueue.name && !view.started ? 1 : 0;
   }
   return count;
 }
