Place waiting tasks once per turn of the event loop

The dispatcher placed tasks after each answer of an upstream and each committed batch. Each time it scanned all upstreams for each waiting task, and once more to find the name of the chosen one. At a peak up to 41 tasks that find no room were tried again and again.

TakeOutput now places the tasks, so that all events of one turn share one pass. A pass collects the usable upstreams of the service once, and does not try a task that needs at least as much as one that found no room (PlanPass). The share of a workspace is computed once a pass, and the queue of a job is found through an index, since a setup can have 1,700 queues. Placement chooses the same upstreams in the same order as before.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -160,7 +160,8 @@
     this->tickets.ForgetJob(aJob);
     return;
   }
-  const work::Queue* queue = this->state.CurrentSetup().FindQueue(job->queue);
+  const work::Queue* queue =
+    this->queues.Find(this->state.CurrentSetup(), job->queue);
   JobView& view = this->views[aJob];
   view = MakeView(aJob, *job, queue, this->wall);
   std::erase_if(view.pending, [this](const work::TaskRef& aTask) {
@@ -232,7 +233,6 @@
       this->forecast.AddJob(view->second.service, CoresOf(view->second), aNow);
     }
   }
-  this->Plan();
 }
 
 void
@@ -470,7 +470,6 @@
   for (const JobId& id : due) {
     this->RefreshView(id);
   }
-  this->Plan();
 }
 
 void
@@ -482,12 +481,14 @@
   this->now = aNow;
   this->wall = aWall;
   std::visit([this](const auto& aConcrete) { this->On(aConcrete); }, aAnswer);
-  this->Plan();
 }
 
 Output
 Dispatcher::TakeOutput()
 {
+  if (this->Leads()) {
+    this->Plan();
+  }
   return std::exchange(this->output, {});
 }
 
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -19,7 +19,8 @@
 #include "dispatch/JobView.h"
 #include "dispatch/Options.h"
 #include "dispatch/OrderHistory.h"
-#include "dispatch/Placement.h"
+#include "dispatch/PlanPass.h"
+#include "dispatch/QueueIndex.h"
 #include "dispatch/TicketCache.h"
 #include "work/WorkState.h"
 
@@ -79,6 +80,8 @@
   // Number of accepted jobs of the queue that have not started any task.
   [[nodiscard]] std::uint64_t CountQueuedJobs(const work::Queue& aQueue) const;
 
+  // Places waiting tasks and returns all output since the last call. Called
+  // once after a group of events, so that these share one pass over the tasks.
   [[nodiscard]] Output TakeOutput();
   [[nodiscard]] const Sessions& Upstreams() const { return this->sessions; }
 
@@ -156,18 +159,19 @@
                     std::span<const work::TaskRef> aBefore,
                     const WorkRank& aRank,
                     std::size_t aAhead);
-  bool PlaceTask(JobView& aView, const work::TaskRef& aTask);
-  bool PlaceGang(JobView& aView, const work::TaskRef& aTask);
-  bool ProposeStart(const JobView& aView,
+  bool PlaceTask(PlanPass& aPass, JobView& aView, const work::TaskRef& aTask);
+  bool PlaceGang(PlanPass& aPass, JobView& aView, const work::TaskRef& aTask);
+  bool ProposeStart(PlanPass& aPass,
+                    const JobView& aView,
                     const work::TaskRef& aTask,
                     std::uint32_t aNumber);
   [[nodiscard]] bool IsWithinLimit(const WorkspaceId& aWorkspace,
                                    const state::Resources& aSize) const;
   [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
   [[nodiscard]] double ShareOf(const WorkspaceId& aWorkspace) const;
-  [[nodiscard]] std::string RackOf(const work::Job& aJob,
-                                   const work::TaskRef& aTask,
-                                   const ServiceId& aService) const;
+  [[nodiscard]] std::string RackOf(const PlanPass& aPass,
+                                   const work::Job& aJob,
+                                   const work::TaskRef& aTask) const;
 
   // DispatcherDrainAndPace.cpp: tasks on draining upstreams, and best-effort
   // tasks that slow down serving tasks.
@@ -247,6 +251,7 @@
   // Tasks whose start is proposed but not yet committed.
   std::set<work::TaskRef> proposedStarts;
   std::set<ServiceId> dirtyServices; // services that must be planned again
+  QueueIndex queues;
   TicketCache tickets;
   InstanceOwner owner;
   DemandForecast forecast;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -40,12 +40,19 @@
 Dispatcher::PlanService(const ServiceId& aService)
 {
   std::vector<std::pair<WorkRank, JobView*>> waiting;
+  std::map<WorkspaceId, double> shares;
   for (auto& [id, view] : this->views) {
     if (view.service == aService && !view.pending.empty()) {
-      const double share = this->ShareOf(view.workspace);
-      waiting.emplace_back(RankOf(view, share, this->wall), &view);
+      const auto [share, isNew] = shares.try_emplace(view.workspace, 0.0);
+      if (isNew) {
+        share->second = this->ShareOf(view.workspace);
+      }
+      waiting.emplace_back(RankOf(view, share->second, this->wall), &view);
     }
   }
+  if (waiting.empty()) {
+    return;
+  }
   std::sort(
     waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
       if (const auto order = aLeft.first <=> aRight.first; order != 0) {
@@ -53,6 +60,8 @@
       }
       return aLeft.second->id < aRight.second->id;
     });
+  PlanPass pass;
+  pass.candidates = FindCandidates(this->sessions, aService, this->now);
   std::size_t misses = 0;
   for (std::size_t i = 0; i < waiting.size(); ++i) {
     auto& [rank, view] = waiting[i];
@@ -60,8 +69,8 @@
     for (const work::TaskRef& task : pending) {
       const work::Job* job = this->FindJob(task.job);
       const bool placed = job->spec.steps[task.step].gang
-                            ? this->PlaceGang(*view, task)
-                            : this->PlaceTask(*view, task);
+                            ? this->PlaceGang(pass, *view, task)
+                            : this->PlaceTask(pass, *view, task);
       misses += placed ? 0 : 1;
       if (misses > kMaxMissesPerPlan) {
         break;
@@ -235,9 +244,9 @@
 // The rack where tasks of the step already run, otherwise the one with the most
 // free capacity.
 std::string
-Dispatcher::RackOf(const work::Job& aJob,
-                   const work::TaskRef& aTask,
-                   const ServiceId& aService) const
+Dispatcher::RackOf(const PlanPass& aPass,
+                   const work::Job& aJob,
+                   const work::TaskRef& aTask) const
 {
   if (!aJob.spec.steps[aTask.step].rackLocal) {
     return {};
@@ -251,10 +260,9 @@
     }
   }
   std::map<std::string, std::int64_t> room;
-  for (const auto& [id, session] : this->sessions) {
-    if (session.record.service == aService && IsUsable(session, this->now)) {
-      room[session.record.Rack()] += session.Free().milliCpus;
-    }
+  for (const Candidate& candidate : aPass.candidates) {
+    room[candidate.session->record.Rack()] +=
+      candidate.session->Free().milliCpus;
   }
   const auto most = std::max_element(
     room.begin(), room.end(), [](const auto& aLeft, const auto& aRight) {
@@ -264,11 +272,13 @@
 }
 
 bool
-Dispatcher::PlaceTask(JobView& aView, const work::TaskRef& aTask)
+Dispatcher::PlaceTask(PlanPass& aPass,
+                      JobView& aView,
+                      const work::TaskRef& aTask)
 {
   const work::Job& job = *this->FindJob(aTask.job);
   const work::Task* task = job.Find(aTask);
-  if (!this->ProposeStart(aView, aTask, task->lastRun + 1)) {
+  if (!this->ProposeStart(aPass, aView, aTask, task->lastRun + 1)) {
     return false;
   }
   std::erase(aView.pending, aTask);
@@ -278,7 +288,9 @@
 // Starts all members at once or none, because a member that waits for the
 // others occupies capacity without doing work.
 bool
-Dispatcher::PlaceGang(JobView& aView, const work::TaskRef& aTask)
+Dispatcher::PlaceGang(PlanPass& aPass,
+                      JobView& aView,
+                      const work::TaskRef& aTask)
 {
   const work::Job& job = *this->FindJob(aTask.job);
   const auto& members = job.tasks[aTask.occurrence][aTask.step];
@@ -296,7 +308,7 @@
   }
   const std::size_t before = this->output.commands.size();
   for (const work::TaskRef& ref : refs) {
-    if (this->ProposeStart(aView, ref, number)) {
+    if (this->ProposeStart(aPass, aView, ref, number)) {
       continue;
     }
     for (std::size_t i = before; i < this->output.commands.size(); ++i) {
@@ -306,6 +318,7 @@
       this->dirtyServices.erase(aView.service);
     }
     this->output.commands.resize(before);
+    aPass.unplaceable.clear(); // the members have released their room
     return false;
   }
   for (const work::TaskRef& ref : refs) {
@@ -315,50 +328,46 @@
 }
 
 bool
-Dispatcher::ProposeStart(const JobView& aView,
+Dispatcher::ProposeStart(PlanPass& aPass,
+                         const JobView& aView,
                          const work::TaskRef& aTask,
                          std::uint32_t aNumber)
 {
   const work::Job& job = *this->FindJob(aTask.job);
   const work::Step& step = job.spec.steps[aTask.step];
-  if (!this->IsWithinLimit(aView.workspace, step.size)) {
+  if (aPass.IsUnplaceable(step) ||
+      !this->IsWithinLimit(aView.workspace, step.size)) {
     return false;
   }
-  const work::Setup& setup = this->state.CurrentSetup();
-  const work::Queue* queue = setup.FindQueue(aView.queue);
-  if (queue == nullptr) {
+  if (!aView.hasQueue) {
     return false; // the current setup has no such queue
   }
   PlacementQuery query;
   query.step = &step;
   query.task = aTask;
-  query.service = aView.service;
-  query.rack = this->RackOf(job, aTask, aView.service);
-  query.now = this->now;
+  query.rack = this->RackOf(aPass, job, aTask);
   if (const auto failed = this->failedOn.find(aTask);
       failed != this->failedOn.end()) {
     query.avoid = failed->second;
   }
-  if (queue->needsAdvice && this->options.hasAdvisor) {
+  if (aView.needsAdvice && this->options.hasAdvisor) {
     query.hasTicket = [this, &aTask](const InstanceId& aUpstream) {
       return !this->tickets.Find(StepOf(aTask), aUpstream, this->now).empty();
     };
   }
-  UpstreamSession* session = ChooseUpstream(this->sessions, query);
-  if (session == nullptr) {
+  const Candidate* chosen = ChooseUpstream(aPass.candidates, query);
+  if (chosen == nullptr) {
     if (query.hasTicket) {
       this->RequestTickets(aView, aTask);
+    } else {
+      aPass.RecordMiss(step);
     }
     return false;
   }
-  const auto id =
-    std::find_if(this->sessions.begin(),
-                 this->sessions.end(),
-                 [&](const auto& aItem) { return &aItem.second == session; });
   work::Run run;
   run.number = aNumber;
-  run.upstream = id->first;
-  run.boot = session->record.boot;
+  run.upstream = *chosen->id;
+  run.boot = chosen->session->record.boot;
   run.startedAt = this->wall;
   LiveRun live;
   live.run = run;
@@ -367,7 +376,7 @@
   live.phaseSince = this->now;
   live.longRunning = step.longRunning;
   live.fills = step.fills;
-  this->AddRun(id->first, { aTask, aNumber }, live);
+  this->AddRun(*chosen->id, { aTask, aNumber }, live);
   this->proposedStarts.insert(aTask);
   this->output.commands.emplace_back(work::StartRun{ aTask, run });
   return true;
--- a/src/dispatch/JobView.cpp
+++ b/src/dispatch/JobView.cpp
@@ -112,6 +112,8 @@
     LongestPath(aJob.spec, std::vector<bool>(aJob.spec.steps.size(), false));
   Duration allowed = chain * 2;
   if (aQueue != nullptr) {
+    view.hasQueue = true;
+    view.needsAdvice = aQueue->needsAdvice;
     view.service = aQueue->service;
     view.priority = aQueue->priority;
     allowed = Duration(static_cast<std::int64_t>(
--- a/src/dispatch/JobView.h
+++ b/src/dispatch/JobView.h
@@ -14,6 +14,8 @@
   work::QueueId queue;
   ServiceId service;
   WorkspaceId workspace;
+  bool hasQueue = false; // false when the current setup has no such queue
+  bool needsAdvice = false;
   std::uint32_t priority = 0;
   bool longRunning = false;
   bool started = false;
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -62,8 +62,21 @@
          aNow >= aSession.avoidUntil;
 }
 
-UpstreamSession*
-ChooseUpstream(Sessions& aSessions, const PlacementQuery& aQuery)
+std::vector<Candidate>
+FindCandidates(Sessions& aSessions, const ServiceId& aService, Time aNow)
+{
+  std::vector<Candidate> candidates;
+  for (auto& [id, session] : aSessions) {
+    if (session.record.service == aService && IsUsable(session, aNow)) {
+      candidates.push_back({ &id, &session });
+    }
+  }
+  return candidates;
+}
+
+const Candidate*
+ChooseUpstream(std::span<const Candidate> aCandidates,
+               const PlacementQuery& aQuery)
 {
   const work::Step& step = *aQuery.step;
   state::Resources need = step.size;
@@ -73,11 +86,12 @@
   using Score =
     std::tuple<bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
   std::optional<Score> best;
-  UpstreamSession* chosen = nullptr;
-  for (auto& [id, session] : aSessions) {
+  const Candidate* chosen = nullptr;
+  for (const Candidate& candidate : aCandidates) {
+    const UpstreamSession& session = *candidate.session;
+    const InstanceId& id = *candidate.id;
     const state::Resources free = session.Free();
-    if (session.record.service != aQuery.service ||
-        !IsUsable(session, aQuery.now) || !need.FitsInto(free)) {
+    if (!need.FitsInto(free)) {
       continue;
     }
     if (!step.requiredLabel.empty() &&
@@ -101,7 +115,7 @@
                        free.milliCpus };
     if (!best || score < *best) {
       best = score;
-      chosen = &session;
+      chosen = &candidate;
     }
   }
   return chosen;
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -11,21 +11,27 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace hyssoppaddle::dispatch {
 
 using Sessions = std::map<InstanceId, UpstreamSession>;
 
+// An upstream that may receive starts.
+struct Candidate
+{
+  const InstanceId* id = nullptr;
+  UpstreamSession* session = nullptr;
+};
+
 struct PlacementQuery
 {
   const work::Step* step = nullptr;
   work::TaskRef task;
-  ServiceId service;
   std::string rack; // where all tasks of the step should run; may be empty
   InstanceId avoid; // upstream of the task's last failure
-  bool enforcesCapacity = true;
-  Time now{};
   // Whether there is a ticket to run the step on the upstream; null where the
   // queue needs no advice.
   std::function<bool(const InstanceId&)> hasTicket;
@@ -35,9 +41,15 @@
 bool
 IsUsable(const UpstreamSession& aSession, Time aNow);
 
+// The usable upstreams of a service, in the order of their names. The pointers
+// are valid until aSessions changes.
+std::vector<Candidate>
+FindCandidates(Sessions& aSessions, const ServiceId& aService, Time aNow);
+
 // Returns the best upstream, or null when none is suitable.
-UpstreamSession*
-ChooseUpstream(Sessions& aSessions, const PlacementQuery& aQuery);
+const Candidate*
+ChooseUpstream(std::span<const Candidate> aCandidates,
+               const PlacementQuery& aQuery);
 
 } // namespace hyssoppaddle::dispatch
 
--- a/test/dispatch/StrategyTest.cpp
+++ b/test/dispatch/StrategyTest.cpp
@@ -1,7 +1,8 @@
 // The individual strategies: ranking, admission, placement, leases and tickets.
 #include "dispatch/Admission.h"
 #include "dispatch/LeaseClock.h"
-#include "dispatch/Placement.h"
+#include "dispatch/PlanPass.h"
+#include "dispatch/QueueIndex.h"
 #include "dispatch/TicketCache.h"
 #include "dispatch/WorkRank.h"
 #include "support/TestTrace.h"
@@ -122,11 +123,10 @@
   step.size = { 2000, 100, 0 };
   dispatch::PlacementQuery query;
   query.step = &step;
-  query.service = ServiceId("s");
-  query.now = now;
   const auto chosen = [&] {
-    const dispatch::UpstreamSession* session = ChooseUpstream(sessions, query);
-    return session == nullptr ? std::string("none") : session->record.Rack();
+    const auto candidates = FindCandidates(sessions, ServiceId("s"), now);
+    const dispatch::Candidate* best = ChooseUpstream(candidates, query);
+    return best == nullptr ? std::string("none") : best->session->record.Rack();
   };
   EXPECT_EQUAL(trace, chosen(), std::string("rack-b"));
   trace.Section("the rack of the data takes precedence", [&] {
@@ -147,6 +147,50 @@
   });
 }
 
+Test(Placement, SkipsTasksThatNeedMoreThanOneThatFoundNoRoom)
+{
+  TestTrace trace;
+  dispatch::PlanPass pass;
+  work::Step small;
+  small.size = { 2000, 100, 0 };
+  work::Step large = small;
+  large.size.milliCpus = 4000;
+  trace.Section("a miss with constraints says nothing about other steps", [&] {
+    work::Step labelled = small;
+    labelled.requiredLabel = "kind";
+    pass.RecordMiss(labelled);
+    EXPECT_THAT(trace, !pass.IsUnplaceable(small));
+  });
+  trace.Section("a miss without constraints holds for larger tasks", [&] {
+    pass.RecordMiss(small);
+    EXPECT_THAT(trace, pass.IsUnplaceable(large));
+    work::Step smaller = small;
+    smaller.size.memoryMb = 50;
+    EXPECT_THAT(trace, !pass.IsUnplaceable(smaller));
+  });
+  trace.Section("tasks that fill unused capacity need no free cores", [&] {
+    work::Step filling = large;
+    filling.fills = true;
+    EXPECT_THAT(trace, !pass.IsUnplaceable(filling));
+  });
+}
+
+Test(QueueIndex, FollowsTheVersionOfTheSetup)
+{
+  TestTrace trace;
+  dispatch::QueueIndex index;
+  work::Setup setup;
+  setup.version = 1;
+  setup.queues.resize(2);
+  setup.queues[1].name = work::QueueId("q");
+  EXPECT_THAT(trace, index.Find(setup, work::QueueId("q")) == &setup.queues[1]);
+  trace.Section("a later version without the queue", [&] {
+    work::Setup next;
+    next.version = 2;
+    EXPECT_THAT(trace, index.Find(next, work::QueueId("q")) == nullptr);
+  });
+}
+
 Test(LeaseClock, ComputesWhenALeaseIsCertainToHaveExpired)
 {
   TestTrace trace;
