Look for best-effort tasks and waves less often

The tick of the leader looked up the job of each run on each upstream every 25 ms, although only upstreams with best-effort tasks need it, and built a map of all instances for each wave. Upstreams without best-effort tasks are skipped, and waves are checked every 100 ms, which is short beside an evacuation of seconds.

--- a/src/dispatch/DispatcherDrainAndPace.cpp
+++ b/src/dispatch/DispatcherDrainAndPace.cpp
@@ -57,9 +57,17 @@
   bool hasBestEffort = false;
   for (const auto& [key, live] : aSession.runs) {
     hasBestEffort = hasBestEffort || live.fills;
+  }
+  if (!hasBestEffort) {
+    aSession.hasMixedLoad = false;
+    return;
+  }
+  for (const auto& [key, live] : aSession.runs) {
+    if (live.fills || !live.longRunning) {
+      continue;
+    }
     const work::Job* job = this->FindJob(key.first.job);
-    if (live.fills || !live.longRunning || job == nullptr ||
-        job->tasks.empty()) {
+    if (job == nullptr || job->tasks.empty()) {
       continue;
     }
     const Duration target = job->spec.steps[key.first.step].tailLatencyTarget;
@@ -70,8 +78,8 @@
         std::max(worst, tailMs * 1000.0 / static_cast<double>(target.count()));
     }
   }
-  aSession.hasMixedLoad = hasServing && hasBestEffort;
-  if (!hasBestEffort || this->now - aSession.paceCheckedAt < kPaceInterval) {
+  aSession.hasMixedLoad = hasServing;
+  if (this->now - aSession.paceCheckedAt < kPaceInterval) {
     return;
   }
   aSession.paceCheckedAt = this->now;
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -20,6 +20,8 @@
 constexpr Duration kEvacuationTime = milliseconds(1500);
 constexpr Duration kWaveMargin = milliseconds(1500);
 constexpr Duration kOrderRetry = milliseconds(400);
+// Evacuations take seconds, so waves need no check at every tick.
+constexpr Duration kWaveInterval = milliseconds(100);
 constexpr Duration kMissingRetry = milliseconds(1000);
 
 // True when the remaining runs may be ended: none is a start that is being
@@ -104,9 +106,10 @@
       this->now < this->electedAt + this->options.orderLease) {
     return;
   }
-  if (!this->owner.hasList) {
+  if (!this->owner.hasList || this->now < this->owner.nextWaveCheckAt) {
     return;
   }
+  this->owner.nextWaveCheckAt = this->now + kWaveInterval;
   for (const auto& [number, wave] : this->state.Tables().waves) {
     if (!wave.IsCompleted()) {
       this->RunWave(number, wave);
--- a/src/dispatch/InstanceOwner.h
+++ b/src/dispatch/InstanceOwner.h
@@ -60,6 +60,7 @@
   std::map<std::string, Time> moveEndsAt;
   PoolBalance balance;
   Time nextBalanceAt{};
+  Time nextWaveCheckAt{};
 };
 
 } // namespace hyssoppaddle::dispatch
