Redirect configurations to the leader

Cause: a configuration of 1,688 queues takes about 2 s on the 2 Mbit/s link of a small node. The node took it over this link twice, from one side and to the other, and gave the call up after 0.9 s.

Change: a call whose body may be large is answered with 307 and the address of the leader, whose link is fast. The protocol adapter says which calls these are; the node decides.

--- a/src/node/Calls.h
+++ b/src/node/Calls.h
@@ -102,6 +102,7 @@
   Unavailable, // not run; sets `retryAfter`
   Undecided,   // may or may not have been executed
   NotLeading,  // not run, because another node is the leader
+  Redirected,  // not run; sets `location`
 };
 
 struct Reply
@@ -113,6 +114,7 @@
   bool waveCompleted = false;
   std::string announceTo; // control address of the leader
   std::string reason;
+  std::string location; // URL of the same resource on the leader
   Duration retryAfter{ 0 };
 };
 
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -3,6 +3,7 @@
 #include "node/NodeImpl.h"
 
 #include "node/Clock.h"
+#include "node/LeaderRedirect.h"
 #include "shell/Clock.h"
 
 #include <algorithm>
@@ -102,6 +103,22 @@
   const LoopMeter::Scope scope(this->loopMeter, LoopPart::Calls);
   aRequest.listener =
     aControl ? api::Listener::Control : api::Listener::Callers;
+  if (this->protocol->IsBulk(aRequest)) {
+    const auto redirect =
+      RedirectToLeader(this->self,
+                       this->cluster.Leader(SuspendAwareNow()),
+                       this->settings.controlAddress,
+                       aRequest.target);
+    if (redirect) {
+      this->LogThrottled({ "call_redirected",
+                           {},
+                           { { "method", aRequest.method },
+                             { "target", aRequest.target },
+                             { "to", redirect->location } } });
+      aDone(this->protocol->Encode(*redirect));
+      return;
+    }
+  }
   const Duration limit = this->protocol->TimeLimit(aRequest);
   wire::RemoteCall call;
   call.control = aControl;
--- a/src/node/Protocol.h
+++ b/src/node/Protocol.h
@@ -52,6 +52,10 @@
   // Never fails; a request that cannot be decoded becomes a MalformedCall.
   [[nodiscard]] virtual Call Decode(const api::HttpRequest& aRequest) const = 0;
   [[nodiscard]] virtual api::HttpReply Encode(const Reply& aReply) const = 0;
+  // True when the body of the request or of its reply can be so large that its
+  // transfer through another node takes longer than callers wait. The sender
+  // of such a call follows a Redirected reply.
+  [[nodiscard]] virtual bool IsBulk(const api::HttpRequest& aRequest) const = 0;
   // How long the sender of the request waits for a reply.
   [[nodiscard]] virtual Duration TimeLimit(
     const api::HttpRequest& aRequest) const = 0;
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -2,6 +2,7 @@
 // log lines and settings.
 #include "node/CallRouter.h"
 #include "node/Cluster.h"
+#include "node/LeaderRedirect.h"
 #include "node/LineLog.h"
 #include "node/NodeSettings.h"
 #include "support/TestTrace.h"
@@ -122,6 +123,24 @@
   EXPECT_EQUAL(trace, fixture.router.CountOpenCalls(), 0U);
 }
 
+// Guards against a large setup that is forwarded over two slow links and never
+// reaches its reader in time.
+Test(LeaderRedirect, NamesTheSameResourceOnTheLeader)
+{
+  TestTrace trace;
+  const InstanceId self("10.0.0.1:7000");
+  const auto redirect = [&](const InstanceId& aLeader) {
+    return RedirectToLeader(self, aLeader, "10.0.0.1:8345", "/setup?x=1");
+  };
+  const auto reply = redirect(InstanceId("10.0.0.2:7000"));
+  EXPECT_THAT(trace, reply->outcome == Outcome::Redirected);
+  EXPECT_EQUAL(trace, reply->location, "http://10.0.0.2:8345/setup?x=1");
+  trace.Section("the leader itself handles the call",
+                [&] { EXPECT_THAT(trace, !redirect(self)); });
+  trace.Section("without a leader the call waits for one",
+                [&] { EXPECT_THAT(trace, !redirect(InstanceId())); });
+}
+
 Test(Cluster, TheFirstSeedWithADiskCreatesTheCluster)
 {
   TestTrace trace;
--- a/test/platform/DecodeTest.cpp
+++ b/test/platform/DecodeTest.cpp
@@ -213,6 +213,32 @@
                std::string(R"({"state":"completed"})"));
   reply.outcome = node::Outcome::Undecided;
   EXPECT_EQUAL(trace, protocol.Encode(reply).status, 504U);
+  trace.Section("a redirect names its target", [&] {
+    reply.outcome = node::Outcome::Redirected;
+    reply.location = "http://10.0.0.2:8345/config";
+    const api::HttpReply redirect = protocol.Encode(reply);
+    EXPECT_EQUAL(trace, redirect.status, 307U);
+    EXPECT_EQUAL(trace, redirect.headers.at(0).name, std::string("Location"));
+    EXPECT_EQUAL(trace, redirect.headers.at(0).value, reply.location);
+  });
+}
+
+Test(Protocol, OnlyConfigurationsAreBulk)
+{
+  TestTrace trace;
+  const PlatformProtocol protocol({ "node", "", "" });
+  const auto isBulk = [&](const char* aMethod, const char* aTarget) {
+    return protocol.IsBulk(
+      Request(aMethod, aTarget, "", api::Listener::Control));
+  };
+  EXPECT_THAT(trace, isBulk("GET", "/config"));
+  EXPECT_THAT(trace, isBulk("PUT", "/config?x=1"));
+  EXPECT_THAT(trace, !isBulk("PUT", "/instances/i-1"));
+  trace.Section("a queue of callers may have the same path", [&] {
+    EXPECT_THAT(
+      trace,
+      !protocol.IsBulk(Request("GET", "/config", "", api::Listener::Callers)));
+  });
 }
 
 Test(Protocol, EncodesInstructionsAndDecodesAnswers)
