--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -2,15 +2,18 @@
 #ifndef hyssoppaddle_node_NodeImpl_h
 #define hyssoppaddle_node_NodeImpl_h
 
+#include "agreement/Membership.h"
 #include "dispatch/Dispatcher.h"
 #include "node/CallHandler.h"
 #include "node/CallRouter.h"
 #include "node/Cluster.h"
 #include "node/HttpClient.h"
 #include "node/LineLog.h"
+#include "node/LoopMeter.h"
 #include "node/Node.h"
 #include "node/Protocol.h"
 #include "node/Replica.h"
+#include "node/StopSequence.h"
 #include "shell/HttpServer.h"
 #include "shell/PeerNetwork.h"
 #include "shell/StorageThread.h"
@@ -65,6 +68,8 @@
   // NodeTimers.cpp: periodic tasks, stop and reload.
   void ArmTick();
   void Tick();
+  void StepReplica(const agreement::Event& aEvent, Time aNow);
+  void TickDispatcher(Time aNow);
   // Must be called first in every handler that can send an order to an
   // upstream.
   void DetectPause(Time aNow);
@@ -92,7 +97,9 @@
   std::shared_ptr<shell::DeadlineQueue> deadlines;
   std::shared_ptr<shell::Metrics> metrics;
   LineLog log;
+  LoopMeter loopMeter;
   Cluster cluster;
+  agreement::Membership membership;
   std::unique_ptr<shell::DurableLog> durableLog;
   agreement::RecoveredLog recovered;
   // Whether the data folder was empty at process start.
@@ -109,6 +116,7 @@
   std::shared_ptr<shell::HttpServer> readyServer;
   std::shared_ptr<shell::HttpServer> metricsServer;
   shell::Timer tickTimer{ io };
+  Time tickDueAt{};
   shell::asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
 
   bool outputProcessingScheduled = false;
@@ -125,9 +133,7 @@
   // Commands of rejected proposals, to be proposed again.
   std::vector<work::Command> rejectedCommands;
   InstanceId lastLoggedLeader; // leader last reported in the log
-  bool stopping = false;
-  bool listenersStopped = false;
-  Time stopBeganAt{};
+  StopSequence stop;
   Time nextTransferAttempt{};
 };
 
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -26,12 +26,6 @@
 constexpr Duration kMaxUnconfirmedGap = milliseconds(300);
 // If no handler has run for this long, the process or its machine was paused.
 constexpr Duration kPauseThreshold = milliseconds(700);
-// The load balancer polls readiness every second and sends no new callers after
-// two failures.
-constexpr Duration kBalancerDrainTime = milliseconds(2600);
-// Time reserved for the last replies before the end of the grace period, when
-// the process would be killed.
-constexpr Duration kKillMargin = milliseconds(900);
 constexpr Duration kTransferRetryInterval = milliseconds(400);
 
 } // namespace
@@ -39,8 +33,10 @@
 void
 Node::Impl::ArmTick()
 {
-  this->tickTimer.expires_after(this->dispatcherTerm != 0 ? kLeaderTick
-                                                          : kNonLeaderTick);
+  const Duration interval =
+    this->dispatcherTerm != 0 ? kLeaderTick : kNonLeaderTick;
+  this->tickDueAt = SuspendAwareNow() + interval;
+  this->tickTimer.expires_after(interval);
   this->tickTimer.async_wait([this](shell::ErrorValue aError) {
     if (!aError) {
       this->Tick();
@@ -53,24 +49,25 @@
 Node::Impl::Tick()
 {
   const Time now = SuspendAwareNow();
+  this->loopMeter.RecordTimer(this->tickDueAt, now);
   this->DetectPause(now);
   for (const InstanceId& peer : this->cluster.SilentNodes(now)) {
     this->peers->Disconnect(peer, "silent");
   }
   if (this->replica) {
     this->FoundClusterIfDue();
-    this->replica->Step(agreement::Tick{}, now);
+    this->StepReplica(agreement::Tick{}, now);
     this->cluster.SetReplicas(this->replica->RaftState().ActiveConfiguration());
     this->CheckLeadership();
     this->ConfirmLeadership(now);
-    this->dispatcher->Tick(now, shell::WallClockNow());
+    this->TickDispatcher(now);
     this->RequestJoin(now);
     this->ChangeReplicas(now);
     this->ProcessDispatcherOutput();
   }
   this->router->Tick(now);
   this->SendStatus(now);
-  if (this->stopping) {
+  if (this->stop.HasBegun()) {
     this->CheckStop(now);
   }
   const InstanceId leader = this->cluster.Leader(now);
@@ -82,9 +79,27 @@
           { "term", std::to_string(this->cluster.LeaderTerm()) } } });
     this->lastLoggedLeader = leader;
   }
+  if (const auto load =
+        this->loopMeter.TakeReport(now, this->dispatcherTerm != 0)) {
+    this->LogUnthrottled(*load);
+  }
   this->log.Flush();
 }
 
+void
+Node::Impl::StepReplica(const agreement::Event& aEvent, Time aNow)
+{
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Raft);
+  this->replica->Step(aEvent, aNow);
+}
+
+void
+Node::Impl::TickDispatcher(Time aNow)
+{
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::DispatchTick);
+  this->dispatcher->Tick(aNow, shell::WallClockNow());
+}
+
 void
 Node::Impl::DetectPause(Time aNow)
 {
@@ -148,15 +163,13 @@
 void
 Node::Impl::RequestJoin(Time aNow)
 {
-  if (aNow < this->nextJoinRequest || this->stopping) {
+  if (aNow < this->nextJoinRequest || this->stop.HasBegun()) {
     return;
   }
   this->nextJoinRequest = aNow + kJoinInterval;
-  const auto& voters = this->replica->RaftState().ActiveConfiguration().voters;
   const InstanceId leader = this->cluster.Leader(aNow);
-  const bool isVoter =
-    std::find(voters.begin(), voters.end(), this->self) != voters.end();
-  if (!isVoter && !leader.empty() && leader != this->self) {
+  if (agreement::Membership::MustJoin(
+        this->replica->RaftState(), this->self, leader)) {
     this->peers->Send(leader, wire::JoinRequest{ true });
   }
 }
@@ -165,26 +178,31 @@
 Node::Impl::ChangeReplicas(Time aNow)
 {
   if (aNow < this->nextReplicaChange || this->dispatcherTerm == 0 ||
-      this->stopping) {
+      this->stop.HasBegun()) {
     return;
   }
   this->nextReplicaChange = aNow + kChangeInterval;
   const agreement::Raft& raft = this->replica->RaftState();
-  std::vector<ReplicaHealth> health;
-  for (const InstanceId& voter : raft.ActiveConfiguration().voters) {
-    const auto heard = raft.LastHeard(voter);
-    health.push_back({ voter, heard ? heard : this->electedAt });
+  const agreement::Configuration& active = raft.ActiveConfiguration();
+  std::vector<agreement::ReplicaHealth> health;
+  for (const auto& group : { active.voters, active.learners }) {
+    for (const InstanceId& member : group) {
+      health.push_back({ member,
+                         raft.LastHeard(member).value_or(this->electedAt),
+                         raft.IsCaughtUp(member) });
+    }
   }
-  const auto change =
-    this->cluster.NextChange(raft.ActiveConfiguration(), health, aNow);
+  const auto change = this->membership.NextChange(active, health, aNow);
   if (change) {
     constexpr std::array<const char*, 3> kKinds{ "add", "promote", "remove" };
     this->LogThrottled(
       { "replica_change_asked",
         {},
         { { "replica", change->instance.value },
-          { "change", kKinds[static_cast<std::size_t>(change->kind)] } } });
-    this->replica->Step(*change, aNow);
+          { "change", kKinds[static_cast<std::size_t>(change->kind)] },
+          { "voters", std::to_string(active.voters.size()) },
+          { "learners", std::to_string(active.learners.size()) } } });
+    this->StepReplica(*change, aNow);
   }
 }
 
@@ -241,35 +259,37 @@
 void
 Node::Impl::BeginStop()
 {
-  if (this->stopping) {
+  if (this->stop.HasBegun()) {
     return;
   }
-  this->stopping = true;
-  this->stopBeganAt = SuspendAwareNow();
+  this->stop.Begin(SuspendAwareNow());
   this->LogUnthrottled({ "stopping", {}, {} });
 }
 
-// The node reports not ready at once, but accepts calls until the load balancer
-// has noticed and all open calls are answered.
 void
 Node::Impl::CheckStop(Time aNow)
 {
-  const Duration waited = aNow - this->stopBeganAt;
   const bool leads = this->replica && this->replica->IsLeader();
   if (leads && aNow >= this->nextTransferAttempt) {
     this->nextTransferAttempt = aNow + kTransferRetryInterval;
-    this->replica->Step(agreement::TransferLeadership{}, aNow);
+    this->StepReplica(agreement::TransferLeadership{}, aNow);
   }
-  const bool late = waited > this->settings.gracePeriod - kKillMargin;
-  if (!this->listenersStopped && (waited > kBalancerDrainTime || late)) {
-    this->listenersStopped = true;
-    this->callersServer->Stop();
-    this->controlServer->Stop();
-  }
-  const std::size_t open =
-    this->callersServer->Connections() + this->controlServer->Connections();
-  if (late || (this->listenersStopped && open == 0 && !leads)) {
-    this->Finish();
+  const auto next = [&] {
+    const StopProgress progress{ this->callersServer->Connections() +
+                                   this->controlServer->Connections(),
+                                 leads };
+    return this->stop.Next(progress, aNow);
+  };
+  for (StopAction action = next(); action != StopAction::None;
+       action = next()) {
+    if (action == StopAction::StopListening) {
+      this->callersServer->Stop();
+      this->controlServer->Stop();
+    } else if (action == StopAction::AnswerOpenCalls) {
+      this->router->GiveUpAll();
+    } else {
+      this->Finish();
+    }
   }
 }
 
@@ -289,7 +309,7 @@
 bool
 Node::Impl::IsReady(Time aNow) const
 {
-  return !this->stopping && !this->cluster.Leader(aNow).empty();
+  return !this->stop.HasBegun() && !this->cluster.Leader(aNow).empty();
 }
 
 api::HttpReply
@@ -323,6 +343,15 @@
                        number(this->replica->RaftState().CommitIndex()) });
   }
   std::string text = this->metrics->Render(gauges);
+  text += "# HELP hyssoppaddle_loop_seconds_total Time of the event loop.\n"
+          "# TYPE hyssoppaddle_loop_seconds_total counter\n";
+  for (std::size_t i = 0; i < LoopMeter::kParts; ++i) {
+    const auto part = static_cast<LoopPart>(i);
+    const std::chrono::duration<double> total = this->loopMeter.Total(part);
+    text += "hyssoppaddle_loop_seconds_total{part=\"" +
+            std::string(LoopMeter::NameOf(part)) + "\"} " +
+            std::to_string(total.count()) + "\n";
+  }
   text += "# HELP hyssoppaddle_decisions_total Decisions by kind.\n"
           "# TYPE hyssoppaddle_decisions_total counter\n";
   for (const auto& [kind, count] : this->log.Counts()) {
