Ask to join after a removal that the own log lacks

An instance of `hyssoppaddle run` that was removed while it was down stayed outside for good: its own log still named it a voter, so the daemon did not send a join request, and the leader no longer sent it entries.

Cause: the daemon decided by the configuration in its own log alone, as the node did before.

Change: Membership::MustJoin, without a reported leader, is also true for a replica that follows no leader. The leader ignores the request of an instance that is in its configuration, so asking too often has no effect.

--- a/src/agreement/Membership.cpp
+++ b/src/agreement/Membership.cpp
@@ -124,4 +124,13 @@
   return !aLeader.empty() && aLeader != aSelf && !follows;
 }
 
+bool
+Membership::MustJoin(const Raft& aRaft, const InstanceId& aSelf)
+{
+  const Configuration& active = aRaft.ActiveConfiguration();
+  const bool isReplica =
+    Contains(active.voters, aSelf) || Contains(active.learners, aSelf);
+  return !isReplica || aRaft.Leader().empty();
+}
+
 } // namespace hyssoppaddle::agreement
--- a/src/agreement/Membership.h
+++ b/src/agreement/Membership.h
@@ -46,6 +46,12 @@
                                      const InstanceId& aSelf,
                                      const InstanceId& aLeader);
 
+  // The same for a replica to which no other node reports the leader. It asks
+  // all nodes whenever it follows no leader; only a leader acts on the request,
+  // and only for an instance that is not in its configuration.
+  [[nodiscard]] static bool MustJoin(const Raft& aRaft,
+                                     const InstanceId& aSelf);
+
 private:
   [[nodiscard]] bool MayRemoveVoter(const Configuration& aActive) const;
   [[nodiscard]] std::size_t MaxVoters() const;
--- a/src/shell/Daemon.cpp
+++ b/src/shell/Daemon.cpp
@@ -1,12 +1,12 @@
 // Runs the daemon: periodic work and the graceful stop.
 #include "shell/Daemon.h"
 
+#include "agreement/Membership.h"
 #include "shell/DaemonImpl.h"
 #include "shell/JsonLog.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <csignal>
 
 namespace hyssoppaddle::shell {
@@ -46,12 +46,8 @@
     return;
   }
   this->nextJoinRequest = now + kJoinInterval;
-  const auto& active = this->core->Core().Log().ActiveConfiguration();
-  const auto has = [this](const std::vector<InstanceId>& aList) {
-    return std::find(aList.begin(), aList.end(), this->settings.instance) !=
-           aList.end();
-  };
-  if (!has(active.voters) && !has(active.learners)) {
+  if (agreement::Membership::MustJoin(this->core->Core().Log(),
+                                      this->settings.instance)) {
     this->peers->SendAll(
       wire::JoinRequest{ !this->settings.dataFolder.empty() });
   }
--- a/test/agreement/MembershipTest.cpp
+++ b/test/agreement/MembershipTest.cpp
@@ -273,3 +273,39 @@
     EXPECT_EQUAL(trace, cluster.simulation.violation, "");
   });
 }
+
+// Guards against an instance that was removed while it was down and never asks
+// to join again, because its own log still names it a voter.
+Test(Membership, ARemovedInstanceAsksToJoinWhenNobodyReportsTheLeader)
+{
+  TestTrace trace;
+  Simulation simulation(4, 7);
+  simulation.Run(seconds(3));
+  const std::size_t removed = (*simulation.LeaderNode() + 1) % 4;
+  const InstanceId name("n" + std::to_string(removed));
+  const auto mustJoin = [&] {
+    return Membership::MustJoin(simulation.At(removed), name);
+  };
+  trace.Section("a voter that follows the leader does not ask",
+                [&] { EXPECT_THAT(trace, !mustJoin()); });
+  trace.Section("it is removed while it is down", [&] {
+    simulation.Crash(removed);
+    simulation.Run(seconds(1));
+    simulation.Change(ChangeKind::Remove, removed);
+    simulation.Run(seconds(3));
+  });
+  trace.Section("it asks once it has returned", [&] {
+    simulation.Restart(removed);
+    simulation.Run(seconds(5));
+    EXPECT_EQUAL(
+      trace, simulation.At(removed).ActiveConfiguration().voters.size(), 4U);
+    EXPECT_THAT(trace, mustJoin());
+  });
+  trace.Section("it stops asking once the leader has added it", [&] {
+    simulation.Change(ChangeKind::AddLearner, removed);
+    simulation.Run(seconds(3));
+    EXPECT_THAT(trace, !mustJoin());
+    EXPECT_THAT(trace, simulation.Converged());
+  });
+  EXPECT_EQUAL(trace, simulation.violation, "");
+}
