Give a new learner the whole delay to answer

A learner that had not answered within one interval of 200 ms was removed again: without a reply the leader took its own election as the time of the last one, and most leaders were elected more than 6 s before. Since silent learners are removed, so an instance behind a slow link or a busy leader was added and removed in turn.

Change: Raft::LastContact counts the silence of a replica from when this leader began to replicate to it, also when it is added again soon after its removal.

Evidence: the new test of MembershipTest, in which the answers of a seventh replica are lost for 5 s, fails with the old time ("learners(): expected 1, actual 0") and passes with the new one.

--- a/src/agreement/Raft.cpp
+++ b/src/agreement/Raft.cpp
@@ -474,20 +474,6 @@
   return this->impl->log.ActiveConfiguration();
 }
 
-std::optional<Time>
-Raft::LastHeard(const InstanceId& aReplica) const
-{
-  const auto found = this->impl->progress.find(aReplica);
-  return found == this->impl->progress.end() ? std::nullopt
-                                             : found->second.lastHeard;
-}
-
-bool
-Raft::IsCaughtUp(const InstanceId& aLearner) const
-{
-  return this->impl->IsCaughtUp(aLearner);
-}
-
 LogIndex
 Raft::MatchIndex(const InstanceId& aReplica) const
 {
--- a/src/agreement/Raft.h
+++ b/src/agreement/Raft.h
@@ -81,6 +81,10 @@
   [[nodiscard]] const Configuration& ActiveConfiguration() const;
   // On the leader: time of the last reply from that replica.
   [[nodiscard]] std::optional<Time> LastHeard(const InstanceId& aReplica) const;
+  // On the leader: as LastHeard, but not before this leader began to replicate
+  // to that replica. From then on the replica can be silent.
+  [[nodiscard]] std::optional<Time> LastContact(
+    const InstanceId& aReplica) const;
   // On the leader: whether that learner may become a voter now.
   [[nodiscard]] bool IsCaughtUp(const InstanceId& aLearner) const;
   // On the leader: index up to which that replica is durable; 0 when unknown.
--- a/src/agreement/RaftImpl.h
+++ b/src/agreement/RaftImpl.h
@@ -43,6 +43,7 @@
   std::uint64_t ackedRound = 0;
   Time lastSent{};
   std::optional<Time> lastHeard;
+  Time trackedSince{}; // when this leader began to replicate to it
 
   std::shared_ptr<const StoredSnapshot> snapshot; // being sent
   std::uint64_t ackedOffset = 0;
--- a/src/agreement/RaftReplication.cpp
+++ b/src/agreement/RaftReplication.cpp
@@ -80,6 +80,9 @@
       return;
     }
     const auto [found, isNew] = this->progress.try_emplace(aReplica);
+    if (isNew || found->second.removedAt) {
+      found->second.trackedSince = this->now;
+    }
     found->second.removedAt.reset();
     if (isNew) {
       found->second.next = aNext;
@@ -312,4 +315,29 @@
   aProgress.next = std::min(hint, this->log.LastIndex() + 1);
 }
 
+std::optional<Time>
+Raft::LastHeard(const InstanceId& aReplica) const
+{
+  const auto found = this->impl->progress.find(aReplica);
+  return found == this->impl->progress.end() ? std::nullopt
+                                             : found->second.lastHeard;
+}
+
+bool
+Raft::IsCaughtUp(const InstanceId& aLearner) const
+{
+  return this->impl->IsCaughtUp(aLearner);
+}
+
+std::optional<Time>
+Raft::LastContact(const InstanceId& aReplica) const
+{
+  const auto found = this->impl->progress.find(aReplica);
+  if (found == this->impl->progress.end()) {
+    return std::nullopt;
+  }
+  const Progress& state = found->second;
+  return std::max(state.lastHeard.value_or(Time{}), state.trackedSince);
+}
+
 } // namespace hyssoppaddle::agreement
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -215,11 +215,10 @@
     this->LogThrottled({ "leadership_lost", {}, {} });
     return;
   }
-  this->electedAt = SuspendAwareNow();
   // The votes of a majority confirm the leadership.
   this->leadershipConfirmed = true;
   this->dispatcher->BecomeLeader(
-    leadingTerm, this->electedAt, shell::WallClockNow());
+    leadingTerm, SuspendAwareNow(), shell::WallClockNow());
 }
 
 void
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -127,7 +127,6 @@
   Time nextStatusAt{};
   Time nextJoinRequest{};
   Time nextReplicaChange{};
-  Time electedAt{};
   // Term for which the dispatcher runs as leader; 0 when it does not.
   std::uint64_t dispatcherTerm = 0;
   // Commands of rejected proposals, to be proposed again.
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -188,7 +188,7 @@
   for (const auto& group : { active.voters, active.learners }) {
     for (const InstanceId& member : group) {
       health.push_back({ member,
-                         raft.LastHeard(member).value_or(this->electedAt),
+                         raft.LastContact(member).value_or(aNow),
                          raft.IsCaughtUp(member) });
     }
   }
--- a/test/agreement/MembershipTest.cpp
+++ b/test/agreement/MembershipTest.cpp
@@ -95,7 +95,7 @@
     for (std::size_t i = 0; i < this->simulation.Size(); ++i) {
       const InstanceId name = NameOf(i);
       health.push_back(
-        { name, raft.LastHeard(name).value_or(Time{}), raft.IsCaughtUp(name) });
+        { name, raft.LastContact(name).value_or(now), raft.IsCaughtUp(name) });
     }
     const auto change =
       membership.NextChange(raft.ActiveConfiguration(), health, now);
@@ -309,3 +309,28 @@
   });
   EXPECT_EQUAL(trace, simulation.violation, "");
 }
+
+// Guards against the removal of a learner that has not had the time to answer:
+// its last reply is unknown, which is no silence since the election.
+Test(Membership, ANewLearnerHasTheWholeDelayToAnswer)
+{
+  TestTrace trace;
+  JoiningCluster cluster(6);
+  const std::size_t joining = cluster.simulation.Size();
+  cluster.simulation.AddNode({}, true);
+  for (std::size_t other = 0; other < joining; ++other) {
+    cluster.simulation.SetLinkBlocked(joining, other, true);
+  }
+  const auto learners = [&] { return cluster.Active().learners.size(); };
+  for (int i = 0; i < 8; ++i) {
+    cluster.Run(milliseconds(600));
+    EXPECT_EQUAL(trace, learners(), 1U);
+  }
+  trace.Section("it is promoted once its answers arrive", [&] {
+    cluster.simulation.HealAll();
+    cluster.Run(seconds(3));
+    EXPECT_EQUAL(trace, learners(), 0U);
+    EXPECT_EQUAL(trace, cluster.Active().voters.size(), 7U);
+  });
+  EXPECT_EQUAL(trace, cluster.simulation.violation, "");
+}
