Keep voters when the tolerated losses need more of them

The rule for removals had no effect when the voters at hand could not bear the tolerated losses anyway, for example three instances with six voters, or one data centre of two: then silent voters were removed down to three, and the cluster bore the loss of one instance instead of two.

Change: with an unmet tolerance a voter is removed only from an even number, which leaves the majority of intact disks as large as it was.

Evidence: the new test of MembershipTest fails with the old rule ("five voters bear the loss of two instances, four do not") and passes with the new one.

--- a/src/agreement/Membership.cpp
+++ b/src/agreement/Membership.cpp
@@ -46,9 +46,10 @@
 Membership::MayRemoveVoter(const Configuration& aActive) const
 {
   const std::size_t voters = aActive.voters.size();
-  const bool lowersTolerance =
-    this->tolerance.IsMetBy(voters) && !this->tolerance.IsMetBy(voters - 1);
-  return voters > kMinVoters && !lowersTolerance;
+  const bool staysMet = this->tolerance.IsMetBy(voters - 1);
+  // Without its last voter, an even number bears the loss of as many.
+  const bool wasUnmet = !this->tolerance.IsMetBy(voters) && voters % 2 == 0;
+  return voters > kMinVoters && (staysMet || wasUnmet);
 }
 
 // Leaves room for the replacement of a voter that may not be removed before.
--- a/test/agreement/MembershipTest.cpp
+++ b/test/agreement/MembershipTest.cpp
@@ -146,6 +146,28 @@
                 [&] { EXPECT_THAT(trace, !oneOfThree.IsMetBy(4)); });
 }
 
+// Guards against a promise that the deployment cannot keep and that therefore
+// allows all removals.
+Test(Membership, KeepsTheVotersWhenTheToleratedLossesNeedMore)
+{
+  TestTrace trace;
+  Configuration active;
+  active.voters = Names({ "a", "b", "c", "d", "e" });
+  const std::vector<ReplicaHealth> health{ { InstanceId("b"), kStart } };
+  const auto change = [&](FaultTolerance aTolerance) {
+    return Membership(InstanceId("a"), aTolerance)
+      .NextChange(active, health, kStart + seconds(7));
+  };
+  trace.Section("five voters bear the loss of two instances, four do not", [&] {
+    EXPECT_THAT(trace, !change({ 3, 0, 1 }));
+    EXPECT_THAT(trace, !change({ 2, 1, 2 }));
+  });
+  trace.Section("five bear as many as six", [&] {
+    active.voters.emplace_back("f");
+    EXPECT_EQUAL(trace, change({ 3, 0, 1 })->instance, InstanceId("b"));
+  });
+}
+
 Test(Membership, AddsPromotesAndRemovesOneInstanceAtATime)
 {
   TestTrace trace;
