Answer calls that arrive after a stopping node gave up

A connection that was not idle when the listeners closed can deliver a call after the node has answered its open calls.

Change: from GiveUpAll on the router refuses each call at once with 503; it was not forwarded, so it has not run.

Evidence: the new test of CallRouter fails without the change ("fixture.replies.size(): expected 1, actual 0") and passes with it.

--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -35,6 +35,10 @@
   open.done = std::move(aDone);
   open.arrivedAt = aNow;
   open.answerBy = aNow + std::max(aLimit - kReplyMargin, aLimit / 2);
+  if (this->closed) {
+    this->GiveUp(token);
+    return;
+  }
   const InstanceId leader = this->callbacks.leader();
   if (!leader.empty()) {
     this->Forward(open, leader);
@@ -111,12 +115,13 @@
   Reply reply;
   reply.outcome = call.MayHaveRun() ? Outcome::Undecided : Outcome::Unavailable;
   reply.retryAfter = kNoLeaderRetryAfter;
+  const std::string notSent = this->closed ? "node stops" : "no leader known";
   this->callbacks.logDecision(
     { "call_given_up",
       {},
       { { "method", call.call.method },
         { "target", call.call.target },
-        { "sent_to", call.sentTo ? call.sentTo->value : "no leader known" },
+        { "sent_to", call.sentTo ? call.sentTo->value : notSent },
         { "may_have_run", call.MayHaveRun() ? "yes" : "no" } } });
   this->OnRoutedReply(aToken, { true, false, this->callbacks.encode(reply) });
 }
@@ -124,6 +129,7 @@
 void
 CallRouter::GiveUpAll()
 {
+  this->closed = true;
   std::vector<std::uint64_t> open;
   for (const auto& [token, call] : this->calls) {
     open.push_back(token);
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -56,7 +56,8 @@
   // Sends the unsent calls when a leader is known, and gives up the calls that
   // have waited too long.
   void Tick(Time aNow);
-  // Replies to all open calls, for a node that is about to end.
+  // Replies to all open calls and at once to all later ones, for a node that is
+  // about to end.
   void GiveUpAll();
   [[nodiscard]] std::size_t CountOpenCalls() const
   {
@@ -89,6 +90,7 @@
   Callbacks callbacks;
   std::uint64_t lastToken = 0;
   std::map<std::uint64_t, OpenCall> calls;
+  bool closed = false; // since GiveUpAll
 };
 
 } // namespace hyssoppaddle::node
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -123,6 +123,19 @@
   EXPECT_EQUAL(trace, fixture.router.CountOpenCalls(), 0U);
 }
 
+// Guards against a connection that delivers a call after the open calls of a
+// stopping node were answered, and then ends without a reply.
+Test(CallRouter, RefusesCallsThatArriveAfterTheOpenOnesWereAnswered)
+{
+  TestTrace trace;
+  RouterFixture fixture;
+  fixture.router.GiveUpAll();
+  fixture.Route();
+  EXPECT_EQUAL(trace, fixture.replies.size(), 1U);
+  EXPECT_EQUAL(trace, fixture.replies.at(0).status, 503U);
+  EXPECT_THAT(trace, fixture.sent.empty());
+}
+
 // Guards against a large setup that is forwarded over two slow links and never
 // reaches its reader in time.
 Test(LeaderRedirect, NamesTheSameResourceOnTheLeader)
