Follow a leader whose term is below the own one

A replica that campaigned in vain has a term above the leader's. While it is a voter, its replies end the leader's term. Once it was removed for its silence, the leader ignores them, and it ignored all reports of the leader, because their term was lower: it never asked to join and rejected all calls.

Evidence: the new test of Cluster fails without the change ("expected a, actual" empty) and passes with it. The whole chain was not run.

--- a/src/node/Cluster.cpp
+++ b/src/node/Cluster.cpp
@@ -40,11 +40,15 @@
   if (!this->hasDisk || this->replicas.empty()) {
     this->replicas.insert(aStatus.replicas.begin(), aStatus.replicas.end());
   }
-  const bool newer = aStatus.term > this->term ||
-                     (aStatus.term == this->term && this->leader.empty());
   // Only a status message from the leader itself refreshes its leadership;
   // reports by other nodes may be outdated.
   const bool fromLeader = aStatus.leader == aFrom;
+  // A replica that campaigned in vain has a term of its own without a leader.
+  // An old leader would have stepped down within this time.
+  const bool campaignFailed = fromLeader && this->leader.empty() &&
+                              aNow - this->leaderHeardAt > kLeaderInfoLifetime;
+  const bool newer = aStatus.term > this->term || campaignFailed ||
+                     (aStatus.term == this->term && this->leader.empty());
   if (!aStatus.leader.empty() && newer) {
     this->leader = aStatus.leader;
     this->term = aStatus.term;
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -199,6 +199,30 @@
                 [&] { EXPECT_EQUAL(trace, cluster.LinkTargets().size(), 2U); });
 }
 
+// Guards against a replica whose term is higher than the leader's, because it
+// campaigned in vain before it was removed: it must learn the leader to ask it.
+Test(Cluster, FollowsALeaderOfALowerTermOnceItsOwnTermHasNone)
+{
+  TestTrace trace;
+  Cluster cluster(InstanceId("x"), true);
+  const wire::NodeStatus status{ true, InstanceId("a"), 7, {} };
+  cluster.OnRole(InstanceId(), 9, kStart);
+  trace.Section("an old leader is not followed during an election", [&] {
+    const Time soon = kStart + milliseconds(500);
+    cluster.OnStatus(InstanceId("a"), status, soon);
+    EXPECT_EQUAL(trace, cluster.Leader(soon), InstanceId());
+  });
+  const Time later = kStart + seconds(3);
+  trace.Section("the report of another node does not count", [&] {
+    cluster.OnStatus(InstanceId("b"), status, later);
+    EXPECT_EQUAL(trace, cluster.Leader(later), InstanceId());
+  });
+  trace.Section("a leader that still leads afterwards is followed", [&] {
+    cluster.OnStatus(InstanceId("a"), status, later);
+    EXPECT_EQUAL(trace, cluster.Leader(later), InstanceId("a"));
+  });
+}
+
 // Guards against blocking when the reader of the log stops reading.
 Test(LineLog, DropsLinesWhenTheReaderIsSlow)
 {
