Request tickets while the pool is full

Tasks of advised queues were skipped as well, so their tickets were requested only when room had appeared, and then they waited for the advisor too.

Change: a task that needs a ticket is always tried. A full pool bounds the tries of a pass as before (kMaxMissesPerPlan).

Evidence: the new test of Dispatcher fails without the change ("adviceRequests: expected 1, actual 0") and passes with it.

--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -335,7 +335,9 @@
 {
   const work::Job& job = *this->FindJob(aTask.job);
   const work::Step& step = job.spec.steps[aTask.step];
-  if (aPass.IsUnplaceable(step) ||
+  // A task that needs tickets requests them before there is room for it.
+  const bool needsTicket = aView.needsAdvice && this->options.hasAdvisor;
+  if ((!needsTicket && aPass.IsUnplaceable(step)) ||
       !this->IsWithinLimit(aView.workspace, step.size)) {
     return false;
   }
@@ -350,7 +352,7 @@
       failed != this->failedOn.end()) {
     query.avoid = failed->second;
   }
-  if (aView.needsAdvice && this->options.hasAdvisor) {
+  if (needsTicket) {
     query.hasTicket = [this, &aTask](const InstanceId& aUpstream) {
       return !this->tickets.Find(StepOf(aTask), aUpstream, this->now).empty();
     };
--- a/test/dispatch/DispatcherTest.cpp
+++ b/test/dispatch/DispatcherTest.cpp
@@ -299,6 +299,29 @@
     trace, deployment.upstreams.at(InstanceId("up-2")).running.size(), 6U);
 }
 
+// Guards against a ticket that is requested only when room appears: the task
+// would then wait for the advisor as well.
+Test(Dispatcher, RequestsTicketsWhileThePoolIsFull)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  deployment.AddService("print");
+  deployment.AddAdvisedQueue("advised", "print");
+  deployment.AddUpstream("print");
+  deployment.ElectLeader();
+  deployment.Run(milliseconds(100));
+  deployment.Submit("busy", "print", { MakeStep(8, 1000, seconds(3)) });
+  deployment.Run(milliseconds(300));
+  EXPECT_EQUAL(trace, deployment.RunningOn("print"), 8U);
+  deployment.Submit("job-1", "print", { MakeStep(1, 1000, seconds(1)) });
+  deployment.Submit("job-2", "advised", { MakeStep(1, 1000, seconds(1)) });
+  deployment.Run(milliseconds(300));
+  trace.Section(
+    "a task of another job has found no room in the same pass",
+    [&] { EXPECT_EQUAL(trace, deployment.RunningOn("print"), 8U); });
+  EXPECT_EQUAL(trace, deployment.adviceRequests, 1U);
+}
+
 Test(Dispatcher, StartsAGangWholeOrNotAtAll)
 {
   TestTrace trace;
--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -63,6 +63,21 @@
   }
 }
 
+void
+FakeDeployment::AddAdvisedQueue(const std::string& aName,
+                                const std::string& aService)
+{
+  work::Queue queue = this->setup.queues.front();
+  queue.name = work::QueueId(aName);
+  queue.pathPrefix = "/" + aName + "/";
+  queue.service = ServiceId(aService);
+  queue.needsAdvice = true;
+  queue.advice.validity = dispatch::seconds(5);
+  this->setup.queues.push_back(queue);
+  this->options.hasAdvisor = true;
+  this->MakeReplicas();
+}
+
 void
 FakeDeployment::AddUpstream(const std::string& aService,
                             std::int64_t aMilliCpus)
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -67,6 +67,9 @@
 
   // Adds a service, with a queue and a workspace of the same name.
   void AddService(const std::string& aName, bool aStandby = false);
+  // Adds a queue of an added service whose tasks need tickets of the advisor.
+  // Must be called before a leader is elected.
+  void AddAdvisedQueue(const std::string& aName, const std::string& aService);
   void AddUpstream(const std::string& aService, std::int64_t aMilliCpus = 8000);
   // Adds an instance on standby, without an upstream.
   void AddStandby(const std::string& aInstance, const std::string& aPool);
@@ -106,6 +109,7 @@
   // The owner carries out maintenance without answering.
   bool ownerDropsAnswers = false;
   std::uint32_t moves = 0;
+  std::uint32_t adviceRequests = 0;
   std::uint32_t rejectedStarts = 0;
   // Maximum number of instances under maintenance.
   std::size_t maxAwayAtOnce = 0;
--- a/test/dispatch/FakeDeploymentUpstreams.cpp
+++ b/test/dispatch/FakeDeploymentUpstreams.cpp
@@ -191,6 +191,7 @@
 void
 FakeDeployment::Answer(const dispatch::AskAdvice& aOrder)
 {
+  ++this->adviceRequests;
   dispatch::AdviceAnswer answer;
   answer.token = aOrder.token;
   answer.answered = true;
