--- a/test/agreement/MembershipTest.cpp
+++ b/test/agreement/MembershipTest.cpp
@@ -95,7 +95,7 @@
     for (std::size_t i = 0; i < this->simulation.Size(); ++i) {
       const InstanceId name = NameOf(i);
       health.push_back(
-        { name, raft.LastHeard(name).value_or(Time{}), raft.IsCaughtUp(name) });
+        { name, raft.LastContact(name).value_or(now), raft.IsCaughtUp(name) });
     }
     const auto change =
       membership.NextChange(raft.ActiveConfiguration(), health, now);
@@ -146,6 +146,28 @@
                 [&] { EXPECT_THAT(trace, !oneOfThree.IsMetBy(4)); });
 }
 
+// Guards against a promise that the deployment cannot keep and that therefore
+// allows all removals.
+Test(Membership, KeepsTheVotersWhenTheToleratedLossesNeedMore)
+{
+  TestTrace trace;
+  Configuration active;
+  active.voters = Names({ "a", "b", "c", "d", "e" });
+  const std::vector<ReplicaHealth> health{ { InstanceId("b"), kStart } };
+  const auto change = [&](FaultTolerance aTolerance) {
+    return Membership(InstanceId("a"), aTolerance)
+      .NextChange(active, health, kStart + seconds(7));
+  };
+  trace.Section("five voters bear the loss of two instances, four do not", [&] {
+    EXPECT_THAT(trace, !change({ 3, 0, 1 }));
+    EXPECT_THAT(trace, !change({ 2, 1, 2 }));
+  });
+  trace.Section("five bear as many as six", [&] {
+    active.voters.emplace_back("f");
+    EXPECT_EQUAL(trace, change({ 3, 0, 1 })->instance, InstanceId("b"));
+  });
+}
+
 Test(Membership, AddsPromotesAndRemovesOneInstanceAtATime)
 {
   TestTrace trace;
@@ -273,3 +295,64 @@
     EXPECT_EQUAL(trace, cluster.simulation.violation, "");
   });
 }
+
+// Guards against an instance that was removed while it was down and never asks
+// to join again, because its own log still names it a voter.
+Test(Membership, ARemovedInstanceAsksToJoinWhenNobodyReportsTheLeader)
+{
+  TestTrace trace;
+  Simulation simulation(4, 7);
+  simulation.Run(seconds(3));
+  const std::size_t removed = (*simulation.LeaderNode() + 1) % 4;
+  const InstanceId name("n" + std::to_string(removed));
+  const auto mustJoin = [&] {
+    return Membership::MustJoin(simulation.At(removed), name);
+  };
+  trace.Section("a voter that follows the leader does not ask",
+                [&] { EXPECT_THAT(trace, !mustJoin()); });
+  trace.Section("it is removed while it is down", [&] {
+    simulation.Crash(removed);
+    simulation.Run(seconds(1));
+    simulation.Change(ChangeKind::Remove, removed);
+    simulation.Run(seconds(3));
+  });
+  trace.Section("it asks once it has returned", [&] {
+    simulation.Restart(removed);
+    simulation.Run(seconds(5));
+    EXPECT_EQUAL(
+      trace, simulation.At(removed).ActiveConfiguration().voters.size(), 4U);
+    EXPECT_THAT(trace, mustJoin());
+  });
+  trace.Section("it stops asking once the leader has added it", [&] {
+    simulation.Change(ChangeKind::AddLearner, removed);
+    simulation.Run(seconds(3));
+    EXPECT_THAT(trace, !mustJoin());
+    EXPECT_THAT(trace, simulation.Converged());
+  });
+  EXPECT_EQUAL(trace, simulation.violation, "");
+}
+
+// Guards against the removal of a learner that has not had the time to answer:
+// its last reply is unknown, which is no silence since the election.
+Test(Membership, ANewLearnerHasTheWholeDelayToAnswer)
+{
+  TestTrace trace;
+  JoiningCluster cluster(6);
+  const std::size_t joining = cluster.simulation.Size();
+  cluster.simulation.AddNode({}, true);
+  for (std::size_t other = 0; other < joining; ++other) {
+    cluster.simulation.SetLinkBlocked(joining, other, true);
+  }
+  const auto learners = [&] { return cluster.Active().learners.size(); };
+  for (int i = 0; i < 8; ++i) {
+    cluster.Run(milliseconds(600));
+    EXPECT_EQUAL(trace, learners(), 1U);
+  }
+  trace.Section("it is promoted once its answers arrive", [&] {
+    cluster.simulation.HealAll();
+    cluster.Run(seconds(3));
+    EXPECT_EQUAL(trace, learners(), 0U);
+    EXPECT_EQUAL(trace, cluster.Active().voters.size(), 7U);
+  });
+  EXPECT_EQUAL(trace, cluster.simulation.violation, "");
+}
