Keep pools as configured until their first job

Cause: a pool without work for three seconds gave its instances to standby, also when no job had reached the deployment yet. Between 9.7 s and 9.0 s before the traffic 150 instances were moved away. The first queue that peaked found 10 upstreams of its pool of 62 and, in a trial of 16 s with the pool figures logged, needed 81 after 0.4 s and 144 after 1.5 s. An instance takes 1.5 s to come back, so 70 of the 149 jobs of the first two seconds were late even without charged processor time.

Change: the surplus of a pool is measured from the first job of its service that occupies cores for a limited time, or from 60 s after the start of the leader. Long-running tasks do not count as demand. A pool with a backlog may still take the instances.

--- a/src/dispatch/DemandForecast.cpp
+++ b/src/dispatch/DemandForecast.cpp
@@ -23,6 +23,9 @@
 void
 DemandForecast::AddJob(const ServiceId& aService, double aCores, Time aNow)
 {
+  if (aCores <= 0) {
+    return; // long-running tasks say nothing about later jobs
+  }
   Arrivals& recent = this->arrivals[aService];
   recent.cores =
     recent.cores * std::exp(-Ratio(aNow - recent.at, kDecayTime)) + aCores;
--- a/src/dispatch/DemandForecast.h
+++ b/src/dispatch/DemandForecast.h
@@ -27,6 +27,12 @@
                                      Duration aAhead,
                                      Time aNow) const;
 
+  // True when a job that keeps cores busy was recorded.
+  [[nodiscard]] bool HasArrivals(const ServiceId& aService) const
+  {
+    return this->arrivals.contains(aService);
+  }
+
 private:
   struct Arrivals
   {
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -98,6 +98,7 @@
     pool.plannedCores = this->PlannedCores(service.name);
     pool.expectedCores = this->forecast.ExpectedCores(
       service.name, this->options.moveTime + kArrivalDelay, this->now);
+    pool.demandObserved = this->forecast.HasArrivals(service.name);
   }
   const auto find = [&pools](const ServiceId& aService) {
     return std::find_if(pools.begin(), pools.end(), [&](const PoolLoad& aPool) {
--- a/src/dispatch/PoolBalance.cpp
+++ b/src/dispatch/PoolBalance.cpp
@@ -14,6 +14,8 @@
 // A surplus of this duration moves to standby. It is longer than the time for
 // which an idle instance costs as much as two moves.
 constexpr Duration kIdleBeforeStandby = std::chrono::seconds(3);
+// A service without any job for this time counts as idle.
+constexpr Duration kMaxDemandWait = std::chrono::seconds(60);
 // Fraction of the planned cores that is counted. Running tasks count in full
 // until they end, so the plan is too high.
 constexpr double kPlannedFraction = 0.7;
@@ -38,9 +40,16 @@
   return static_cast<std::size_t>(std::ceil(cores / each)) + kReserveUpstreams;
 }
 
+bool
+PoolBalance::AwaitsDemand(const PoolLoad& aPool, Time aNow) const
+{
+  return !aPool.demandObserved && aNow - *this->observedSince < kMaxDemandWait;
+}
+
 std::vector<PoolMove>
 PoolBalance::PlanMoves(std::vector<PoolLoad> aPools, Time aNow)
 {
+  this->observedSince = this->observedSince.value_or(aNow);
   std::vector<PoolMove> moves;
   const PoolLoad* standby = nullptr;
   std::vector<PoolLoad*> donors;
@@ -54,7 +63,9 @@
       continue;
     }
     if (have > needed) {
-      this->surplusSince.try_emplace(pool.service, aNow);
+      if (!this->AwaitsDemand(pool, aNow)) {
+        this->surplusSince.try_emplace(pool.service, aNow);
+      }
       const std::size_t spare = std::min(have - needed, pool.idle.size());
       pool.idle.resize(spare);
       donors.push_back(&pool);
--- a/src/dispatch/PoolBalance.h
+++ b/src/dispatch/PoolBalance.h
@@ -4,7 +4,9 @@
 // than its pool holds while the others are nearly idle. Idle instances move to
 // the pool with a backlog, from the standby pool first. A pool that has been
 // idle for some time gives its spare instances to standby, where they cost
-// nothing.
+// nothing. Before the first job of a service is observed, the size that its
+// operator gave the pool is the best estimate of its need, so it keeps its
+// instances unless another pool asks for them.
 #ifndef hyssoppaddle_dispatch_PoolBalance_h
 #define hyssoppaddle_dispatch_PoolBalance_h
 
@@ -12,6 +14,7 @@
 #include "base/Time.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +32,8 @@
   double plannedCores = 0;
   // Needed by jobs expected to arrive before an instance ordered now is ready.
   double expectedCores = 0;
+  // False until a job of the service was observed.
+  bool demandObserved = true;
   std::size_t present = 0;       // upstreams that accept tasks, now or soon
   std::size_t arriving = 0;      // instances that are moving to this pool
   double coresPerUpstream = 0;   // 0 when no upstream has been seen
@@ -52,8 +57,12 @@
   [[nodiscard]] static std::size_t NeededUpstreams(const PoolLoad& aPool);
 
 private:
+  // True while a job of the service may still be awaited to learn its need.
+  [[nodiscard]] bool AwaitsDemand(const PoolLoad& aPool, Time aNow) const;
+
   // Start of each pool's current surplus.
   std::map<ServiceId, Time> surplusSince;
+  std::optional<Time> observedSince; // first call of PlanMoves
 };
 
 } // namespace hyssoppaddle::dispatch
