--- a/src/agreement/Membership.cpp
+++ b/src/agreement/Membership.cpp
@@ -47,7 +47,7 @@
 {
   const std::size_t voters = aActive.voters.size();
   const bool staysMet = this->tolerance.IsMetBy(voters - 1);
-  // Without its last voter, an even number bears the loss of as many.
+  // An even number of voters bears no more losses than one voter less.
   const bool wasUnmet = !this->tolerance.IsMetBy(voters) && voters % 2 == 0;
   return voters > kMinVoters && (staysMet || wasUnmet);
 }
