Log calls by kind, late replies, and whole lines under load

Cause: at a peak the logs did not say which calls a leader spends its time on. Lines written in long pieces were cut by the reader, loop_load among them. Change: call_load once a second, with count, time and longest call of each kind, and replies that came too late. LineLog writes whole lines in pieces of at most PIPE_BUF bytes.

--- /dev/null
+++ b/src/node/CallMeter.cpp
@@ -0,0 +1,63 @@
+// Accounts calls by kind.
+#include "node/CallMeter.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace hyssoppaddle::node {
+
+namespace {
+
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+
+// In the order of the alternatives of Call.
+constexpr std::array<std::string_view, CallMeter::kKinds> kNames{
+  "submit",    "show",      "cancel",     "announce",  "depart",
+  "put_setup", "get_setup", "start_wave", "show_wave", "malformed"
+};
+
+std::string
+Milliseconds(Duration aDuration)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+} // namespace
+
+void
+CallMeter::Record(const Call& aCall, Duration aElapsed)
+{
+  Kind& kind = this->kinds[aCall.index()];
+  ++kind.count;
+  kind.elapsed += aElapsed;
+  kind.longest = std::max(kind.longest, aElapsed);
+}
+
+std::optional<dispatch::Decision>
+CallMeter::TakeReport(Time aNow)
+{
+  if (aNow - this->reportedAt < kReportInterval) {
+    return std::nullopt;
+  }
+  this->reportedAt = aNow;
+  dispatch::Decision report{ "call_load", {}, {} };
+  for (std::size_t i = 0; i < kKinds; ++i) {
+    const Kind kind = std::exchange(this->kinds[i], {});
+    if (kind.count > 0) {
+      report.fields.emplace_back(
+        kNames[i],
+        std::to_string(kind.count) + " in " + Milliseconds(kind.elapsed) +
+          " ms, longest " + Milliseconds(kind.longest) + " ms");
+    }
+  }
+  const std::uint64_t late = std::exchange(this->lateReplies, 0);
+  if (late > 0) {
+    report.fields.emplace_back("late_replies", std::to_string(late));
+  }
+  return report.fields.empty() ? std::nullopt
+                               : std::optional(std::move(report));
+}
+
+} // namespace hyssoppaddle::node
--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -118,7 +118,8 @@
 {
   const auto found = this->calls.find(aReply.token);
   if (found == this->calls.end() || found->second.sentTo != aFrom) {
-    return; // late reply: the call was given up or sent to another leader
+    this->callbacks.lateReply();
+    return;
   }
   RoutedReply routed;
   routed.decided = aReply.status != 0;
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -40,6 +40,8 @@
     // Encodes a reply that this node generates itself.
     std::function<api::HttpReply(const Reply&)> encode;
     std::function<void(const dispatch::Decision&)> logDecision;
+    // Called for a reply to a call that was given up or sent to another leader.
+    std::function<void()> lateReply = [] {};
   };
 
   CallRouter(InstanceId aSelf, Callbacks aCallbacks);
--- a/src/node/LineLog.cpp
+++ b/src/node/LineLog.cpp
@@ -3,6 +3,7 @@
 
 #include "base/WallTimeText.h"
 
+#include <climits>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -103,8 +104,23 @@
   if (this->pending.empty()) {
     return;
   }
-  const std::size_t taken = this->sink(this->pending);
-  this->pending.erase(0, taken);
+  // Whole lines in writes that a pipe takes at once or not at all, so that a
+  // reader never sees a part of a line.
+  std::size_t begin = 0;
+  while (begin < this->pending.size()) {
+    std::size_t end = this->pending.rfind('\n', begin + PIPE_BUF - 1);
+    end = end == std::string::npos || end < begin
+            ? this->pending.find('\n', begin)
+            : end;
+    const std::string_view piece =
+      std::string_view(this->pending).substr(begin, end + 1 - begin);
+    const std::size_t taken = this->sink(piece);
+    begin += taken;
+    if (taken < piece.size()) {
+      break;
+    }
+  }
+  this->pending.erase(0, begin);
 }
 
 std::size_t
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -283,6 +283,7 @@
   callbacks.logDecision = [this](const dispatch::Decision& aDecision) {
     this->LogThrottled(aDecision);
   };
+  callbacks.lateReply = [this] { this->callMeter.RecordLateReply(); };
   this->router = std::make_unique<CallRouter>(this->self, std::move(callbacks));
 }
 
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -151,13 +151,15 @@
   request.body = aCall.body;
   request.listener =
     aCall.control ? api::Listener::Control : api::Listener::Callers;
+  const Time begun = SuspendAwareNow();
+  const Call decoded = this->protocol->Decode(request);
   this->handler->Handle(
-    this->protocol->Decode(request),
-    [this, done = std::move(aDone)](const Reply& aReply) {
+    decoded, [this, done = std::move(aDone)](const Reply& aReply) {
       const bool undecided = aReply.outcome == Outcome::Undecided;
       const bool decided = !undecided && aReply.outcome != Outcome::NotLeading;
       done({ decided, undecided, this->protocol->Encode(aReply) });
     });
+  this->callMeter.Record(decoded, SuspendAwareNow() - begun);
   this->ScheduleOutputProcessing();
 }
 
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -5,6 +5,7 @@
 #include "agreement/Membership.h"
 #include "dispatch/Dispatcher.h"
 #include "node/CallHandler.h"
+#include "node/CallMeter.h"
 #include "node/CallRouter.h"
 #include "node/Cluster.h"
 #include "node/HttpClient.h"
@@ -101,6 +102,7 @@
   std::shared_ptr<shell::Metrics> metrics;
   LineLog log;
   LoopMeter loopMeter;
+  CallMeter callMeter;
   Cluster cluster;
   agreement::Membership membership;
   std::unique_ptr<shell::DurableLog> durableLog;
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -83,6 +83,9 @@
         this->loopMeter.TakeReport(now, this->dispatcherTerm != 0)) {
     this->LogUnthrottled(*load);
   }
+  if (const auto load = this->callMeter.TakeReport(now)) {
+    this->LogUnthrottled(*load);
+  }
   this->log.Flush();
 }
 
--- /dev/null
+++ b/test/node/CallMeterTest.cpp
@@ -0,0 +1,52 @@
+// Tests of the accounting of calls by kind.
+#include "node/CallMeter.h"
+#include "support/TestTrace.h"
+
+#include <algorithm>
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::test;
+using namespace hyssoppaddle::node;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::string
+FieldOf(const dispatch::Decision& aReport, std::string_view aName)
+{
+  const auto found =
+    std::find_if(aReport.fields.begin(),
+                 aReport.fields.end(),
+                 [&](const auto& aField) { return aField.first == aName; });
+  return found == aReport.fields.end() ? "missing" : found->second;
+}
+
+} // namespace
+
+Test(CallMeter, ReportsCountAndTimeOfEachKind)
+{
+  TestTrace trace;
+  CallMeter meter;
+  meter.Record(SubmitCall{}, milliseconds(3));
+  meter.Record(SubmitCall{}, milliseconds(8));
+  meter.Record(GetSetupCall{}, milliseconds(1));
+  meter.RecordLateReply();
+  const auto report = meter.TakeReport(Time(seconds(100)));
+  EXPECT_THAT(trace, report.has_value());
+  EXPECT_EQUAL(trace, FieldOf(*report, "submit"), "2 in 11 ms, longest 8 ms");
+  EXPECT_EQUAL(trace, FieldOf(*report, "get_setup"), "1 in 1 ms, longest 1 ms");
+  EXPECT_EQUAL(trace, FieldOf(*report, "cancel"), "missing");
+  EXPECT_EQUAL(trace, FieldOf(*report, "late_replies"), "1");
+  trace.Section("the next report begins anew", [&] {
+    meter.Record(GetSetupCall{}, milliseconds(2));
+    EXPECT_THAT(trace, !meter.TakeReport(Time(milliseconds(100500))));
+    const auto next = meter.TakeReport(Time(seconds(101)));
+    EXPECT_THAT(trace, next.has_value());
+    EXPECT_EQUAL(trace, FieldOf(*next, "get_setup"), "1 in 2 ms, longest 2 ms");
+    EXPECT_EQUAL(trace, FieldOf(*next, "late_replies"), "missing");
+  });
+  trace.Section("a second without calls needs no line", [&] {
+    EXPECT_THAT(trace, !meter.TakeReport(Time(seconds(102))));
+  });
+}
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -436,6 +436,53 @@
   });
 }
 
+// Guards against logs of an overloaded node in which lines are missing or cut.
+Test(LineLog, WritesWholeLinesInPiecesThatAPipeTakesAtOnce)
+{
+  TestTrace trace;
+  std::vector<std::string> pieces;
+  std::size_t refused = 0;
+  LineLog log("n", 100000, [&](std::string_view aBytes) {
+    if (refused > 0) {
+      --refused;
+      return std::size_t{ 0 };
+    }
+    pieces.emplace_back(aBytes);
+    return aBytes.size();
+  });
+  const auto write = [&](int aCount) {
+    for (int i = 0; i < aCount; ++i) {
+      log.Write(
+        { "decided", "", { { "text", std::string(900, 'x') } } }, kStart, {});
+    }
+  };
+  write(40);
+  log.Flush();
+  EXPECT_THAT(trace, pieces.size() > 1);
+  for (const std::string& piece : pieces) {
+    EXPECT_THAT(trace, piece.size() <= 4096);
+    EXPECT_THAT(trace, piece.starts_with('{') && piece.ends_with("}\n"));
+  }
+  trace.Section("a line longer than that is written alone", [&] {
+    pieces.clear();
+    log.Write(
+      { "decided", "", { { "text", std::string(9000, 'x') } } }, kStart, {});
+    write(1);
+    log.Flush();
+    EXPECT_EQUAL(trace, pieces.size(), 2U);
+    EXPECT_THAT(trace, pieces.at(0).size() > 9000);
+  });
+  trace.Section("pieces that were refused are written later, in order", [&] {
+    pieces.clear();
+    refused = 1;
+    write(1);
+    log.Flush();
+    EXPECT_EQUAL(trace, pieces.size(), 0U);
+    log.Flush();
+    EXPECT_EQUAL(trace, pieces.size(), 1U);
+  });
+}
+
 Test(LineLog, LimitsTheRateOfLines)
 {
   TestTrace trace;
