Decide about submissions by a load that is measured ten times a second

Cause: each submission walked all upstreams and jobs, and a rejected one also computed the loads of all pools, 4 to 5 ms on a leader at full speed. Rejected callers come back, so rejections kept the leader overloaded.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -75,9 +75,15 @@
 
   // Returns no value when the job should be accepted, otherwise the time after
   // which the caller should retry.
-  [[nodiscard]] std::optional<Duration> RetryAfter(
-    const work::Queue& aQueue,
-    const work::JobSpec& aSpec) const;
+  [[nodiscard]] std::optional<Duration> RetryAfter(const work::Queue& aQueue,
+                                                   const work::JobSpec& aSpec);
+
+  // How often RetryAfter has measured a load, which looks at all upstreams and
+  // jobs.
+  [[nodiscard]] std::uint64_t LoadMeasurements() const
+  {
+    return this->loadMeasurements;
+  }
 
   // Number of accepted jobs of the queue that have not started any task.
   [[nodiscard]] std::uint64_t CountQueuedJobs(const work::Queue& aQueue) const;
@@ -88,6 +94,15 @@
   [[nodiscard]] const Sessions& Upstreams() const { return this->sessions; }
 
 private:
+  // A load that admission uses for some time, so that deciding about a job does
+  // not look at all upstreams and jobs.
+  struct RecentLoad
+  {
+    Time measuredAt{};
+    ServiceLoad load; // with the jobs that were accepted since
+    std::optional<double> reachable;
+  };
+
   // Dispatcher.cpp: committed commands and job views.
   void On(const work::SetSetup& aCommand, work::Verdict aVerdict);
   void On(const work::SubmitJob& aCommand, work::Verdict aVerdict);
@@ -184,6 +199,7 @@
   [[nodiscard]] bool IsWithinLimit(const WorkspaceId& aWorkspace,
                                    const state::Resources& aSize) const;
   [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
+  [[nodiscard]] RecentLoad& RecentLoadOf(const ServiceId& aService);
   [[nodiscard]] double ShareOf(const WorkspaceId& aWorkspace) const;
   [[nodiscard]] std::string RackOf(const PlanPass& aPass,
                                    const work::Job& aJob,
@@ -293,6 +309,8 @@
   TicketCache tickets;
   InstanceOwner owner;
   DemandForecast forecast;
+  std::map<ServiceId, RecentLoad> recentLoads;
+  std::uint64_t loadMeasurements = 0;
   OrderHistory history; // kept when leadership is lost
 };
 
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -16,6 +16,9 @@
 // joins triggers a new plan.
 constexpr std::size_t kMaxMissesPerPlan = 40;
 
+// How long a measured load is used for admission. Jobs that are accepted in the
+// meantime are added to it.
+constexpr Duration kLoadLifetime = milliseconds(100);
 // Interval between two service_load lines.
 constexpr Duration kLoadLogInterval = seconds(1);
 
@@ -133,17 +136,33 @@
   return load;
 }
 
+Dispatcher::RecentLoad&
+Dispatcher::RecentLoadOf(const ServiceId& aService)
+{
+  const auto [found, isNew] = this->recentLoads.try_emplace(aService);
+  RecentLoad& recent = found->second;
+  if (isNew || this->now - recent.measuredAt >= kLoadLifetime) {
+    recent = { this->now, this->LoadOf(aService), std::nullopt };
+    ++this->loadMeasurements;
+  }
+  return recent;
+}
+
 std::optional<Duration>
-Dispatcher::RetryAfter(const work::Queue& aQueue,
-                       const work::JobSpec& aSpec) const
+Dispatcher::RetryAfter(const work::Queue& aQueue, const work::JobSpec& aSpec)
 {
-  ServiceLoad load = this->LoadOf(aQueue.service);
+  RecentLoad& recent = this->RecentLoadOf(aQueue.service);
+  ServiceLoad load = recent.load;
   const bool hasRoom =
     load.capacity > 0 && !dispatch::RetryAfter(load, aQueue, aSpec);
   if (hasRoom) {
     return std::nullopt; // more cores would not change the answer
   }
-  load.reachable = this->ReachableCores(aQueue.service);
+  if (!recent.reachable) {
+    recent.reachable = this->ReachableCores(aQueue.service);
+    ++this->loadMeasurements;
+  }
+  load.reachable = *recent.reachable;
   return dispatch::RetryAfter(load, aQueue, aSpec);
 }
 
--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -192,6 +192,16 @@
   this->Commit();
 }
 
+std::optional<Duration>
+FakeDeployment::Offer(const std::string& aQueue, std::vector<work::Step> aSteps)
+{
+  work::JobSpec spec;
+  spec.steps = std::move(aSteps);
+  const work::Queue* queue =
+    this->state.CurrentSetup().FindQueue(work::QueueId(aQueue));
+  return this->dispatcher->RetryAfter(*queue, spec);
+}
+
 void
 FakeDeployment::Cancel(const std::string& aJob)
 {
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -92,6 +92,15 @@
   void Submit(const std::string& aJob,
               const std::string& aQueue,
               std::vector<work::Step> aSteps);
+  // Asks whether a job would be accepted now. Returns the time after which its
+  // caller should retry if it is rejected.
+  std::optional<Duration> Offer(const std::string& aQueue,
+                                std::vector<work::Step> aSteps);
+  // How often the leader has measured a load for admission.
+  [[nodiscard]] std::uint64_t LoadMeasurements() const
+  {
+    return this->dispatcher->LoadMeasurements();
+  }
   void Cancel(const std::string& aJob);
   void StartWave(std::uint64_t aNumber,
                  std::vector<std::string> aInstances,
