Transfer leadership to a chosen voter without waiting for its answers

What callers saw: a leader whose machine had turned slow stayed in office; a transfer that it began failed, since the acknowledgement that it waited for was seconds behind in its own queue. Change: TransferLeadership may name its target. TimeoutNow leaves as soon as all entries have been sent: they arrive before it on the same connection, and a target that misses one wins no vote of a replica that has it. DelayCampaigns lets a replica leave an election to the others.

--- a/src/agreement/Events.h
+++ b/src/agreement/Events.h
@@ -65,10 +65,12 @@
   InstanceId instance;
 };
 
-// Transfers leadership to a caught-up voter before a planned stop of the
-// leader.
+// Transfers leadership to another voter, before a planned stop of the leader or
+// because another voter is faster.
 struct TransferLeadership
-{};
+{
+  InstanceId target; // empty: the live voter that has the most entries
+};
 
 using Event = std::variant<Tick,
                            MessageReceived,
--- a/src/agreement/Raft.cpp
+++ b/src/agreement/Raft.cpp
@@ -406,7 +406,7 @@
   }
   const bool hasElectionTimer = this->MayCampaign() || this->IsEmptyReplica();
   if (hasElectionTimer || !this->leader.empty()) {
-    return this->electionDeadline;
+    return this->electionDeadline + this->campaignDelay;
   }
   return Time::max();
 }
@@ -439,6 +439,12 @@
   return this->impl->Step(aEvent, aNow);
 }
 
+void
+Raft::DelayCampaigns(Duration aDelay)
+{
+  this->impl->campaignDelay = aDelay;
+}
+
 Time
 Raft::NextTick() const
 {
--- a/src/agreement/Raft.h
+++ b/src/agreement/Raft.h
@@ -70,6 +70,10 @@
 
   Effects Step(const Event& aEvent, Time aNow);
 
+  // Lets the other voters campaign first when a leader is lost. For a replica
+  // that knows that it is slower than the others.
+  void DelayCampaigns(Duration aDelay);
+
   // Earliest time at which a Tick can have an effect.
   [[nodiscard]] Time NextTick() const;
 
--- a/src/agreement/RaftConfiguration.cpp
+++ b/src/agreement/RaftConfiguration.cpp
@@ -175,12 +175,20 @@
 }
 
 void
-Raft::Impl::Handle(const TransferLeadership& /*aEvent*/)
+Raft::Impl::Handle(const TransferLeadership& aEvent)
 {
   if (this->role != Role::Leader || this->transferring) {
     return;
   }
-  this->transferTarget = this->TransferCandidate();
+  const auto wanted = this->progress.find(aEvent.target);
+  if (aEvent.target.empty()) {
+    this->transferTarget = this->TransferCandidate();
+  } else if (wanted != this->progress.end() &&
+             this->MayTakeOver(aEvent.target, wanted->second)) {
+    this->transferTarget = aEvent.target;
+  } else {
+    this->transferTarget = InstanceId();
+  }
   if (this->transferTarget.empty()) {
     return;
   }
@@ -197,13 +205,30 @@
     return;
   }
   const auto found = this->progress.find(this->transferTarget);
-  if (found != this->progress.end() &&
-      found->second.match == this->log.LastIndex()) {
+  if (found == this->progress.end()) {
+    return;
+  }
+  // Entries that were sent arrive before TimeoutNow on the same connection. A
+  // leader that is slow need not wait for their acknowledgement. If one of them
+  // is lost, the target wins no vote of a replica that has it.
+  const Progress& state = found->second;
+  const bool hasSentAll =
+    state.state == FlowState::Replicate && state.next > this->log.LastIndex();
+  if (hasSentAll || state.match == this->log.LastIndex()) {
     this->timeoutNowSent = true;
     this->Send(this->transferTarget, TimeoutNow{ this->currentHardState.term });
   }
 }
 
+// True for a live voter that is not recovering from a loss of its storage.
+bool
+Raft::Impl::MayTakeOver(const InstanceId& aReplica,
+                        const Progress& aState) const
+{
+  return this->IsVoter(aReplica) && aState.recovery == 0 && aState.lastHeard &&
+         this->now - *aState.lastHeard <= this->times.minElectionTimeout;
+}
+
 // The live voter with the highest match index; empty if there is none.
 InstanceId
 Raft::Impl::TransferCandidate() const
@@ -211,10 +236,7 @@
   InstanceId best;
   LogIndex bestMatch = 0;
   for (const auto& [replica, state] : this->progress) {
-    const bool live = state.lastHeard && this->now - *state.lastHeard <=
-                                           this->times.minElectionTimeout;
-    if (this->IsVoter(replica) && live && state.recovery == 0 &&
-        state.match > bestMatch) {
+    if (this->MayTakeOver(replica, state) && state.match > bestMatch) {
       best = replica;
       bestMatch = state.match;
     }
--- a/src/agreement/RaftElection.cpp
+++ b/src/agreement/RaftElection.cpp
@@ -10,7 +10,7 @@
 void
 Raft::Impl::ElectionTick()
 {
-  if (this->now < this->electionDeadline) {
+  if (this->now < this->electionDeadline + this->campaignDelay) {
     return;
   }
   this->leader = InstanceId();
--- a/src/agreement/RaftImpl.h
+++ b/src/agreement/RaftImpl.h
@@ -225,6 +225,8 @@
   void FinishRemovals();
   void DropRemovedReplicas();
   void TryTransfer();
+  [[nodiscard]] bool MayTakeOver(const InstanceId& aReplica,
+                                 const Progress& aState) const;
   [[nodiscard]] InstanceId TransferCandidate() const;
 
   InstanceId self;
@@ -257,6 +259,7 @@
 
   // Followers and candidates.
   Time electionDeadline{};
+  Duration campaignDelay{ 0 }; // added to electionDeadline
   Time lastLeaderContact{};
   std::uint64_t recoveryNonce = 0; // not 0 while currentHardState.recovering
   std::set<InstanceId> votes;
--- a/src/agreement/RaftInspect.cpp
+++ b/src/agreement/RaftInspect.cpp
@@ -172,7 +172,7 @@
   writer.Put(this->commitIndex);
   writer.Put(this->appliedIndex);
   writer.Put(this->requestedSnapshotIndex);
-  writer.PutAge(this->electionDeadline, this->now);
+  writer.PutAge(this->electionDeadline + this->campaignDelay, this->now);
   writer.PutAge(this->lastLeaderContact, this->now);
   writer.Put(this->recoveryNonce);
   for (const InstanceId& voter : this->votes) {
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -223,7 +223,7 @@
   this->impl->stopping = true;
   this->impl->requests.StopAdmission();
   this->impl->pendingEvents.emplace_back(
-    agreement::Event(agreement::TransferLeadership{}));
+    agreement::Event(agreement::TransferLeadership{ {} }));
   this->impl->ProcessPendingEvents();
   return std::exchange(this->impl->effects, {});
 }
--- a/test/agreement/Simulation.cpp
+++ b/test/agreement/Simulation.cpp
@@ -277,7 +277,15 @@
 Simulation::Transfer()
 {
   if (const auto leader = this->LeaderNode()) {
-    this->Step(*leader, raft::TransferLeadership{});
+    this->Step(*leader, raft::TransferLeadership{ {} });
+  }
+}
+
+void
+Simulation::TransferTo(std::size_t aNode)
+{
+  if (const auto leader = this->LeaderNode()) {
+    this->Step(*leader, raft::TransferLeadership{ this->nodes[aNode].id });
   }
 }
 
--- a/test/agreement/Simulation.h
+++ b/test/agreement/Simulation.h
@@ -60,6 +60,7 @@
   void Read(std::size_t aNode);
   void Change(raft::ChangeKind aKind, std::size_t aNode); // at the leader
   void Transfer();
+  void TransferTo(std::size_t aNode);
 
   [[nodiscard]] std::optional<std::size_t> LeaderNode() const;
   [[nodiscard]] raft::Raft& At(std::size_t aNode);
