Hand over the leadership when the machine of the leader turns slow

Three sound voters stood by. Cause: leadership follows heartbeats, which a slow leader still sends in time. Change: replicas time a fixed computation and report it to the leader; a leader at half of its best speed hands over to the fastest voter; a slow replica lets the others campaign first. The reports travel in a message that nodes of earlier versions ignore.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -73,6 +73,7 @@
         this->settings.decisionLinesPerSecond,
         WriteToStandardOutput)
   , loopMeter(SuspendAwareNow)
+  , speedProbe([] { return TimeFixedComputation(SuspendAwareNow); })
   , cluster(this->self, !this->settings.dataFolder.empty())
   , membership(this->self, this->settings.tolerance)
   , client(std::make_shared<HttpClient>(this->io, this->deadlines))
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -85,6 +85,10 @@
 void
 Node::Impl::On(const InstanceId& aFrom, wire::RemoteReply& aMessage)
 {
+  if (aMessage.token == wire::kReportToken) {
+    this->RecordSpeedReport(aFrom, aMessage);
+    return;
+  }
   this->router->OnReply(aFrom, std::move(aMessage));
 }
 
@@ -235,6 +239,7 @@
   }
   // The votes of a majority confirm the leadership.
   this->leadershipConfirmed = true;
+  this->handover.OnElected(SuspendAwareNow());
   this->dispatcher->BecomeLeader(
     leadingTerm, SuspendAwareNow(), shell::WallClockNow());
 }
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -8,12 +8,14 @@
 #include "node/CallMeter.h"
 #include "node/CallRouter.h"
 #include "node/Cluster.h"
+#include "node/HandoverPolicy.h"
 #include "node/HttpClient.h"
 #include "node/LineLog.h"
 #include "node/LoopMeter.h"
 #include "node/Node.h"
 #include "node/Protocol.h"
 #include "node/Replica.h"
+#include "node/SpeedProbe.h"
 #include "node/StopSequence.h"
 #include "shell/HttpServer.h"
 #include "shell/PeerNetwork.h"
@@ -77,6 +79,11 @@
   // upstream.
   void DetectPause(Time aNow);
   void ConfirmLeadership(Time aNow);
+  void MeasureSpeed(Time aNow);
+  void ReportSpeed(Time aNow);
+  void RecordSpeedReport(const InstanceId& aFrom,
+                         const wire::RemoteReply& aReport);
+  void HandOverIfSlow(Time aNow);
   [[nodiscard]] wire::NodeStatus MakeStatus(Time aNow) const;
   void SendStatus(Time aNow);
   void DialLinkTargets();
@@ -103,6 +110,8 @@
   LineLog log;
   LoopMeter loopMeter;
   CallMeter callMeter;
+  SpeedProbe speedProbe;
+  HandoverPolicy handover;
   Cluster cluster;
   agreement::Membership membership;
   std::unique_ptr<shell::DurableLog> durableLog;
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <csignal>
 
 namespace hyssoppaddle::node {
@@ -27,6 +28,11 @@
 // If no handler has run for this long, the process or its machine was paused.
 constexpr Duration kPauseThreshold = milliseconds(700);
 constexpr Duration kTransferRetryInterval = milliseconds(400);
+// Added to the election timeout of a slow replica. It exceeds the range of the
+// timeouts of the others.
+constexpr Duration kSlowCampaignDelay = milliseconds(600);
+// Name of the field in a report of a voter to the leader.
+constexpr std::string_view kSlownessField = "slowness";
 
 } // namespace
 
@@ -60,6 +66,8 @@
     this->cluster.SetReplicas(this->replica->RaftState().ActiveConfiguration());
     this->CheckLeadership();
     this->ConfirmLeadership(now);
+    this->MeasureSpeed(now);
+    this->HandOverIfSlow(now);
     this->TickDispatcher(now);
     this->RequestJoin(now);
     this->ChangeReplicas(now);
@@ -136,6 +144,65 @@
   });
 }
 
+void
+Node::Impl::MeasureSpeed(Time aNow)
+{
+  this->speedProbe.Tick(aNow);
+  const bool isSlow = this->speedProbe.Slowness() >= HandoverPolicy::kSlow;
+  this->replica->DelayCampaigns(isSlow ? kSlowCampaignDelay : Duration(0));
+}
+
+void
+Node::Impl::ReportSpeed(Time aNow)
+{
+  const InstanceId leader = this->cluster.Leader(aNow);
+  if (!this->replica || leader.empty() || leader == this->self) {
+    return;
+  }
+  wire::RemoteReply report;
+  report.token = wire::kReportToken;
+  report.fields.push_back({ std::string(kSlownessField),
+                            std::to_string(this->speedProbe.Slowness()) });
+  this->peers->Send(leader, report);
+}
+
+void
+Node::Impl::RecordSpeedReport(const InstanceId& aFrom,
+                              const wire::RemoteReply& aReport)
+{
+  for (const wire::HeaderField& field : aReport.fields) {
+    double slowness = 0;
+    const char* end = field.value.data() + field.value.size();
+    const auto [rest, error] =
+      std::from_chars(field.value.data(), end, slowness);
+    if (field.name == kSlownessField && error == std::errc() && rest == end) {
+      this->handover.Record(aFrom, slowness, SuspendAwareNow());
+    }
+  }
+}
+
+void
+Node::Impl::HandOverIfSlow(Time aNow)
+{
+  if (this->dispatcherTerm == 0 || this->stop.HasBegun()) {
+    return;
+  }
+  const double slowness = this->speedProbe.Slowness();
+  const auto next = this->handover.Choose(
+    slowness,
+    this->replica->RaftState().ActiveConfiguration().voters,
+    this->self,
+    aNow);
+  if (!next) {
+    return;
+  }
+  this->LogUnthrottled(
+    { "leadership_handed_over",
+      {},
+      { { "to", next->value }, { "slowness", std::to_string(slowness) } } });
+  this->StepReplica(agreement::TransferLeadership{ *next }, aNow);
+}
+
 wire::NodeStatus
 Node::Impl::MakeStatus(Time aNow) const
 {
@@ -155,6 +222,7 @@
   }
   this->nextStatusAt = aNow + kStatusInterval;
   this->peers->SendAll(this->MakeStatus(aNow));
+  this->ReportSpeed(aNow);
   this->DialLinkTargets();
 }
 
@@ -283,7 +351,7 @@
   const bool leads = this->replica && this->replica->IsLeader();
   if (leads && aNow >= this->nextTransferAttempt) {
     this->nextTransferAttempt = aNow + kTransferRetryInterval;
-    this->StepReplica(agreement::TransferLeadership{}, aNow);
+    this->StepReplica(agreement::TransferLeadership{ {} }, aNow);
   }
   const auto next = [&] {
     const StopProgress progress{ this->callersServer->Connections() +
@@ -347,6 +415,9 @@
     gauges.push_back({ "setup_version",
                        "Setup in force here.",
                        number(tables.setup.version) });
+    gauges.push_back({ "machine_slowness",
+                       "Time of a fixed computation, relative to the best.",
+                       this->speedProbe.Slowness() });
     gauges.push_back(
       { "jobs_known", "Jobs on record.", number(tables.jobs.size()) });
     gauges.push_back({ "commit_index",
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -55,6 +55,8 @@
   // was committed before the call.
   void Confirm(Time aNow, ReadCallback aDone);
 
+  void DelayCampaigns(Duration aDelay) { this->raft.DelayCampaigns(aDelay); }
+
   [[nodiscard]] const work::WorkState& State() const { return this->state; }
   [[nodiscard]] const agreement::Raft& RaftState() const { return this->raft; }
   [[nodiscard]] bool IsLeader() const
--- a/src/wire/PeerMessage.h
+++ b/src/wire/PeerMessage.h
@@ -136,6 +136,11 @@
   bool operator==(const RemoteCall&) const = default;
 };
 
+// The token of a RemoteReply that answers no call and reports the state of its
+// sender in `fields`. Nodes of earlier versions ignore it, while they refuse
+// messages of unknown types.
+inline constexpr std::uint64_t kReportToken = 0;
+
 struct RemoteReply
 {
   std::uint64_t token = 0;
