--- a/src/node/Calls.h
+++ b/src/node/Calls.h
@@ -85,6 +85,16 @@
                           ShowWaveCall,
                           MalformedCall>;
 
+// Calls of one class wait in one line for the leader.
+enum class CallClass : std::uint8_t
+{
+  Order, // changes by operators and clients other than new jobs; departures
+  Submission, // of a new job
+  Read,
+  Report, // status of an upstream
+  Count,
+};
+
 enum class Outcome : std::uint8_t
 {
   Done,       // accepted and committed, or already in that state
--- a/src/node/Protocol.h
+++ b/src/node/Protocol.h
@@ -56,6 +56,9 @@
   // transfer through another node takes longer than callers wait. The sender
   // of such a call follows a Redirected reply.
   [[nodiscard]] virtual bool IsBulk(const api::HttpRequest& aRequest) const = 0;
+  // Must be cheap: it is also computed for calls that are never handled.
+  [[nodiscard]] virtual CallClass ClassOf(
+    const api::HttpRequest& aRequest) const = 0;
   // How long the sender of the request waits for a reply.
   [[nodiscard]] virtual Duration TimeLimit(
     const api::HttpRequest& aRequest) const = 0;
--- a/test/platform/DecodeTest.cpp
+++ b/test/platform/DecodeTest.cpp
@@ -249,6 +249,35 @@
   });
 }
 
+Test(Protocol, ClassifiesCallsByTheirMethodAndPath)
+{
+  TestTrace trace;
+  const PlatformProtocol protocol({ "node", "", "" });
+  const auto classOf = [&](const char* aMethod,
+                           const char* aTarget,
+                           api::Listener aListener = api::Listener::Control) {
+    return protocol.ClassOf(Request(aMethod, aTarget, "", aListener));
+  };
+  const auto callers = api::Listener::Callers;
+  EXPECT_THAT(trace,
+              classOf("POST", "/q/1", callers) == node::CallClass::Submission);
+  EXPECT_THAT(trace, classOf("GET", "/q/1", callers) == node::CallClass::Read);
+  EXPECT_THAT(trace,
+              classOf("DELETE", "/q/1", callers) == node::CallClass::Order);
+  EXPECT_THAT(trace,
+              classOf("PUT", "/instances/i-1") == node::CallClass::Report);
+  EXPECT_THAT(trace,
+              classOf("DELETE", "/instances/i-1") == node::CallClass::Order);
+  EXPECT_THAT(trace, classOf("PUT", "/config") == node::CallClass::Order);
+  EXPECT_THAT(trace, classOf("POST", "/wave-start") == node::CallClass::Order);
+  EXPECT_THAT(trace, classOf("GET", "/wave-get/3") == node::CallClass::Read);
+  trace.Section("a queue of callers may have the path of an instance", [&] {
+    EXPECT_THAT(trace,
+                classOf("POST", "/instances/i-1", callers) ==
+                  node::CallClass::Submission);
+  });
+}
+
 Test(Protocol, EncodesInstructionsAndDecodesAnswers)
 {
   TestTrace trace;
