Send the remaining time of its caller with each forwarded call

Cause: the leader cannot tell the calls that nobody waits for any more, since the time limit stays on the entry node. Change: CallRouter::Forward sets the field remaining-ms, anew for each leader. It is one more named field, so nodes of earlier versions ignore it, while they refuse a longer message. Tests: CallDeadline (2), CallRouter pass. No play with nodes of an earlier version was run.

--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -1,6 +1,8 @@
 // Forwards calls, retries unanswered ones and gives up at the deadline.
 #include "node/CallRouter.h"
 
+#include "node/CallDeadline.h"
+
 #include <algorithm>
 
 namespace hyssoppaddle::node {
@@ -65,24 +67,24 @@
   }
   const InstanceId leader = this->callbacks.leader();
   if (!leader.empty()) {
-    this->Forward(open, leader);
+    this->Forward(open, leader, aNow);
   }
 }
 
 void
-CallRouter::Forward(OpenCall& aCall, const InstanceId& aLeader)
+CallRouter::Forward(OpenCall& aCall, const InstanceId& aLeader, Time aNow)
 {
   aCall.sentTo = aLeader;
   aCall.refused = false;
+  SetTimeLeft(aCall.call, aCall.answerBy - aNow);
   if (aLeader != this->self) {
     this->callbacks.send(aLeader, aCall.call);
     return;
   }
-  const wire::RemoteCall call = aCall.call;
-  this->callbacks.handleLocally(call,
-                                [this, token = call.token](RoutedReply aReply) {
-                                  this->OnLocalReply(token, std::move(aReply));
-                                });
+  this->callbacks.handleLocally(
+    aCall.call, [this, token = aCall.call.token](RoutedReply aReply) {
+      this->OnLocalReply(token, std::move(aReply));
+    });
 }
 
 void
@@ -211,7 +213,7 @@
     }
   }
   for (const std::uint64_t token : unsent) {
-    this->Forward(this->calls.at(token), leader);
+    this->Forward(this->calls.at(token), leader, aNow);
   }
   for (const std::uint64_t token : expired) {
     if (this->calls.contains(token)) {
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -35,8 +35,7 @@
     // is none.
     std::function<InstanceId()> leader;
     std::function<void(const InstanceId&, const wire::RemoteCall&)> send;
-    std::function<void(const wire::RemoteCall&, RoutedReplyCallback)>
-      handleLocally;
+    std::function<void(wire::RemoteCall, RoutedReplyCallback)> handleLocally;
     // Encodes a reply that this node generates itself.
     std::function<api::HttpReply(const Reply&)> encode;
     std::function<void(const dispatch::Decision&)> logDecision;
@@ -90,7 +89,7 @@
     void AbandonReceiver();
   };
 
-  void Forward(OpenCall& aCall, const InstanceId& aLeader);
+  void Forward(OpenCall& aCall, const InstanceId& aLeader, Time aNow);
   // True when the caller is better served by another attempt later. aLeader is
   // empty when there is none.
   [[nodiscard]] static bool MustGiveUp(const OpenCall& aCall,
