Serve calls on the leader from the queue in passes of 10 ms

Cause: each call was handled inside the event that delivered it, so heartbeats, answers of upstreams and timers waited behind all calls of a read. Change: local and forwarded calls enter the CallQueue; passes of 10 ms are posted to the event loop. A call without remaining-ms gets the time limit of the protocol. Calls that wait when the leadership is lost return undecided and not run, and their routers send them to the next leader. An evicted call returns the same way: an earlier leader may have run it, which only its router knows. call_load counts dropped and evicted calls and shows the longest wait.

--- a/src/node/CallMeter.cpp
+++ b/src/node/CallMeter.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kReportInterval = std::chrono::seconds(1);
+// Shorter waits are normal.
+constexpr Duration kMinReportedWait = std::chrono::milliseconds(20);
 
 // In the order of the alternatives of Call.
 constexpr std::array<std::string_view, CallMeter::kKinds> kNames{
@@ -52,9 +54,18 @@
           " ms, longest " + Milliseconds(kind.longest) + " ms");
     }
   }
-  const std::uint64_t late = std::exchange(this->lateReplies, 0);
-  if (late > 0) {
-    report.fields.emplace_back("late_replies", std::to_string(late));
+  const auto addCount = [&](const char* aName, std::uint64_t& aCount) {
+    const std::uint64_t count = std::exchange(aCount, 0);
+    if (count > 0) {
+      report.fields.emplace_back(aName, std::to_string(count));
+    }
+  };
+  addCount("late_replies", this->lateReplies);
+  addCount("dropped", this->dropped);
+  addCount("evicted", this->evicted);
+  const Duration wait = std::exchange(this->longestWait, Duration(0));
+  if (wait >= kMinReportedWait) {
+    report.fields.emplace_back("longest_wait_ms", Milliseconds(wait));
   }
   return report.fields.empty() ? std::nullopt
                                : std::optional(std::move(report));
--- a/src/node/CallMeter.h
+++ b/src/node/CallMeter.h
@@ -7,6 +7,7 @@
 #include "dispatch/Decision.h"
 #include "node/Calls.h"
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <string_view>
@@ -22,6 +23,15 @@
   void Record(const Call& aCall, Duration aElapsed);
   // Counts a reply whose call this node had given up before.
   void RecordLateReply() { ++this->lateReplies; }
+  // How long a call waited on this leader until it was handled or discarded.
+  void RecordWait(Duration aWait)
+  {
+    this->longestWait = std::max(this->longestWait, aWait);
+  }
+  // Counts a call that was not handled because its caller had gone.
+  void RecordDropped() { ++this->dropped; }
+  // Counts a call that was returned to a waiting caller as not run.
+  void RecordEvicted() { ++this->evicted; }
 
   // Returns a log line once a second if there was a call or a late reply since
   // the last one. Each field holds the number of calls and their milliseconds.
@@ -36,7 +46,11 @@
   };
 
   std::array<Kind, kKinds> kinds{}; // since the last report
-  std::uint64_t lateReplies = 0;    // since the last report
+  // The figures below are since the last report.
+  std::uint64_t lateReplies = 0;
+  std::uint64_t dropped = 0;
+  std::uint64_t evicted = 0;
+  Duration longestWait{ 0 };
   Time reportedAt{};
 };
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -73,6 +73,10 @@
         this->settings.decisionLinesPerSecond,
         WriteToStandardOutput)
   , loopMeter(SuspendAwareNow)
+  , callQueue(
+      [this](const QueuedCall& aCall, CallQueue::DiscardReason aReason) {
+        this->DiscardCall(aCall, aReason);
+      })
   , speedProbe([] { return TimeFixedComputation(SuspendAwareNow); })
   , cluster(this->self, !this->settings.dataFolder.empty())
   , membership(this->self, this->settings.tolerance)
@@ -274,9 +278,9 @@
                           const wire::RemoteCall& aCall) {
     this->peers->Send(aTo, aCall);
   };
-  callbacks.handleLocally = [this](const wire::RemoteCall& aCall,
+  callbacks.handleLocally = [this](wire::RemoteCall aCall,
                                    CallRouter::RoutedReplyCallback aDone) {
-    this->HandleLocally(aCall, std::move(aDone));
+    this->EnqueueCall(std::move(aCall), std::move(aDone));
   };
   callbacks.encode = [this](const Reply& aReply) {
     return this->protocol->Encode(aReply);
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -2,6 +2,7 @@
 // dispatcher.
 #include "node/NodeImpl.h"
 
+#include "node/CallDeadline.h"
 #include "node/Clock.h"
 #include "node/LeaderRedirect.h"
 #include "shell/Clock.h"
@@ -16,6 +17,8 @@
 // within this time. It is shorter than the minimum election timeout (900 ms),
 // after which another leader may have been elected.
 constexpr Duration kQuorumContactLimit = std::chrono::milliseconds(800);
+// Calls are handled for this long before other events get their turn.
+constexpr Duration kMaxCallPass = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -68,18 +71,19 @@
     this->peers->Send(aFrom, wire::RemoteReply{ token, 0, false, {}, {} });
     return;
   }
-  this->HandleLocally(aMessage, [this, aFrom, token](RoutedReply aReply) {
-    wire::RemoteReply reply;
-    reply.token = token;
-    reply.status = aReply.decided ? aReply.reply.status : 0;
-    reply.mayHaveRun = aReply.mayHaveRun;
-    for (api::HttpHeader& header : aReply.reply.headers) {
-      reply.fields.push_back(
-        { std::move(header.name), std::move(header.value) });
-    }
-    reply.body = std::move(aReply.reply.body);
-    this->peers->Send(aFrom, reply);
-  });
+  this->EnqueueCall(std::move(aMessage),
+                    [this, aFrom, token](RoutedReply aReply) {
+                      wire::RemoteReply reply;
+                      reply.token = token;
+                      reply.status = aReply.decided ? aReply.reply.status : 0;
+                      reply.mayHaveRun = aReply.mayHaveRun;
+                      for (api::HttpHeader& header : aReply.reply.headers) {
+                        reply.fields.push_back(
+                          { std::move(header.name), std::move(header.value) });
+                      }
+                      reply.body = std::move(aReply.reply.body);
+                      this->peers->Send(aFrom, reply);
+                    });
 }
 
 void
@@ -142,28 +146,90 @@
 }
 
 void
-Node::Impl::HandleLocally(const wire::RemoteCall& aCall,
-                          CallRouter::RoutedReplyCallback aDone)
+Node::Impl::EnqueueCall(wire::RemoteCall aCall,
+                        CallRouter::RoutedReplyCallback aDone)
 {
-  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Handling);
-  api::HttpRequest request;
-  request.method = aCall.method;
-  request.target = aCall.target;
-  for (const wire::HeaderField& field : aCall.fields) {
-    request.headers.push_back({ field.name, field.value });
+  QueuedCall queued;
+  queued.arrivedAt = SuspendAwareNow();
+  queued.done = std::move(aDone);
+  const std::optional<Duration> timeLeft = TimeLeft(aCall);
+  api::HttpRequest& request = queued.request;
+  request.method = std::move(aCall.method);
+  request.target = std::move(aCall.target);
+  for (wire::HeaderField& field : aCall.fields) {
+    request.headers.push_back(
+      { std::move(field.name), std::move(field.value) });
   }
-  request.body = aCall.body;
+  request.body = std::move(aCall.body);
   request.listener =
     aCall.control ? api::Listener::Control : api::Listener::Callers;
+  queued.callClass = this->protocol->ClassOf(request);
+  queued.answerBy =
+    queued.arrivedAt + timeLeft.value_or(this->protocol->TimeLimit(request));
+  this->callQueue.Push(std::move(queued));
+  this->ScheduleCalls();
+}
+
+void
+Node::Impl::DiscardCall(const QueuedCall& aCall,
+                        CallQueue::DiscardReason aReason)
+{
+  this->callMeter.RecordWait(SuspendAwareNow() - aCall.arrivedAt);
+  if (aReason == CallQueue::DiscardReason::CallerGone) {
+    this->callMeter.RecordDropped();
+    return;
+  }
+  this->callMeter.RecordEvicted();
+  aCall.done(RoutedReply{ false, false, {} });
+}
+
+// Posts the calls to the event loop, so that messages of other nodes, answers
+// of upstreams and timers are handled between two passes.
+void
+Node::Impl::ScheduleCalls()
+{
+  if (!this->callsScheduled) {
+    this->callsScheduled = true;
+    shell::asio::post(this->io, [this] { this->ServeCalls(); });
+  }
+}
+
+void
+Node::Impl::ServeCalls()
+{
+  const LoopMeter::Scope scope(this->loopMeter, LoopPart::Handling);
+  this->callsScheduled = false;
+  Time now = SuspendAwareNow();
+  this->DetectPause(now);
+  const Time passEnd = now + kMaxCallPass;
+  while (now < passEnd) {
+    std::optional<QueuedCall> call = this->callQueue.Pop(now);
+    if (!call) {
+      break;
+    }
+    this->callMeter.RecordWait(now - call->arrivedAt);
+    this->HandleCall(std::move(*call));
+    now = SuspendAwareNow();
+  }
+  if (!this->callQueue.IsEmpty()) {
+    this->ScheduleCalls();
+  }
+}
+
+void
+Node::Impl::HandleCall(QueuedCall aCall)
+{
   const Time begun = SuspendAwareNow();
-  const Call decoded = this->protocol->Decode(request);
+  const Call decoded = this->protocol->Decode(aCall.request);
   this->handler->Handle(
-    decoded, [this, done = std::move(aDone)](const Reply& aReply) {
+    decoded, [this, done = std::move(aCall.done)](const Reply& aReply) {
       const bool undecided = aReply.outcome == Outcome::Undecided;
       const bool decided = !undecided && aReply.outcome != Outcome::NotLeading;
       done({ decided, undecided, this->protocol->Encode(aReply) });
     });
-  this->callMeter.Record(decoded, SuspendAwareNow() - begun);
+  const Duration elapsed = SuspendAwareNow() - begun;
+  this->callQueue.Charge(aCall.callClass, elapsed);
+  this->callMeter.Record(decoded, elapsed);
   this->ScheduleOutputProcessing();
 }
 
@@ -234,6 +300,7 @@
   this->rejectedCommands.clear();
   if (leadingTerm == 0) {
     this->dispatcher->LoseLeadership();
+    this->callQueue.DiscardAll(); // their routers send them to the next leader
     this->LogThrottled({ "leadership_lost", {}, {} });
     return;
   }
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -6,6 +6,7 @@
 #include "dispatch/Dispatcher.h"
 #include "node/CallHandler.h"
 #include "node/CallMeter.h"
+#include "node/CallQueue.h"
 #include "node/CallRouter.h"
 #include "node/Cluster.h"
 #include "node/HandoverPolicy.h"
@@ -54,8 +55,13 @@
   void OnCall(api::HttpRequest aRequest,
               bool aControl,
               api::ReplyCallback aDone);
-  void HandleLocally(const wire::RemoteCall& aCall,
-                     CallRouter::RoutedReplyCallback aDone);
+  // Must be called only while this node leads.
+  void EnqueueCall(wire::RemoteCall aCall,
+                   CallRouter::RoutedReplyCallback aDone);
+  void DiscardCall(const QueuedCall& aCall, CallQueue::DiscardReason aReason);
+  void ScheduleCalls();
+  void ServeCalls();
+  void HandleCall(QueuedCall aCall);
   void ScheduleOutputProcessing();
   void ProcessDispatcherOutput();
   void CheckLeadership();
@@ -110,6 +116,7 @@
   LineLog log;
   LoopMeter loopMeter;
   CallMeter callMeter;
+  CallQueue callQueue; // empty while this node does not lead
   SpeedProbe speedProbe;
   HandoverPolicy handover;
   Cluster cluster;
@@ -134,6 +141,7 @@
   shell::asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
 
   bool outputProcessingScheduled = false;
+  bool callsScheduled = false;
   Time lastHandlerAt{}; // time at which a handler last ran
   bool confirmationPending = false;
   // False after a pause, until a majority has confirmed the leadership again.
--- a/test/node/CallMeterTest.cpp
+++ b/test/node/CallMeterTest.cpp
@@ -49,4 +49,17 @@
   trace.Section("a second without calls needs no line", [&] {
     EXPECT_THAT(trace, !meter.TakeReport(Time(seconds(102))));
   });
+  trace.Section("an overloaded leader shows what it does not handle", [&] {
+    meter.RecordWait(milliseconds(700));
+    meter.RecordWait(milliseconds(30));
+    meter.RecordDropped();
+    meter.RecordEvicted();
+    meter.RecordEvicted();
+    const auto overload = meter.TakeReport(Time(seconds(103)));
+    EXPECT_THAT(trace, overload.has_value());
+    EXPECT_EQUAL(trace, FieldOf(*overload, "dropped"), "1");
+    EXPECT_EQUAL(trace, FieldOf(*overload, "evicted"), "2");
+    EXPECT_EQUAL(trace, FieldOf(*overload, "longest_wait_ms"), "700");
+    EXPECT_THAT(trace, !meter.TakeReport(Time(seconds(104))));
+  });
 }
