Log why no upstream takes a waiting task

The totals of service_load showed 70 free cores beside a long-running task that waited for 12 s, but not what its upstreams lacked for it. task_waits names one waiting task for each service and second and counts the usable upstreams by what they lack; placement and the line share one rule. Test: Dispatcher LogsWhyNoUpstreamTakesATask.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -119,6 +119,7 @@
   void AdoptRuns();
   void HandleRunEnd(const work::EndRun& aCommand, const LiveRun& aRun);
   void LogServiceLoads();
+  void LogWaitingTask(const ServiceId& aService);
   void StopGang(const work::TaskRef& aTask);
   void QuarantineIfFailing(const InstanceId& aId, UpstreamSession& aSession);
   void ReplaceBoot(const InstanceId& aId,
@@ -196,6 +197,8 @@
                     const JobView& aView,
                     const work::TaskRef& aTask,
                     std::uint32_t aNumber);
+  [[nodiscard]] PlacementQuery QueryOf(const JobView& aView,
+                                       const work::TaskRef& aTask) const;
   [[nodiscard]] bool IsWithinLimit(const WorkspaceId& aWorkspace,
                                    const state::Resources& aSize) const;
   [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -214,9 +214,63 @@
         { "backlog_core_ms", Text(static_cast<std::int64_t>(load.backlog)) },
         { "waiting_jobs", Text(waiting) },
         { "at_workspace_limit", Text(limited) } });
+    this->LogWaitingTask(service);
   }
 }
 
+// Logs why no upstream takes one of the waiting tasks, because the totals of
+// service_load do not tell. Long-running tasks come first: tasks that end by
+// themselves make room for the others.
+void
+Dispatcher::LogWaitingTask(const ServiceId& aService)
+{
+  const JobView* waiting = nullptr;
+  for (const auto& [id, view] : this->views) {
+    const bool waits = view.service == aService && !view.pending.empty();
+    if (waits &&
+        (waiting == nullptr || (view.longRunning && !waiting->longRunning))) {
+      waiting = &view;
+    }
+  }
+  if (waiting == nullptr) {
+    return;
+  }
+  const PlacementQuery query =
+    this->QueryOf(*waiting, waiting->pending.front());
+  const std::vector<Candidate> candidates =
+    FindCandidates(this->sessions, aService, this->now);
+  state::Resources most;
+  for (const Candidate& candidate : candidates) {
+    const state::Resources free = candidate.session->Free();
+    most.milliCpus = std::max(most.milliCpus, free.milliCpus);
+    most.memoryMb = std::max(most.memoryMb, free.memoryMb);
+  }
+  const RefusalCounts refusals = CountRefusals(candidates, query);
+  const auto count = [&refusals](Refusal aRefusal) {
+    return Text(refusals[static_cast<std::size_t>(aRefusal)]);
+  };
+  this->LogDecision(
+    "task_waits",
+    waiting->id.value,
+    { { "service", aService.value },
+      { "task", Text(query.task) },
+      { "long_running", query.step->longRunning ? "yes" : "no" },
+      { "fills", query.step->fills ? "yes" : "no" },
+      { "waiting", Text(waiting->pending.size()) },
+      { "millicores", Text(query.step->size.milliCpus) },
+      { "memory_mb", Text(query.step->size.memoryMb) },
+      { "most_free_millicores", Text(most.milliCpus) },
+      { "most_free_memory_mb", Text(most.memoryMb) },
+      { "upstreams", Text(candidates.size()) },
+      { "suitable", count(Refusal::None) },
+      { "no_cores", count(Refusal::Cores) },
+      { "no_memory", count(Refusal::Memory) },
+      { "no_accelerator", count(Refusal::Accelerators) },
+      { "no_label", count(Refusal::Label) },
+      { "step_limit", count(Refusal::StepLimit) },
+      { "no_ticket", count(Refusal::Ticket) } });
+}
+
 bool
 Dispatcher::IsWithinLimit(const WorkspaceId& aWorkspace,
                           const state::Resources& aSize) const
@@ -346,6 +400,24 @@
   return true;
 }
 
+PlacementQuery
+Dispatcher::QueryOf(const JobView& aView, const work::TaskRef& aTask) const
+{
+  PlacementQuery query;
+  query.step = &this->FindJob(aTask.job)->spec.steps[aTask.step];
+  query.task = aTask;
+  if (const auto failed = this->failedOn.find(aTask);
+      failed != this->failedOn.end()) {
+    query.avoid = failed->second;
+  }
+  if (aView.needsAdvice && this->options.hasAdvisor) {
+    query.hasTicket = [this, aTask](const InstanceId& aUpstream) {
+      return !this->tickets.Find(StepOf(aTask), aUpstream, this->now).empty();
+    };
+  }
+  return query;
+}
+
 bool
 Dispatcher::ProposeStart(PlanPass& aPass,
                          const JobView& aView,
@@ -363,19 +435,8 @@
   if (!aView.hasQueue) {
     return false; // the current setup has no such queue
   }
-  PlacementQuery query;
-  query.step = &step;
-  query.task = aTask;
+  PlacementQuery query = this->QueryOf(aView, aTask);
   query.rack = this->RackOf(aPass, job, aTask);
-  if (const auto failed = this->failedOn.find(aTask);
-      failed != this->failedOn.end()) {
-    query.avoid = failed->second;
-  }
-  if (needsTicket) {
-    query.hasTicket = [this, &aTask](const InstanceId& aUpstream) {
-      return !this->tickets.Find(StepOf(aTask), aUpstream, this->now).empty();
-    };
-  }
   const Candidate* chosen = ChooseUpstream(aPass.candidates, query);
   if (chosen == nullptr) {
     if (query.hasTicket) {
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -52,6 +52,33 @@
     });
 }
 
+Refusal
+RefusalOf(const Candidate& aCandidate, const PlacementQuery& aQuery)
+{
+  const work::Step& step = *aQuery.step;
+  const UpstreamSession& session = *aCandidate.session;
+  const state::Resources free = session.Free();
+  if (!step.fills && step.size.milliCpus > free.milliCpus) {
+    return Refusal::Cores;
+  }
+  if (step.size.memoryMb > free.memoryMb) {
+    return Refusal::Memory;
+  }
+  if (step.size.accelerators > free.accelerators) {
+    return Refusal::Accelerators;
+  }
+  if (!step.requiredLabel.empty() &&
+      !HasLabel(session.record, step.requiredLabel)) {
+    return Refusal::Label;
+  }
+  if (step.maxPerUpstream > 0 &&
+      CountOfStep(session, aQuery.task) >= step.maxPerUpstream) {
+    return Refusal::StepLimit;
+  }
+  const bool mayRun = !aQuery.hasTicket || aQuery.hasTicket(*aCandidate.id);
+  return mayRun ? Refusal::None : Refusal::Ticket;
+}
+
 } // namespace
 
 bool
@@ -79,10 +106,6 @@
                const PlacementQuery& aQuery)
 {
   const work::Step& step = *aQuery.step;
-  state::Resources need = step.size;
-  if (step.fills) {
-    need.milliCpus = 0;
-  }
   using Score =
     std::tuple<bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
   std::optional<Score> best;
@@ -90,19 +113,7 @@
   for (const Candidate& candidate : aCandidates) {
     const UpstreamSession& session = *candidate.session;
     const InstanceId& id = *candidate.id;
-    const state::Resources free = session.Free();
-    if (!need.FitsInto(free)) {
-      continue;
-    }
-    if (!step.requiredLabel.empty() &&
-        !HasLabel(session.record, step.requiredLabel)) {
-      continue;
-    }
-    if (step.maxPerUpstream > 0 &&
-        CountOfStep(session, aQuery.task) >= step.maxPerUpstream) {
-      continue;
-    }
-    if (aQuery.hasTicket && !aQuery.hasTicket(id)) {
+    if (RefusalOf(candidate, aQuery) != Refusal::None) {
       continue;
     }
     const std::string& wanted =
@@ -112,7 +123,7 @@
                        isOffRack,
                        session.consecutiveFailures,
                        Disturbance(session, step),
-                       free.milliCpus };
+                       session.Free().milliCpus };
     if (!best || score < *best) {
       best = score;
       chosen = &candidate;
@@ -121,4 +132,15 @@
   return chosen;
 }
 
+RefusalCounts
+CountRefusals(std::span<const Candidate> aCandidates,
+              const PlacementQuery& aQuery)
+{
+  RefusalCounts counts{};
+  for (const Candidate& candidate : aCandidates) {
+    ++counts[static_cast<std::size_t>(RefusalOf(candidate, aQuery))];
+  }
+  return counts;
+}
+
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -9,6 +9,7 @@
 
 #include "dispatch/UpstreamSession.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <span>
@@ -37,6 +38,19 @@
   std::function<bool(const InstanceId&)> hasTicket;
 };
 
+// Why an upstream that may receive starts is not suitable for a task.
+enum class Refusal : std::uint8_t
+{
+  None,
+  Cores,
+  Memory,
+  Accelerators,
+  Label,
+  StepLimit, // runs as many tasks of the step as it allows on one upstream
+  Ticket,
+};
+using RefusalCounts = std::array<std::size_t, 7>; // by Refusal
+
 // True when the upstream may receive starts at all.
 bool
 IsUsable(const UpstreamSession& aSession, Time aNow);
@@ -51,6 +65,11 @@
 ChooseUpstream(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery);
 
+// Counts the candidates by the reason why they are not suitable.
+RefusalCounts
+CountRefusals(std::span<const Candidate> aCandidates,
+              const PlacementQuery& aQuery);
+
 } // namespace hyssoppaddle::dispatch
 
 #endif
--- a/test/dispatch/DispatcherTest.cpp
+++ b/test/dispatch/DispatcherTest.cpp
@@ -36,6 +36,22 @@
                std::string());
 }
 
+// Fields of the last decision of a kind about a job, by name; empty when there
+// is none.
+std::map<std::string_view, std::string>
+LastDecision(const FakeDeployment& aDeployment,
+             std::string_view aKind,
+             const std::string& aJob)
+{
+  std::map<std::string_view, std::string> fields;
+  for (const dispatch::Decision& decision : aDeployment.decisions) {
+    if (decision.kind == aKind && decision.job == aJob) {
+      fields = { decision.fields.begin(), decision.fields.end() };
+    }
+  }
+  return fields;
+}
+
 } // namespace
 
 // The log must show for a job ID which tasks were placed and when.
@@ -68,6 +84,45 @@
   });
 }
 
+// The totals of a service do not tell why a task waits beside free cores.
+Test(Dispatcher, LogsWhyNoUpstreamTakesATask)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment, 2);
+  work::Step archive = MakeStep(3, 1000, seconds(600));
+  archive.longRunning = true;
+  archive.maxPerUpstream = 1;
+  trace.Section("the third task is refused by the limit of its step", [&] {
+    deployment.Submit("archive", "print", { archive });
+    deployment.Run(milliseconds(1500));
+    auto line = LastDecision(deployment, "task_waits", "archive");
+    EXPECT_EQUAL(trace, line["task"], std::string("archive.0.0.2"));
+    EXPECT_EQUAL(trace, line["waiting"], std::string("1"));
+    EXPECT_EQUAL(trace, line["upstreams"], std::string("2"));
+    EXPECT_EQUAL(trace, line["step_limit"], std::string("2"));
+    EXPECT_EQUAL(trace, line["most_free_millicores"], std::string("7000"));
+  });
+  trace.Section(
+    "it is the task that the line is about, although others wait", [&] {
+      deployment.Submit("a", "print", { MakeStep(2, 9000, milliseconds(400)) });
+      deployment.decisions.clear();
+      deployment.Run(milliseconds(1500));
+      const auto none = LastDecision(deployment, "task_waits", "a");
+      EXPECT_THAT(trace, none.empty());
+      auto line = LastDecision(deployment, "task_waits", "archive");
+      EXPECT_EQUAL(trace, line["step_limit"], std::string("2"));
+    });
+  trace.Section("a line counts each reason", [&] {
+    deployment.Cancel("archive");
+    deployment.Run(milliseconds(1500));
+    auto line = LastDecision(deployment, "task_waits", "a");
+    EXPECT_EQUAL(trace, line["long_running"], std::string("no"));
+    EXPECT_EQUAL(trace, line["no_cores"], std::string("2"));
+    EXPECT_EQUAL(trace, line["step_limit"], std::string("0"));
+  });
+}
+
 Test(Dispatcher, RunsAJobOfSteps)
 {
   TestTrace trace;
