Ask for an instance when no single upstream takes a long-running task

Cause: a pool is sized by its cores in total. A queue at rest needs few, so its idle instances leave, and each upstream that stays runs a task of the step. The limit per upstream, or memory, then refuses all of them, and nothing asks for another instance: long-running tasks make no room by ending. Change: RoomSearch fits the waiting long-running tasks, best-effort ones too, into the present and arriving upstreams by all resources and the limit of the step. The pool asks for as many instances as are missing, and keeps those on which a waiting task fits. The load of pools moves to a file of its own, otherwise unchanged. Why it works: the count is of instances that would take the task, so a total cannot hide it; tasks that no empty instance takes, or that need a label or a ticket, ask for none.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -232,12 +232,6 @@
   void OrderMove(const PoolMove& aMove);
   void ProposeOrder(InstanceOwner::OpenOrder aOrder);
   [[nodiscard]] bool MayOrder(const std::string& aInstance) const;
-  [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
-  [[nodiscard]] static double CoresOf(const JobView& aView);
-  [[nodiscard]] double PlannedCores(const ServiceId& aService) const;
-  [[nodiscard]] double WaitingCores(const ServiceId& aService) const;
-  [[nodiscard]] double ReachableCores(const ServiceId& aService) const;
-  void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
   [[nodiscard]] bool IsFree(const std::string& aInstance) const;
   [[nodiscard]] bool IsUp(const InstanceRow& aRow) const;
   [[nodiscard]] bool IsStandby(const ServiceId& aService) const;
@@ -249,6 +243,16 @@
   [[nodiscard]] bool MayStopLongRunning(const work::TaskRef& aTask) const;
   bool Evacuate(UpstreamSession& aSession, bool aStopAll);
 
+  // DispatcherPools.cpp: load of the pools.
+  [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
+  [[nodiscard]] static double CoresOf(const JobView& aView);
+  [[nodiscard]] double PlannedCores(const ServiceId& aService) const;
+  [[nodiscard]] double WaitingCores(const ServiceId& aService) const;
+  [[nodiscard]] double ReachableCores(const ServiceId& aService) const;
+  void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
+  void AddMissingUpstreams(PoolLoad& aPool) const;
+  [[nodiscard]] state::Resources EmptyCapacity(const ServiceId& aService) const;
+
   void AddRun(const InstanceId& aUpstream, const RunKey& aKey, LiveRun aRun);
   void DropRun(const InstanceId& aUpstream, const RunKey& aKey);
   [[nodiscard]] UpstreamSession* FindSession(const InstanceId& aId);
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -14,12 +14,7 @@
 // instances. The interval is short enough to notice an instance that has
 // returned and long enough to cost little.
 constexpr Duration kListInterval = seconds(2);
-// Lower bound of a critical path, because shorter estimates are unreliable.
-constexpr Duration kMinChain = milliseconds(500);
 constexpr Duration kListRetry = milliseconds(500);
-// From the end of a move to the first start: the announcement, its commit and
-// the first renewal of the lease.
-constexpr Duration kArrivalDelay = milliseconds(300);
 constexpr Duration kBalanceInterval = milliseconds(100);
 // A moved instance that has not announced itself after this time is no longer
 // counted as arriving.
@@ -93,56 +88,6 @@
                      });
 }
 
-std::vector<PoolLoad>
-Dispatcher::PoolLoads() const
-{
-  std::vector<PoolLoad> pools;
-  for (const work::Service& service : this->state.CurrentSetup().services) {
-    PoolLoad& pool = pools.emplace_back();
-    pool.service = service.name;
-    pool.standby = service.standby;
-    pool.waitingCores = this->WaitingCores(service.name);
-    pool.plannedCores = this->PlannedCores(service.name);
-    pool.expectedCores = this->forecast.ExpectedCores(
-      service.name, this->options.moveTime + kArrivalDelay, this->now);
-    pool.demandObserved = this->forecast.HasArrivals(service.name);
-  }
-  const auto find = [&pools](const ServiceId& aService) {
-    return std::find_if(pools.begin(), pools.end(), [&](const PoolLoad& aPool) {
-      return aPool.service == aService;
-    });
-  };
-  std::set<std::string_view> withUpstream;
-  for (const auto& [id, session] : this->sessions) {
-    withUpstream.insert(session.record.instance);
-    const auto pool = find(session.record.service);
-    if (pool != pools.end()) {
-      this->AddToPool(session, *pool);
-    }
-  }
-  for (const auto& [instance, arrival] : this->owner.arrivals) {
-    const auto pool = find(arrival.pool);
-    if (pool != pools.end()) {
-      ++pool->arriving;
-    }
-  }
-  for (const auto& [instance, row] : this->owner.instances) {
-    const auto pool = find(row.pool);
-    if (pool == pools.end() || withUpstream.contains(instance)) {
-      continue;
-    }
-    // A move that an earlier leader ordered.
-    const bool isArriving = !pool->standby &&
-                            row.phase == InstancePhase::Moving &&
-                            !this->owner.arrivals.contains(instance);
-    pool->arriving += isArriving ? 1 : 0;
-    if (pool->standby && this->IsUp(row) && this->IsFree(instance)) {
-      pool->idle.push_back(instance);
-    }
-  }
-  return pools;
-}
-
 // The instances of a standby pool run no upstream, so they never announce
 // themselves.
 bool
@@ -166,93 +111,6 @@
           moved != this->owner.moveEndsAt.end() && this->now >= moved->second);
 }
 
-// Cores of the tasks that wait only for capacity.
-double
-Dispatcher::WaitingCores(const ServiceId& aService) const
-{
-  std::int64_t milliCpus = 0;
-  for (const auto& [id, view] : this->views) {
-    if (view.service != aService || view.pending.empty()) {
-      continue;
-    }
-    const work::Job& job = *this->FindJob(id);
-    for (const work::TaskRef& task : view.pending) {
-      const work::Step& step = job.spec.steps[task.step];
-      const bool allowed = this->IsWithinLimit(view.workspace, step.size);
-      milliCpus += step.fills || !allowed ? 0 : step.size.milliCpus;
-    }
-  }
-  return static_cast<double>(milliCpus) / 1000.0;
-}
-
-// Average number of cores that the job keeps busy until it ends.
-double
-Dispatcher::CoresOf(const JobView& aView)
-{
-  if (aView.longRunning) {
-    return 0;
-  }
-  const Duration chain = std::max(aView.remainingChain, kMinChain);
-  return aView.remainingWork * 1000.0 / static_cast<double>(chain.count());
-}
-
-double
-Dispatcher::PlannedCores(const ServiceId& aService) const
-{
-  double cores = 0;
-  for (const auto& [id, view] : this->views) {
-    cores += view.service == aService ? CoresOf(view) : 0;
-  }
-  return cores;
-}
-
-// Cores of the instances that are moving to this service, and of idle instances
-// that could be moved to it.
-double
-Dispatcher::ReachableCores(const ServiceId& aService) const
-{
-  if (!this->owner.hasList) {
-    return 0;
-  }
-  double each = 0;
-  std::size_t count = 0;
-  for (const PoolLoad& pool : this->PoolLoads()) {
-    each = std::max(each, pool.coresPerUpstream);
-    const std::size_t needed = PoolBalance::NeededUpstreams(pool);
-    const std::size_t spare = pool.present > needed ? pool.present - needed : 0;
-    const bool isPresent = pool.service == aService;
-    count += isPresent      ? pool.arriving
-             : pool.standby ? pool.idle.size()
-                            : std::min(spare, pool.idle.size());
-  }
-  return each * static_cast<double>(count);
-}
-
-void
-Dispatcher::AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const
-{
-  const auto cores = [](std::int64_t aMilliCpus) {
-    return static_cast<double>(aMilliCpus) / 1000.0;
-  };
-  for (const auto& [key, live] : aSession.runs) {
-    if (!live.fills) {
-      (live.longRunning ? aPool.longRunningCores : aPool.runningCores) +=
-        cores(live.size.milliCpus);
-    }
-  }
-  if (aSession.record.capacity.milliCpus > 0) {
-    aPool.coresPerUpstream = cores(aSession.record.capacity.milliCpus);
-  }
-  const bool isAvailable = !aSession.record.draining && !aSession.evacuating &&
-                           !aSession.departedAt && aSession.unanswered == 0;
-  aPool.present += isAvailable ? 1 : 0;
-  const std::string& instance = aSession.record.instance;
-  if (isAvailable && aSession.fenceConfirmed && aSession.runs.empty() &&
-      !instance.empty() && this->IsFree(instance)) {
-    aPool.idle.push_back(instance);
-  }
-}
-
 // True when the instance has no pending order, is not arriving anywhere and was
 // not refused recently.
 bool
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -19,25 +19,6 @@
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-std::uint32_t
-CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask)
-{
-  work::TaskRef first = aTask;
-  first.index = 0;
-  std::uint32_t count = 0;
-  for (auto run = aSession.runs.lower_bound({ first, 0 });
-       run != aSession.runs.end();
-       ++run) {
-    const work::TaskRef& task = run->first.first;
-    if (task.job != aTask.job || task.occurrence != aTask.occurrence ||
-        task.step != aTask.step) {
-      break;
-    }
-    ++count;
-  }
-  return count;
-}
-
 // Best-effort tasks disturb serving tasks, so upstreams with fewer long-running
 // tasks of the other kind are preferred.
 std::int64_t
@@ -58,13 +39,14 @@
   const work::Step& step = *aQuery.step;
   const UpstreamSession& session = *aCandidate.session;
   const state::Resources free = session.Free();
-  if (!step.fills && step.size.milliCpus > free.milliCpus) {
+  const state::Resources need = SizeInRoom(step);
+  if (need.milliCpus > free.milliCpus) {
     return Refusal::Cores;
   }
-  if (step.size.memoryMb > free.memoryMb) {
+  if (need.memoryMb > free.memoryMb) {
     return Refusal::Memory;
   }
-  if (step.size.accelerators > free.accelerators) {
+  if (need.accelerators > free.accelerators) {
     return Refusal::Accelerators;
   }
   if (!step.requiredLabel.empty() &&
@@ -101,6 +83,35 @@
   return candidates;
 }
 
+std::uint32_t
+CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask)
+{
+  work::TaskRef first = aTask;
+  first.index = 0;
+  std::uint32_t count = 0;
+  for (auto run = aSession.runs.lower_bound({ first, 0 });
+       run != aSession.runs.end();
+       ++run) {
+    const work::TaskRef& task = run->first.first;
+    if (task.job != aTask.job || task.occurrence != aTask.occurrence ||
+        task.step != aTask.step) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
+state::Resources
+SizeInRoom(const work::Step& aStep)
+{
+  state::Resources size = aStep.size;
+  if (aStep.fills) {
+    size.milliCpus = 0;
+  }
+  return size;
+}
+
 const Candidate*
 ChooseUpstream(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery)
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -60,6 +60,15 @@
 std::vector<Candidate>
 FindCandidates(Sessions& aSessions, const ServiceId& aService, Time aNow);
 
+// Number of tasks of the step of aTask that run on the upstream.
+std::uint32_t
+CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask);
+
+// What a task of the step takes of an upstream's free resources. Best-effort
+// tasks receive the cores that others leave unused.
+state::Resources
+SizeInRoom(const work::Step& aStep);
+
 // Returns the best upstream, or null when none is suitable.
 const Candidate*
 ChooseUpstream(std::span<const Candidate> aCandidates,
--- a/src/dispatch/PoolBalance.cpp
+++ b/src/dispatch/PoolBalance.cpp
@@ -37,7 +37,12 @@
     aPool.longRunningCores +
     std::max(aPool.runningCores + aPool.waitingCores,
              kPlannedFraction * aPool.plannedCores + aPool.expectedCores);
-  return static_cast<std::size_t>(std::ceil(cores / each)) + kReserveUpstreams;
+  const std::size_t byCores =
+    static_cast<std::size_t>(std::ceil(cores / each)) + kReserveUpstreams;
+  if (aPool.missing == 0) {
+    return byCores;
+  }
+  return std::max(byCores, aPool.present + aPool.arriving + aPool.missing);
 }
 
 bool
@@ -73,7 +78,8 @@
     }
     this->surplusSince.erase(pool.service);
     pool.idle.clear();
-    const bool asks = pool.waitingCores > 0 || pool.expectedCores > 0;
+    const bool asks =
+      pool.waitingCores > 0 || pool.expectedCores > 0 || pool.missing > 0;
     if (have < needed && asks) {
       receivers.emplace_back(needed - have, &pool);
     }
--- a/src/dispatch/PoolBalance.h
+++ b/src/dispatch/PoolBalance.h
@@ -34,8 +34,11 @@
   double expectedCores = 0;
   // False until a job of the service was observed.
   bool demandObserved = true;
-  std::size_t present = 0;       // upstreams that accept tasks, now or soon
-  std::size_t arriving = 0;      // instances that are moving to this pool
+  std::size_t present = 0;  // upstreams that accept tasks, now or soon
+  std::size_t arriving = 0; // instances that are moving to this pool
+  // Empty instances that waiting long-running tasks need in addition to these,
+  // because no single upstream has room for them.
+  std::size_t missing = 0;
   double coresPerUpstream = 0;   // 0 when no upstream has been seen
   std::vector<std::string> idle; // instances without runs
 };
