--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -119,6 +119,7 @@
   void AdoptRuns();
   void HandleRunEnd(const work::EndRun& aCommand, const LiveRun& aRun);
   void LogServiceLoads();
+  void LogWaitingTask(const ServiceId& aService);
   void StopGang(const work::TaskRef& aTask);
   void QuarantineIfFailing(const InstanceId& aId, UpstreamSession& aSession);
   void ReplaceBoot(const InstanceId& aId,
@@ -196,6 +197,8 @@
                     const JobView& aView,
                     const work::TaskRef& aTask,
                     std::uint32_t aNumber);
+  [[nodiscard]] PlacementQuery QueryOf(const JobView& aView,
+                                       const work::TaskRef& aTask) const;
   [[nodiscard]] bool IsWithinLimit(const WorkspaceId& aWorkspace,
                                    const state::Resources& aSize) const;
   [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
@@ -229,12 +232,6 @@
   void OrderMove(const PoolMove& aMove);
   void ProposeOrder(InstanceOwner::OpenOrder aOrder);
   [[nodiscard]] bool MayOrder(const std::string& aInstance) const;
-  [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
-  [[nodiscard]] static double CoresOf(const JobView& aView);
-  [[nodiscard]] double PlannedCores(const ServiceId& aService) const;
-  [[nodiscard]] double WaitingCores(const ServiceId& aService) const;
-  [[nodiscard]] double ReachableCores(const ServiceId& aService) const;
-  void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
   [[nodiscard]] bool IsFree(const std::string& aInstance) const;
   [[nodiscard]] bool IsUp(const InstanceRow& aRow) const;
   [[nodiscard]] bool IsStandby(const ServiceId& aService) const;
@@ -246,6 +243,16 @@
   [[nodiscard]] bool MayStopLongRunning(const work::TaskRef& aTask) const;
   bool Evacuate(UpstreamSession& aSession, bool aStopAll);
 
+  // DispatcherPools.cpp: load of the pools.
+  [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
+  [[nodiscard]] static double CoresOf(const JobView& aView);
+  [[nodiscard]] double PlannedCores(const ServiceId& aService) const;
+  [[nodiscard]] double WaitingCores(const ServiceId& aService) const;
+  [[nodiscard]] double ReachableCores(const ServiceId& aService) const;
+  void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
+  void AddMissingUpstreams(PoolLoad& aPool) const;
+  [[nodiscard]] state::Resources EmptyCapacity(const ServiceId& aService) const;
+
   void AddRun(const InstanceId& aUpstream, const RunKey& aKey, LiveRun aRun);
   void DropRun(const InstanceId& aUpstream, const RunKey& aKey);
   [[nodiscard]] UpstreamSession* FindSession(const InstanceId& aId);
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -19,25 +19,6 @@
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
 }
 
-std::uint32_t
-CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask)
-{
-  work::TaskRef first = aTask;
-  first.index = 0;
-  std::uint32_t count = 0;
-  for (auto run = aSession.runs.lower_bound({ first, 0 });
-       run != aSession.runs.end();
-       ++run) {
-    const work::TaskRef& task = run->first.first;
-    if (task.job != aTask.job || task.occurrence != aTask.occurrence ||
-        task.step != aTask.step) {
-      break;
-    }
-    ++count;
-  }
-  return count;
-}
-
 // Best-effort tasks disturb serving tasks, so upstreams with fewer long-running
 // tasks of the other kind are preferred.
 std::int64_t
@@ -52,6 +33,34 @@
     });
 }
 
+Refusal
+RefusalOf(const Candidate& aCandidate, const PlacementQuery& aQuery)
+{
+  const work::Step& step = *aQuery.step;
+  const UpstreamSession& session = *aCandidate.session;
+  const state::Resources free = session.Free();
+  const state::Resources need = SizeInRoom(step);
+  if (need.milliCpus > free.milliCpus) {
+    return Refusal::Cores;
+  }
+  if (need.memoryMb > free.memoryMb) {
+    return Refusal::Memory;
+  }
+  if (need.accelerators > free.accelerators) {
+    return Refusal::Accelerators;
+  }
+  if (!step.requiredLabel.empty() &&
+      !HasLabel(session.record, step.requiredLabel)) {
+    return Refusal::Label;
+  }
+  if (step.maxPerUpstream > 0 &&
+      CountOfStep(session, aQuery.task) >= step.maxPerUpstream) {
+    return Refusal::StepLimit;
+  }
+  const bool mayRun = !aQuery.hasTicket || aQuery.hasTicket(*aCandidate.id);
+  return mayRun ? Refusal::None : Refusal::Ticket;
+}
+
 } // namespace
 
 bool
@@ -74,15 +83,40 @@
   return candidates;
 }
 
+std::uint32_t
+CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask)
+{
+  work::TaskRef first = aTask;
+  first.index = 0;
+  std::uint32_t count = 0;
+  for (auto run = aSession.runs.lower_bound({ first, 0 });
+       run != aSession.runs.end();
+       ++run) {
+    const work::TaskRef& task = run->first.first;
+    if (task.job != aTask.job || task.occurrence != aTask.occurrence ||
+        task.step != aTask.step) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
+state::Resources
+SizeInRoom(const work::Step& aStep)
+{
+  state::Resources size = aStep.size;
+  if (aStep.fills) {
+    size.milliCpus = 0;
+  }
+  return size;
+}
+
 const Candidate*
 ChooseUpstream(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery)
 {
   const work::Step& step = *aQuery.step;
-  state::Resources need = step.size;
-  if (step.fills) {
-    need.milliCpus = 0;
-  }
   using Score =
     std::tuple<bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
   std::optional<Score> best;
@@ -90,19 +124,7 @@
   for (const Candidate& candidate : aCandidates) {
     const UpstreamSession& session = *candidate.session;
     const InstanceId& id = *candidate.id;
-    const state::Resources free = session.Free();
-    if (!need.FitsInto(free)) {
-      continue;
-    }
-    if (!step.requiredLabel.empty() &&
-        !HasLabel(session.record, step.requiredLabel)) {
-      continue;
-    }
-    if (step.maxPerUpstream > 0 &&
-        CountOfStep(session, aQuery.task) >= step.maxPerUpstream) {
-      continue;
-    }
-    if (aQuery.hasTicket && !aQuery.hasTicket(id)) {
+    if (RefusalOf(candidate, aQuery) != Refusal::None) {
       continue;
     }
     const std::string& wanted =
@@ -112,7 +134,7 @@
                        isOffRack,
                        session.consecutiveFailures,
                        Disturbance(session, step),
-                       free.milliCpus };
+                       session.Free().milliCpus };
     if (!best || score < *best) {
       best = score;
       chosen = &candidate;
@@ -121,4 +143,15 @@
   return chosen;
 }
 
+RefusalCounts
+CountRefusals(std::span<const Candidate> aCandidates,
+              const PlacementQuery& aQuery)
+{
+  RefusalCounts counts{};
+  for (const Candidate& candidate : aCandidates) {
+    ++counts[static_cast<std::size_t>(RefusalOf(candidate, aQuery))];
+  }
+  return counts;
+}
+
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -9,6 +9,7 @@
 
 #include "dispatch/UpstreamSession.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <span>
@@ -37,6 +38,19 @@
   std::function<bool(const InstanceId&)> hasTicket;
 };
 
+// Why an upstream that may receive starts is not suitable for a task.
+enum class Refusal : std::uint8_t
+{
+  None,
+  Cores,
+  Memory,
+  Accelerators,
+  Label,
+  StepLimit, // runs as many tasks of the step as it allows on one upstream
+  Ticket,
+};
+using RefusalCounts = std::array<std::size_t, 7>; // by Refusal
+
 // True when the upstream may receive starts at all.
 bool
 IsUsable(const UpstreamSession& aSession, Time aNow);
@@ -46,11 +60,25 @@
 std::vector<Candidate>
 FindCandidates(Sessions& aSessions, const ServiceId& aService, Time aNow);
 
+// Number of tasks of the step of aTask that run on the upstream.
+std::uint32_t
+CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask);
+
+// What a task of the step takes of an upstream's free resources. Best-effort
+// tasks receive the cores that others leave unused.
+state::Resources
+SizeInRoom(const work::Step& aStep);
+
 // Returns the best upstream, or null when none is suitable.
 const Candidate*
 ChooseUpstream(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery);
 
+// Counts the candidates by the reason why they are not suitable.
+RefusalCounts
+CountRefusals(std::span<const Candidate> aCandidates,
+              const PlacementQuery& aQuery);
+
 } // namespace hyssoppaddle::dispatch
 
 #endif
