Repeat rejected commands of the dispatcher only after the transfer

Cause: during a transfer a proposal is rejected at once; its commands are kept, and the proposal schedules the next processing of output, which proposes them again. The event loop does not rest, and each turn encodes all rejected commands. Change: they wait until the transfer has ended. Evidence: by reading; no test drives a Node in virtual time.

--- a/src/agreement/Raft.h
+++ b/src/agreement/Raft.h
@@ -79,6 +79,9 @@
 
   [[nodiscard]] Role CurrentRole() const;
   [[nodiscard]] Term CurrentTerm() const;
+  // True on a leader that rejects proposals because it transfers its
+  // leadership.
+  [[nodiscard]] bool IsTransferring() const;
   [[nodiscard]] const InstanceId& Leader() const; // empty when unknown
   [[nodiscard]] LogIndex CommitIndex() const;
   [[nodiscard]] LogIndex LastIndex() const;
--- a/src/agreement/RaftConfiguration.cpp
+++ b/src/agreement/RaftConfiguration.cpp
@@ -244,4 +244,10 @@
   return best;
 }
 
+bool
+Raft::IsTransferring() const
+{
+  return this->impl->transferring;
+}
+
 } // namespace hyssoppaddle::agreement
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -314,7 +314,10 @@
 void
 Node::Impl::ProposeDispatcherCommands(std::vector<work::Command> aCommands)
 {
-  if (!this->rejectedCommands.empty()) {
+  // A leader rejects all proposals during a transfer. Repeating them before its
+  // end would keep the event loop busy, as each proposal schedules this again.
+  const bool transfers = this->replica->RaftState().IsTransferring();
+  if (!this->rejectedCommands.empty() && !transfers) {
     aCommands.insert(aCommands.begin(),
                      std::make_move_iterator(this->rejectedCommands.begin()),
                      std::make_move_iterator(this->rejectedCommands.end()));
--- a/test/agreement/HandoverTest.cpp
+++ b/test/agreement/HandoverTest.cpp
@@ -96,3 +96,22 @@
     EXPECT_EQUAL(trace, cluster.violation, "");
   }
 }
+
+// Guards against a leader that proposes again without a pause what it rejects
+// itself during a transfer.
+Test(Handover, ShowsATransferUntilItsTimeLimit)
+{
+  TestTrace trace;
+  Simulation cluster(5, 4);
+  EXPECT_THAT(trace, HasLeader(cluster));
+  cluster.Run(kSecond);
+  const std::size_t leader = *cluster.LeaderNode();
+  const std::size_t next = (leader + 1) % cluster.Size();
+  EXPECT_THAT(trace, !cluster.At(leader).IsTransferring());
+  cluster.TransferTo(next);
+  cluster.Pause(next, 3 * kSecond);
+  EXPECT_THAT(trace, cluster.At(leader).IsTransferring());
+  cluster.Run(2 * kSecond);
+  EXPECT_THAT(trace, !cluster.At(leader).IsTransferring());
+  EXPECT_EQUAL(trace, *cluster.LeaderNode(), leader);
+}
