Count only reports of voters that were made since the leader is slow

Found by review. Cause: a voter that turned slow together with the leader was chosen because of its last report from before, and stayed leader for 2 s at least; a voter that did not take over was chosen again every 3 s. Change: voters report with each sample; a report counts if it arrived at least one sample after the leader noticed its own slowness. The last choice is passed over if another voter qualifies. Values that are not finite or not positive are ignored. Tests: HandoverPolicy AReportFromBeforeTheSlownessDoesNotCount and AVoterThatDidNotTakeOverIsPassedOver failed before.

--- a/src/node/HandoverPolicy.cpp
+++ b/src/node/HandoverPolicy.cpp
@@ -1,14 +1,19 @@
 // Compares the slowness of the voters.
 #include "node/HandoverPolicy.h"
 
+#include <cmath>
+
 namespace hyssoppaddle::node {
 
 namespace {
 
 // A shorter slowness costs less than a change of the leader.
 constexpr Duration kMinSlowTime = std::chrono::milliseconds(400);
-// Three reports; an older one says nothing about the present.
+// An older report says nothing about the present.
 constexpr Duration kReportLifetime = std::chrono::milliseconds(1500);
+// Time between two samples of a voter: a report that follows the slowness of
+// this node by less can have been made before it.
+constexpr Duration kSampleAge = std::chrono::milliseconds(200);
 // A new leader first renews the leases of all upstreams.
 constexpr Duration kMinTimeInOffice = std::chrono::seconds(2);
 constexpr Duration kMinTimeBetweenAttempts = std::chrono::seconds(3);
@@ -20,13 +25,16 @@
 void
 HandoverPolicy::Record(const InstanceId& aVoter, double aSlowness, Time aNow)
 {
-  this->reports[aVoter] = { aSlowness, aNow };
+  if (std::isfinite(aSlowness) && aSlowness > 0) {
+    this->reports[aVoter] = { aSlowness, aNow };
+  }
 }
 
 void
 HandoverPolicy::OnElected(Time aNow)
 {
   this->slowSince.reset();
+  this->lastChoice.reset();
   this->earliestNext = aNow + kMinTimeInOffice;
 }
 
@@ -44,20 +52,39 @@
   if (aNow - *this->slowSince < kMinSlowTime || aNow < this->earliestNext) {
     return std::nullopt;
   }
+  std::optional<InstanceId> fastest = this->Fastest(
+    aOwnSlowness / kMinGain, aVoters, aSelf, this->lastChoice, aNow);
+  if (!fastest && this->lastChoice) {
+    fastest = this->Fastest(
+      aOwnSlowness / kMinGain, aVoters, aSelf, std::nullopt, aNow);
+  }
+  if (fastest) {
+    this->earliestNext = aNow + kMinTimeBetweenAttempts;
+    this->lastChoice = fastest;
+  }
+  return fastest;
+}
+
+std::optional<InstanceId>
+HandoverPolicy::Fastest(double aBelow,
+                        std::span<const InstanceId> aVoters,
+                        const InstanceId& aSelf,
+                        const std::optional<InstanceId>& aExcept,
+                        Time aNow) const
+{
   std::optional<InstanceId> fastest;
-  double slowness = aOwnSlowness / kMinGain;
+  double slowness = aBelow;
   for (const InstanceId& voter : aVoters) {
     const auto report = this->reports.find(voter);
-    if (voter != aSelf && report != this->reports.end() &&
-        aNow - report->second.at < kReportLifetime &&
-        report->second.slowness < slowness) {
+    const bool isCandidate = voter != aSelf && voter != aExcept &&
+                             report != this->reports.end() &&
+                             aNow - report->second.at < kReportLifetime &&
+                             report->second.at >= *this->slowSince + kSampleAge;
+    if (isCandidate && report->second.slowness < slowness) {
       fastest = voter;
       slowness = report->second.slowness;
     }
   }
-  if (fastest) {
-    this->earliestNext = aNow + kMinTimeBetweenAttempts;
-  }
   return fastest;
 }
 
--- a/src/node/HandoverPolicy.h
+++ b/src/node/HandoverPolicy.h
@@ -44,7 +44,18 @@
     Time at{};
   };
 
+  // The voter with the least slowness below aBelow, by a report that was made
+  // since this node is slow.
+  [[nodiscard]] std::optional<InstanceId> Fastest(
+    double aBelow,
+    std::span<const InstanceId> aVoters,
+    const InstanceId& aSelf,
+    const std::optional<InstanceId>& aExcept,
+    Time aNow) const;
+
   std::map<InstanceId, Report> reports;
+  // Passed over in the next choice: it did not take over.
+  std::optional<InstanceId> lastChoice;
   std::optional<Time> slowSince; // of this node
   Time earliestNext{};
 };
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -148,6 +148,7 @@
   bool leadershipConfirmed = true;
   Time nextStatusAt{};
   Time nextJoinRequest{};
+  Time nextSpeedReport{};
   Time nextReplicaChange{};
   // Term for which the dispatcher runs as leader; 0 when it does not.
   std::uint64_t dispatcherTerm = 0;
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -31,6 +31,7 @@
 // Added to the election timeout of a slow replica. It exceeds the range of the
 // timeouts of the others.
 constexpr Duration kSlowCampaignDelay = milliseconds(600);
+constexpr Duration kSpeedReportInterval = milliseconds(200);
 // Name of the field in a report of a voter to the leader.
 constexpr std::string_view kSlownessField = "slowness";
 
@@ -67,6 +68,7 @@
     this->CheckLeadership();
     this->ConfirmLeadership(now);
     this->MeasureSpeed(now);
+    this->ReportSpeed(now);
     this->HandOverIfSlow(now);
     this->TickDispatcher(now);
     this->RequestJoin(now);
@@ -156,9 +158,10 @@
 Node::Impl::ReportSpeed(Time aNow)
 {
   const InstanceId leader = this->cluster.Leader(aNow);
-  if (!this->replica || leader.empty() || leader == this->self) {
+  if (aNow < this->nextSpeedReport || leader.empty() || leader == this->self) {
     return;
   }
+  this->nextSpeedReport = aNow + kSpeedReportInterval;
   wire::RemoteReply report;
   report.token = wire::kReportToken;
   report.fields.push_back({ std::string(kSlownessField),
@@ -222,7 +225,6 @@
   }
   this->nextStatusAt = aNow + kStatusInterval;
   this->peers->SendAll(this->MakeStatus(aNow));
-  this->ReportSpeed(aNow);
   this->DialLinkTargets();
 }
 
--- a/test/node/HandoverPolicyTest.cpp
+++ b/test/node/HandoverPolicyTest.cpp
@@ -101,3 +101,32 @@
   EXPECT_THAT(trace, fixture.Run(milliseconds(1900)).empty());
   EXPECT_EQUAL(trace, fixture.Run(milliseconds(600)).size(), 1U);
 }
+
+// Guards against a handover to a voter that has turned slow together with the
+// leader, and whose last report is older than that.
+Test(HandoverPolicy, AReportFromBeforeTheSlownessDoesNotCount)
+{
+  TestTrace trace;
+  PolicyFixture fixture;
+  EXPECT_THAT(trace, fixture.Run(seconds(1)).empty());
+  fixture.own = 5.0;
+  trace.Section("no voter has reported since", [&] {
+    EXPECT_THAT(trace, fixture.Run(milliseconds(1400), false).empty());
+  });
+  trace.Section("the first report since then counts", [&] {
+    EXPECT_EQUAL(trace, fixture.Run(milliseconds(50)).size(), 1U);
+  });
+}
+
+// Guards against a transfer that is tried with the same voter for ever.
+Test(HandoverPolicy, AVoterThatDidNotTakeOverIsPassedOver)
+{
+  TestTrace trace;
+  PolicyFixture fixture;
+  fixture.own = 5.0;
+  const auto chosen = fixture.Run(seconds(7));
+  EXPECT_EQUAL(trace, chosen.size(), 3U);
+  EXPECT_EQUAL(trace, chosen.at(0), InstanceId("c"));
+  EXPECT_EQUAL(trace, chosen.at(1), InstanceId("b"));
+  EXPECT_EQUAL(trace, chosen.at(2), InstanceId("c"));
+}
