Accept all waiting connections in a turn

What callers saw: a configuration that was redirected to the leader seven times got no answer for 12 s, in the last 4 of which the leader's timer was at most 50 ms late. Cause: a listener accepted one connection per turn of the event loop, which is 3 to 30 a second on a busy leader, while more arrive. One that waits over a second is abandoned by its caller and still costs a turn. Change: up to 64 waiting connections are accepted after each one that the loop reports.

--- a/src/shell/HttpServer.cpp
+++ b/src/shell/HttpServer.cpp
@@ -18,6 +18,8 @@
 // Number of connections over the limit that are answered at the same time.
 // Further ones are closed without an answer.
 constexpr std::size_t kMaxRefusedConnections = 256;
+// Connections accepted in one turn of the event loop.
+constexpr std::size_t kMaxAcceptedAtOnce = 64;
 
 } // namespace
 
@@ -63,6 +65,9 @@
   if (!error) {
     this->acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
+  if (!error) {
+    this->acceptor.non_blocking(true, error);
+  }
   if (error) {
     return Fail(ErrorCode::IoFailure,
                 "cannot listen on " + this->options.address + ": " +
@@ -107,6 +112,7 @@
     }
     if (!aError) {
       self->StartSession(std::move(aSocket));
+      self->AcceptWaiting();
       self->Accept();
       return;
     }
@@ -120,6 +126,20 @@
   });
 }
 
+void
+HttpServer::AcceptWaiting()
+{
+  for (std::size_t i = 0; i < kMaxAcceptedAtOnce; ++i) {
+    ErrorValue error;
+    Socket socket(this->io);
+    this->acceptor.accept(socket, error);
+    if (error) {
+      return; // none is waiting, or the next asynchronous accept reports it
+    }
+    this->StartSession(std::move(socket));
+  }
+}
+
 void
 HttpServer::StartSession(Socket aSocket)
 {
--- a/src/shell/HttpServer.h
+++ b/src/shell/HttpServer.h
@@ -57,6 +57,8 @@
   friend class HttpSession;
 
   void Accept();
+  // Accepts the connections that wait already.
+  void AcceptWaiting();
   void StartSession(Socket aSocket);
 
   asio::io_context& io;
