--- a/src/node/CallMeter.cpp
+++ b/src/node/CallMeter.cpp
@@ -1,6 +1,8 @@
 // Accounts calls by kind.
 #include "node/CallMeter.h"
 
+#include "dispatch/Text.h"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -19,13 +21,6 @@
   "put_setup", "get_setup", "start_wave", "show_wave", "malformed"
 };
 
-std::string
-Milliseconds(Duration aDuration)
-{
-  return std::to_string(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
-}
-
 } // namespace
 
 void
@@ -50,8 +45,8 @@
     if (kind.count > 0) {
       report.fields.emplace_back(
         kNames[i],
-        std::to_string(kind.count) + " in " + Milliseconds(kind.elapsed) +
-          " ms, longest " + Milliseconds(kind.longest) + " ms");
+        std::to_string(kind.count) + " in " + dispatch::Text(kind.elapsed) +
+          " ms, longest " + dispatch::Text(kind.longest) + " ms");
     }
   }
   const auto addCount = [&](const char* aName, std::uint64_t& aCount) {
@@ -65,7 +60,7 @@
   addCount("evicted", this->evicted);
   const Duration wait = std::exchange(this->longestWait, Duration(0));
   if (wait >= kMinReportedWait) {
-    report.fields.emplace_back("longest_wait_ms", Milliseconds(wait));
+    report.fields.emplace_back("longest_wait_ms", dispatch::Text(wait));
   }
   return report.fields.empty() ? std::nullopt
                                : std::optional(std::move(report));
--- a/src/node/LoopMeter.cpp
+++ b/src/node/LoopMeter.cpp
@@ -1,6 +1,8 @@
 // Accounts the time of the event loop to its parts.
 #include "node/LoopMeter.h"
 
+#include "dispatch/Text.h"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -25,13 +27,6 @@
   return static_cast<std::size_t>(aPart);
 }
 
-std::string
-Milliseconds(Duration aDuration)
-{
-  return std::to_string(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
-}
-
 } // namespace
 
 LoopMeter::Scope::Scope(LoopMeter& aMeter, LoopPart aPart)
@@ -75,11 +70,11 @@
     return std::nullopt;
   }
   dispatch::Decision report{ "loop_load", {}, {} };
-  report.fields.emplace_back("ms", Milliseconds(aNow - this->reportedAt));
-  report.fields.emplace_back("max_delay_ms", Milliseconds(this->maxDelay));
+  report.fields.emplace_back("ms", dispatch::Text(aNow - this->reportedAt));
+  report.fields.emplace_back("max_delay_ms", dispatch::Text(this->maxDelay));
   for (std::size_t i = 1; i < kParts; ++i) {
     report.fields.emplace_back(
-      kNames[i], Milliseconds(this->totals[i] - this->reported[i]));
+      kNames[i], dispatch::Text(this->totals[i] - this->reported[i]));
   }
   const bool isNotable = this->maxDelay >= kNotableDelay;
   this->reported = this->totals;
--- a/test/node/CallMeterTest.cpp
+++ b/test/node/CallMeterTest.cpp
@@ -1,29 +1,14 @@
 // Tests of the accounting of calls by kind.
 #include "node/CallMeter.h"
+#include "support/DecisionFields.h"
 #include "support/TestTrace.h"
 
-#include <algorithm>
-
 using namespace hyssoppaddle;
 using namespace hyssoppaddle::test;
 using namespace hyssoppaddle::node;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-std::string
-FieldOf(const dispatch::Decision& aReport, std::string_view aName)
-{
-  const auto found =
-    std::find_if(aReport.fields.begin(),
-                 aReport.fields.end(),
-                 [&](const auto& aField) { return aField.first == aName; });
-  return found == aReport.fields.end() ? "missing" : found->second;
-}
-
-} // namespace
-
 Test(CallMeter, ReportsCountAndTimeOfEachKind)
 {
   TestTrace trace;
