Repeat writes that the disk refuses instead of ending the process

Cause: any error of the storage thread ended the process, because it is unknown what was written. That is true of a failed sync, not of an open, append or rename that was refused for lack of space or descriptors: the file can be cut back to what was synced, or removed. Change: the file layer reports such refusals as OutOfResources; the log store cuts back or removes what was begun and resumes the same batch; the storage thread repeats it every 50 ms and reports nothing as written until then, so that no vote and no entry is acknowledged. A leader that cannot write hands over; a follower campaigns after the others. A failed sync still ends the process.

--- a/src/api/Reply.cpp
+++ b/src/api/Reply.cpp
@@ -31,6 +31,7 @@
     case ErrorCode::TooLarge:
       return 413;
     case ErrorCode::Unavailable:
+    case ErrorCode::OutOfResources:
       return 503;
     case ErrorCode::InvalidArgument:
     case ErrorCode::Malformed:
--- a/src/base/Result.cpp
+++ b/src/base/Result.cpp
@@ -27,6 +27,8 @@
       return "unavailable";
     case ErrorCode::IoFailure:
       return "io_failure";
+    case ErrorCode::OutOfResources:
+      return "out_of_resources";
     case ErrorCode::Corrupt:
       return "corrupt";
   }
--- a/src/base/Result.h
+++ b/src/base/Result.h
@@ -19,6 +19,9 @@
   Malformed,
   Unavailable,
   IoFailure,
+  // Refused as a whole for lack of space, memory or descriptors. May succeed
+  // later.
+  OutOfResources,
   Corrupt,
 };
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -230,6 +230,19 @@
     this->metrics->Observe(Timing::StorageSync, aElapsed);
     this->metrics->Add(Counter::StorageBatches);
   };
+  storageHooks.refused = [this](const Error& aError) {
+    this->storageRefuses = true;
+    this->LogUnthrottled(
+      { "storage_refused", {}, { { "reason", aError.message } } });
+  };
+  storageHooks.accepted = [this] {
+    this->storageRefuses = false;
+    this->LogUnthrottled({ "storage_accepts", {}, {} });
+  };
+  storageHooks.snapshotRefused = [this](const Error& aError) {
+    this->LogUnthrottled(
+      { "snapshot_refused", {}, { { "reason", aError.message } } });
+  };
   this->storage = std::make_unique<StorageThread>(
     this->io,
     std::move(this->durableLog),
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -90,6 +90,7 @@
   void RecordSpeedReport(const InstanceId& aFrom,
                          const wire::RemoteReply& aReport);
   void HandOverIfSlow(Time aNow);
+  void HandOverIfStorageRefuses(Time aNow);
   [[nodiscard]] wire::NodeStatus MakeStatus(Time aNow) const;
   void SendStatus(Time aNow);
   void DialLinkTargets();
@@ -127,6 +128,8 @@
   bool dataFolderWasEmpty = false;
   std::unique_ptr<Replica> replica; // null without a disk
   std::unique_ptr<shell::StorageThread> storage;
+  // The disk takes no writes for now: votes and entries wait for it.
+  bool storageRefuses = false;
   std::unique_ptr<dispatch::Dispatcher> dispatcher; // null without a disk
   std::unique_ptr<CallHandler> handler;             // null without a disk
   std::unique_ptr<CallRouter> router;
@@ -157,6 +160,7 @@
   InstanceId lastLoggedLeader; // leader last reported in the log
   InstanceId lastCallTarget;   // node to which calls were routed last
   StopSequence stop;
+  // Of transfers before a stop, and of those while the disk takes no writes.
   Time nextTransferAttempt{};
 };
 
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -28,6 +28,9 @@
 // If no handler has run for this long, the process or its machine was paused.
 constexpr Duration kPauseThreshold = milliseconds(700);
 constexpr Duration kTransferRetryInterval = milliseconds(400);
+// A transfer that fails keeps proposals back until its own time limit. The next
+// one waits longer than that, because the disks of all voters may be full.
+constexpr Duration kRefusedTransferInterval = std::chrono::seconds(3);
 // Added to the election timeout of a slow replica. It exceeds the range of the
 // timeouts of the others.
 constexpr Duration kSlowCampaignDelay = milliseconds(600);
@@ -70,6 +73,7 @@
     this->MeasureSpeed(now);
     this->ReportSpeed(now);
     this->HandOverIfSlow(now);
+    this->HandOverIfStorageRefuses(now);
     this->TickDispatcher(now);
     this->RequestJoin(now);
     this->ChangeReplicas(now);
@@ -150,8 +154,10 @@
 Node::Impl::MeasureSpeed(Time aNow)
 {
   this->speedProbe.Tick(aNow);
-  const bool isSlow = this->speedProbe.Slowness() >= HandoverPolicy::kSlow;
-  this->replica->DelayCampaigns(isSlow ? kSlowCampaignDelay : Duration(0));
+  const bool shouldWait =
+    this->storageRefuses ||
+    this->speedProbe.Slowness() >= HandoverPolicy::kSlow;
+  this->replica->DelayCampaigns(shouldWait ? kSlowCampaignDelay : Duration(0));
 }
 
 void
@@ -206,6 +212,22 @@
   this->StepReplica(agreement::TransferLeadership{ *next }, aNow);
 }
 
+// A leader that cannot write still commits what a majority of the others has
+// written, but keeps everything in memory.
+void
+Node::Impl::HandOverIfStorageRefuses(Time aNow)
+{
+  const bool leads = this->dispatcherTerm != 0;
+  if (!leads || !this->storageRefuses || this->stop.HasBegun() ||
+      aNow < this->nextTransferAttempt) {
+    return;
+  }
+  this->nextTransferAttempt = aNow + kRefusedTransferInterval;
+  this->LogUnthrottled(
+    { "leadership_handed_over", {}, { { "reason", "storage_refused" } } });
+  this->StepReplica(agreement::TransferLeadership{}, aNow);
+}
+
 wire::NodeStatus
 Node::Impl::MakeStatus(Time aNow) const
 {
--- a/src/shell/DaemonImpl.cpp
+++ b/src/shell/DaemonImpl.cpp
@@ -157,6 +157,14 @@
     this->metrics->Observe(Timing::StorageSync, aElapsed);
     this->metrics->Add(Counter::StorageBatches);
   };
+  hooks.refused = [](const Error& aError) {
+    Log(LogLevel::Warning, "storage_refused", { { "reason", aError.message } });
+  };
+  hooks.accepted = [] { Log(LogLevel::Info, "storage_accepts", {}); };
+  hooks.snapshotRefused = [](const Error& aError) {
+    Log(
+      LogLevel::Warning, "snapshot_refused", { { "reason", aError.message } });
+  };
   this->storage = std::make_unique<StorageThread>(
     this->io, std::move(this->log), std::move(hooks), StopAfterStorageFailure);
 }
--- a/src/shell/StorageThread.cpp
+++ b/src/shell/StorageThread.cpp
@@ -6,6 +6,21 @@
 
 namespace hyssoppaddle::shell {
 
+namespace {
+
+// Refused work is repeated at these intervals. A snapshot can wait longer,
+// because it is larger and nobody waits for it.
+constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
+constexpr Duration kSnapshotRetryInterval = std::chrono::seconds(1);
+
+bool
+IsRefusal(const Result<void>& aResult)
+{
+  return !aResult && aResult.error().code == ErrorCode::OutOfResources;
+}
+
+} // namespace
+
 StorageThread::StorageThread(asio::io_context& aIo,
                              std::unique_ptr<DurableLog> aLog,
                              StorageHooks aHooks,
@@ -66,17 +81,32 @@
     std::vector<Work> batch;
     {
       std::unique_lock lock(this->mutex);
-      this->queueChanged.wait(
-        lock, [this] { return this->stopping || !this->queue.empty(); });
-      if (this->queue.empty()) {
+      const auto hasWork = [this] {
+        return this->stopping || !this->queue.empty();
+      };
+      if (this->refusedSnapshot) {
+        this->queueChanged.wait_for(lock, kSnapshotRetryInterval, hasWork);
+      } else {
+        this->queueChanged.wait(lock, hasWork);
+      }
+      if (this->queue.empty() && this->stopping) {
         return;
       }
       batch.swap(this->queue);
     }
-    succeeded = this->WriteBatch(std::move(batch));
+    succeeded =
+      this->WriteBatch(std::move(batch)) && this->SaveRefusedSnapshot();
   }
 }
 
+bool
+StorageThread::WaitBeforeRetry()
+{
+  std::unique_lock lock(this->mutex);
+  return !this->queueChanged.wait_for(
+    lock, kRetryInterval, [this] { return this->stopping; });
+}
+
 bool
 StorageThread::WriteBatch(std::vector<Work> aBatch)
 {
@@ -100,8 +130,22 @@
   if (aRun.empty()) {
     return true;
   }
-  const Time start = MonotonicNow();
-  const auto result = this->log->Write(aRun);
+  Time start = MonotonicNow();
+  Result<void> result = this->log->Write(aRun);
+  if (IsRefusal(result)) {
+    asio::post(this->io,
+               [this, error = result.error()] { this->hooks.refused(error); });
+    while (IsRefusal(result)) {
+      if (!this->WaitBeforeRetry()) {
+        return false; // nobody was told that the work is written
+      }
+      start = MonotonicNow();
+      result = this->log->Write(aRun);
+    }
+    if (result) {
+      asio::post(this->io, [this] { this->hooks.accepted(); });
+    }
+  }
   if (!result) {
     this->failed(result.error());
     return false;
@@ -119,6 +163,14 @@
 StorageThread::Save(SnapshotWork aSnapshot)
 {
   const auto result = this->log->SaveSnapshot(aSnapshot.meta, aSnapshot.bytes);
+  if (IsRefusal(result)) {
+    asio::post(this->io, [this, error = result.error()] {
+      this->hooks.snapshotRefused(error);
+    });
+    this->refusedSnapshot = std::move(aSnapshot);
+    this->nextSnapshotAttempt = MonotonicNow() + kSnapshotRetryInterval;
+    return true;
+  }
   if (!result) {
     this->failed(result.error());
     return false;
@@ -127,6 +179,17 @@
   return true;
 }
 
+bool
+StorageThread::SaveRefusedSnapshot()
+{
+  if (!this->refusedSnapshot || MonotonicNow() < this->nextSnapshotAttempt) {
+    return true;
+  }
+  SnapshotWork snapshot = std::move(*this->refusedSnapshot);
+  this->refusedSnapshot.reset();
+  return this->Save(std::move(snapshot));
+}
+
 void
 StorageThread::Report(Work aWork)
 {
--- a/src/storage/FileLayer.h
+++ b/src/storage/FileLayer.h
@@ -18,12 +18,18 @@
 {
 public:
   virtual ~AppendFile() = default;
+  // After an error, any part of aBytes may have been appended.
   virtual Result<void> Append(std::string_view aBytes) = 0;
   virtual Result<void> Sync() = 0;
+  // Removes everything after the first aSize bytes. The next Sync makes it
+  // durable.
+  virtual Result<void> CutBack(std::uint64_t aSize) = 0;
 };
 
 // File names are relative to the data folder. Content is durable only after a
-// sync of the file, a name only after a sync of the folder.
+// sync of the file, a name only after a sync of the folder. An operation that
+// the system refused for lack of space, memory or descriptors fails with
+// OutOfResources. A sync never does, because it is unknown what it has written.
 class FileLayer
 {
 public:
--- a/src/storage/LogStore.cpp
+++ b/src/storage/LogStore.cpp
@@ -6,6 +6,7 @@
 #include "storage/Format.h"
 
 #include <algorithm>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -40,6 +41,10 @@
   bool hasHardState = false;
   agreement::LogIndex snapshotIndex = 0;
   bool failed = false;
+  // Set while the last batch is refused: the sequence number of its first item,
+  // and how many of its items are already on disk.
+  std::optional<std::uint64_t> refusedSequence;
+  std::size_t writtenItems = 0;
 
   Result<void> Open();
   [[nodiscard]] Result<void> CheckOwner() const;
@@ -49,13 +54,15 @@
   Result<void> StartSegment();
   Result<void> WriteFileAtomically(std::string_view aName,
                                    std::string_view aBytes);
+  // Removes a file that was not completed, so that aRefusal leaves no trace.
+  Result<void> RemoveRefusedFile(std::string_view aName, const Error& aRefusal);
   Result<void> WriteFrame(const std::string& aBody,
                           agreement::LogIndex aLastIndex);
   Result<void> WriteAll(std::span<const agreement::Persist> aBatch);
   Result<void> SaveSnapshot(const agreement::SnapshotMeta& aMeta,
                             std::string_view aBytes);
   Result<void> RemoveCoveredFiles();
-  // Records a failure. From then on it is unknown what reached the disk.
+  // Records a failure that leaves unknown what reached the disk.
   Result<void> RecordFailure(Result<void> aResult);
 };
 
@@ -170,16 +177,35 @@
     PutRecord(body, this->hardState);
     bytes += EncodeFrame(body, number);
   }
-  Result<std::unique_ptr<AppendFile>> file =
-    this->files->OpenForAppend(SegmentName(number));
+  const std::string name = SegmentName(number);
+  Result<std::unique_ptr<AppendFile>> file = this->files->OpenForAppend(name);
   if (!file) {
     return tl::unexpected(file.error());
   }
+  const Result<void> appended = (*file)->Append(bytes);
+  if (!appended) {
+    return this->RemoveRefusedFile(name, appended.error());
+  }
+  Result<void> synced =
+    (*file)->Sync().and_then([&] { return this->files->SyncFolder(); });
+  if (!synced) {
+    return synced;
+  }
   this->current = std::move(*file);
   segments.push_back({ number, bytes.size(), bytes.size(), 0 });
-  return this->current->Append(bytes)
-    .and_then([&] { return this->current->Sync(); })
-    .and_then([&] { return this->files->SyncFolder(); });
+  return {};
+}
+
+Result<void>
+LogStore::Impl::RemoveRefusedFile(std::string_view aName, const Error& aRefusal)
+{
+  if (aRefusal.code == ErrorCode::OutOfResources) {
+    Result<void> removed = this->files->Remove(aName);
+    if (!removed) {
+      return removed;
+    }
+  }
+  return tl::unexpected(aRefusal);
 }
 
 Result<void>
@@ -193,11 +219,15 @@
   if (!file) {
     return tl::unexpected(file.error());
   }
-  return (*file)
-    ->Append(aBytes)
-    .and_then([&] { return (*file)->Sync(); })
-    .and_then([&] { return this->files->Rename(temporaryName, aName); })
-    .and_then([&] { return this->files->SyncFolder(); });
+  const Result<void> renamed =
+    (*file)
+      ->Append(aBytes)
+      .and_then([&] { return (*file)->Sync(); })
+      .and_then([&] { return this->files->Rename(temporaryName, aName); });
+  if (!renamed) {
+    return this->RemoveRefusedFile(temporaryName, renamed.error());
+  }
+  return this->files->SyncFolder();
 }
 
 Result<void>
@@ -215,11 +245,18 @@
   }
   SegmentInfo& segment = this->content.segments.back();
   const std::string frame = EncodeFrame(aBody, segment.number);
+  Result<void> appended = this->current->Append(frame);
+  if (!appended) {
+    const bool isRefused = appended.error().code == ErrorCode::OutOfResources;
+    return isRefused ? this->current->CutBack(segment.fileBytes).and_then([&] {
+      return appended;
+    })
+                     : appended;
+  }
   segment.fileBytes += frame.size();
   segment.validBytes = segment.fileBytes;
   segment.lastIndex = std::max(segment.lastIndex, aLastIndex);
-  return this->current->Append(frame).and_then(
-    [&] { return this->current->Sync(); });
+  return this->current->Sync();
 }
 
 // A snapshot splits the batch: its truncation must be durable before it, and
@@ -229,21 +266,26 @@
 {
   std::string body;
   agreement::LogIndex last = 0;
-  for (const agreement::Persist& item : aBatch) {
-    if (item.hardState) {
+  for (std::size_t i = 0; i < aBatch.size(); ++i) {
+    const agreement::Persist& item = aBatch[i];
+    const bool isWritten = i < this->writtenItems;
+    if (item.hardState && !isWritten) {
       this->hardState = *item.hardState;
       this->hasHardState = true;
       PutRecord(body, *item.hardState);
     }
-    if (item.truncateFrom) {
+    if (item.truncateFrom && !isWritten) {
       PutRecord(body, TruncateRecord{ *item.truncateFrom });
     }
     for (const agreement::LogEntry& entry : item.entries) {
-      PutRecord(body, entry);
-      last = entry.index;
+      if (!isWritten) {
+        PutRecord(body, entry);
+        last = entry.index;
+      }
     }
     if (item.snapshotMeta) {
       Result<void> saved = this->WriteFrame(body, last).and_then([&] {
+        this->writtenItems = std::max(this->writtenItems, i + 1);
         return this->SaveSnapshot(*item.snapshotMeta, item.snapshotBytes);
       });
       if (!saved) {
@@ -306,7 +348,9 @@
 Result<void>
 LogStore::Impl::RecordFailure(Result<void> aResult)
 {
-  this->failed = this->failed || !aResult;
+  const bool isUnknown =
+    !aResult && aResult.error().code != ErrorCode::OutOfResources;
+  this->failed = this->failed || isUnknown;
   return aResult;
 }
 
@@ -346,7 +390,23 @@
   if (this->impl->failed) {
     return Fail(ErrorCode::Unavailable, "the store has failed before");
   }
-  return this->impl->RecordFailure(this->impl->WriteAll(aBatch));
+  if (aBatch.empty()) {
+    return {};
+  }
+  std::optional<std::uint64_t>& refused = this->impl->refusedSequence;
+  if (refused && *refused != aBatch.front().sequence) {
+    return this->impl->RecordFailure(Fail(
+      ErrorCode::Unavailable, "the refused batch has to be written first"));
+  }
+  Result<void> written =
+    this->impl->RecordFailure(this->impl->WriteAll(aBatch));
+  refused.reset();
+  if (written) {
+    this->impl->writtenItems = 0;
+  } else {
+    refused = aBatch.front().sequence;
+  }
+  return written;
 }
 
 Result<void>
--- a/src/storage/LogStore.h
+++ b/src/storage/LogStore.h
@@ -40,12 +40,14 @@
   agreement::RecoveredLog TakeRecovered();
 
   // Writes aBatch in order, with one sync unless the batch contains a snapshot
-  // or starts a segment. After an error all further writes fail, because it is
-  // unknown what reached the disk.
+  // or starts a segment. OutOfResources: the disk holds a known part of the
+  // batch, and the next write must begin with the same batch. After any other
+  // error all further writes fail, because it is unknown what reached the disk.
   Result<void> Write(std::span<const agreement::Persist> aBatch);
 
   // Writes the snapshot to a temporary file, syncs and renames it, syncs the
   // folder, then removes segments and snapshots that are no longer needed.
+  // OutOfResources: nothing was changed.
   Result<void> SaveSnapshot(const agreement::SnapshotMeta& aMeta,
                             std::string_view aBytes);
 
--- a/src/storage/PosixFileLayer.cpp
+++ b/src/storage/PosixFileLayer.cpp
@@ -2,6 +2,7 @@
 #include "storage/FileLayer.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <dirent.h>
@@ -20,13 +21,38 @@
 constexpr std::size_t kReadBytes = 256UL * 1024;
 constexpr const char* kLockName = "lock";
 
+tl::unexpected<Error>
+FailWith(ErrorCode aCode,
+         std::string_view aOperation,
+         std::string_view aName,
+         int aErrno)
+{
+  return Fail(aCode,
+              std::string(aOperation) + " " + std::string(aName) + ": " +
+                std::generic_category().message(aErrno));
+}
+
 tl::unexpected<Error>
 FailErrno(std::string_view aOperation, std::string_view aName)
 {
   const int code = errno;
-  return Fail(ErrorCode::IoFailure,
-              std::string(aOperation) + " " + std::string(aName) + ": " +
-                std::generic_category().message(code));
+  return FailWith(ErrorCode::IoFailure, aOperation, aName, code);
+}
+
+// For operations that have no effect, or a known one, when they are refused.
+tl::unexpected<Error>
+FailRefusable(std::string_view aOperation, std::string_view aName)
+{
+  constexpr std::array<int, 5> kRefusals{
+    ENOSPC, EDQUOT, EMFILE, ENFILE, ENOMEM
+  };
+  const int code = errno;
+  const bool isRefusal =
+    std::find(kRefusals.begin(), kRefusals.end(), code) != kRefusals.end();
+  return FailWith(isRefusal ? ErrorCode::OutOfResources : ErrorCode::IoFailure,
+                  aOperation,
+                  aName,
+                  code);
 }
 
 // Owns a file descriptor and closes it.
@@ -79,7 +105,7 @@
         continue;
       }
       if (count < 0) {
-        return FailErrno("write", this->name);
+        return FailRefusable("write", this->name);
       }
       aBytes.remove_prefix(static_cast<std::size_t>(count));
     }
@@ -96,6 +122,14 @@
     return {};
   }
 
+  Result<void> CutBack(std::uint64_t aSize) override
+  {
+    if (::ftruncate(this->file.Get(), static_cast<off_t>(aSize)) != 0) {
+      return FailErrno("truncate", this->name);
+    }
+    return {};
+  }
+
 private:
   Descriptor file;
   std::string name;
@@ -119,7 +153,7 @@
                              O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC,
                              kFileMode));
     if (!file.IsOpen()) {
-      return FailErrno("open", name);
+      return FailRefusable("open", name);
     }
     return std::make_unique<PosixAppendFile>(std::move(file), name);
   }
@@ -190,7 +224,7 @@
     const std::string to(aTo);
     const int folderFile = this->folder.Get();
     if (::renameat(folderFile, from.c_str(), folderFile, to.c_str()) != 0) {
-      return FailErrno("rename", from);
+      return FailRefusable("rename", from);
     }
     return {};
   }
--- a/test/storage/FakeFileLayer.h
+++ b/test/storage/FakeFileLayer.h
@@ -26,6 +26,7 @@
   bool locked = false;
   bool skipsSync = false; // syncs report success without making data durable
   std::size_t capacity = ~std::size_t{ 0 };
+  bool hasDescriptors = true; // otherwise no file can be opened
   std::size_t syncsUntilFailure = ~std::size_t{ 0 };
   std::size_t operations = 0;
   std::size_t operationsUntilCrash = ~std::size_t{ 0 };
