Divide the descriptors of a node between its kinds of connections

Cause: two listeners accepted 3,000 connections each and the client opened 5 to each of 540 upstreams, on a limit of 4,100 descriptors. After a change of the leader accepting, orders and the next file of the log failed together; the process ended. Change: DescriptorBudget keeps a part for files, peers and answers that refuse, guarantees a part to callers, control listener and upstreams, and shares the rest. Listeners close the connection that was idle for longest, or answer 503 with Retry-After at once; the client closes its longest idle connection, or lets the request wait and reports it as not sent. A request whose time had passed while it waited for a connection is no longer sent. Metrics by owner, log lines descriptor_shortage(_ended).

--- a/src/node/HttpClient.cpp
+++ b/src/node/HttpClient.cpp
@@ -2,6 +2,7 @@
 // time and is reused until it fails or stays idle for too long.
 #include "node/HttpClient.h"
 
+#include "base/DescriptorBudget.h"
 #include "shell/Endpoint.h"
 #include "shell/Signal.h"
 
@@ -24,6 +25,9 @@
 // Two round trips on the slowest link take far less; a host that is down or
 // unreachable does not answer at all.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+// Requests that wait for a descriptor are checked for their time limits at this
+// interval.
+constexpr Duration kStarvedCheckInterval = std::chrono::milliseconds(50);
 constexpr std::uint64_t kMaxResponseBytes = 8ULL * 1024 * 1024;
 constexpr unsigned kHttp11 = 11;
 constexpr int kTcpUserTimeoutMs = 3000;
@@ -72,14 +76,19 @@
   beast::flat_buffer buffer;
   std::optional<PendingRequest> pendingRequest;
   bool open = false;
-  bool idle = false;
+  bool ownsDescriptor = true;
+  bool idle = false; // listed in idleConnections at idlePosition
+  std::list<Connection*>::iterator idlePosition;
   bool expired = false;
 };
 
 HttpClient::HttpClient(asio::io_context& aIo,
-                       std::shared_ptr<DeadlineQueue> aDeadlines)
+                       std::shared_ptr<DeadlineQueue> aDeadlines,
+                       std::shared_ptr<DescriptorBudget> aDescriptors)
   : io(aIo)
   , deadlines(std::move(aDeadlines))
+  , descriptors(std::move(aDescriptors))
+  , starvedDeadline(*this->deadlines, [this] { this->ExpireStarvedRequests(); })
 {
 }
 
@@ -113,14 +122,94 @@
     }
     if (connection->idle) {
       connection->idle = false;
+      this->idleConnections.erase(connection->idlePosition);
       connection->pendingRequest = std::move(host.waiting.front());
       host.waiting.pop_front();
       connection->signal.Notify();
     }
   }
   const bool mayConnect = host.connections.size() < kConnectionsPerHost;
-  if (!host.waiting.empty() && mayConnect) {
+  if (host.waiting.empty() || !mayConnect || host.isStarved) {
+    return;
+  }
+  // Hosts that wait already come first.
+  if (this->starvedHosts.empty() && this->AcquireDescriptor()) {
     this->StartConnection(aAddress);
+    return;
+  }
+  if (this->starvedHosts.empty()) {
+    this->starvedDeadline.Set(kStarvedCheckInterval);
+  }
+  host.isStarved = true;
+  this->starvedHosts.push_back(aAddress);
+}
+
+bool
+HttpClient::AcquireDescriptor()
+{
+  if (this->descriptors->Acquire(DescriptorOwner::Upstreams)) {
+    return true;
+  }
+  if (this->idleConnections.empty()) {
+    return false;
+  }
+  Connection& longestIdle = *this->idleConnections.front();
+  this->idleConnections.pop_front();
+  longestIdle.idle = false;
+  longestIdle.Expire();
+  this->ReleaseDescriptor(longestIdle);
+  return this->descriptors->Acquire(DescriptorOwner::Upstreams);
+}
+
+void
+HttpClient::ReleaseDescriptor(Connection& aConnection)
+{
+  if (std::exchange(aConnection.ownsDescriptor, false)) {
+    this->descriptors->Release(DescriptorOwner::Upstreams);
+  }
+}
+
+void
+HttpClient::ServeStarvedHosts()
+{
+  while (!this->starvedHosts.empty() && !this->stopping) {
+    const std::string address = this->starvedHosts.front();
+    Host& host = this->hosts[address];
+    if (!host.waiting.empty() && !this->AcquireDescriptor()) {
+      return;
+    }
+    this->starvedHosts.pop_front();
+    host.isStarved = false;
+    if (!host.waiting.empty()) {
+      this->StartConnection(address);
+    } else if (host.connections.empty()) {
+      this->hosts.erase(address);
+    }
+  }
+  this->starvedDeadline.Clear();
+}
+
+void
+HttpClient::ExpireStarvedRequests()
+{
+  const auto now = SteadyClock::now();
+  std::vector<Callback> expired;
+  for (const std::string& address : this->starvedHosts) {
+    std::deque<PendingRequest>& waiting = this->hosts[address].waiting;
+    std::erase_if(waiting, [&](PendingRequest& aRequest) {
+      const bool isExpired = aRequest.expiresAt <= now;
+      if (isExpired) {
+        expired.push_back(std::move(aRequest.done));
+      }
+      return isExpired;
+    });
+  }
+  if (!this->starvedHosts.empty()) {
+    this->starvedDeadline.Set(kStarvedCheckInterval);
+  }
+  this->ServeStarvedHosts();
+  for (const Callback& done : expired) {
+    done(OutboundResult{ Delivery::NotSent, 0, {} });
   }
 }
 
@@ -155,7 +244,10 @@
     }
     OutboundResult result{ Delivery::NotSent, 0, {} };
     const bool open = aConnection->open || co_await this->Open(*aConnection);
-    if (open && aConnection->pendingRequest->maySend()) {
+    // The request may have waited until its time limit, or the connection may
+    // just have expired.
+    const bool inTime = left > Duration(0) && !aConnection->expired;
+    if (open && inTime && aConnection->pendingRequest->maySend()) {
       result = co_await this->Exchange(*aConnection,
                                        aConnection->pendingRequest->request);
     }
@@ -177,13 +269,20 @@
     if (aConnection->pendingRequest || this->stopping) {
       continue;
     }
-    if (!aConnection->open) {
+    const bool isNeededElsewhere = !this->starvedHosts.empty();
+    if (!aConnection->open || isNeededElsewhere) {
       break;
     }
     aConnection->idle = true;
+    aConnection->idlePosition =
+      this->idleConnections.insert(this->idleConnections.end(), &*aConnection);
     aConnection->deadline.Set(kIdleTimeout);
     co_await aConnection->signal.Wait();
     aConnection->deadline.Clear();
+    if (aConnection->idle) {
+      aConnection->idle = false;
+      this->idleConnections.erase(aConnection->idlePosition);
+    }
   }
   aConnection->Close();
   this->RemoveConnection(*aConnection);
@@ -254,7 +353,7 @@
 }
 
 void
-HttpClient::RemoveConnection(const Connection& aConnection)
+HttpClient::RemoveConnection(Connection& aConnection)
 {
   const auto host = this->hosts.find(aConnection.address);
   if (host == this->hosts.end()) {
@@ -262,11 +361,13 @@
   }
   std::erase_if(host->second.connections,
                 [&](const auto& aItem) { return aItem.get() == &aConnection; });
+  this->ReleaseDescriptor(aConnection);
   if (!host->second.waiting.empty() && !this->stopping) {
     this->AssignRequests(aConnection.address);
-  } else if (host->second.connections.empty()) {
+  } else if (host->second.connections.empty() && !host->second.isStarved) {
     this->hosts.erase(host);
   }
+  this->ServeStarvedHosts();
 }
 
 void
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -8,7 +8,9 @@
 #include <nlohmann/json.hpp>
 #include <sodium.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <sys/resource.h>
 
 namespace hyssoppaddle::node {
 
@@ -25,8 +27,12 @@
 constexpr Duration kMaxRedialDelay = std::chrono::milliseconds(400);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
 constexpr int kStorageFailedExitCode = 12;
+// The load balancer and the collector of the metrics open a few at a time.
+// Their connections are not part of the budget of descriptors.
+constexpr std::uint32_t kMaxProbeConnections = 32;
+// Where the system sets no limit for descriptors.
+constexpr std::uint64_t kMaxDescriptors = 1000000;
 constexpr std::uint64_t kMaxBodyBytes = 4ULL * 1024 * 1024;
-constexpr std::uint32_t kMaxConnectionsPerListener = 3000;
 
 std::uint64_t
 RandomSeed()
@@ -36,6 +42,19 @@
   return seed;
 }
 
+std::size_t
+DescriptorLimit(const NodeSettings& aSettings)
+{
+  if (aSettings.descriptors != 0) {
+    return aSettings.descriptors;
+  }
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return kMaxDescriptors;
+  }
+  return std::min<std::uint64_t>(limit.rlim_cur, kMaxDescriptors);
+}
+
 // Chosen so that an election completes within the time limits of most callers.
 agreement::RaftTimes
 ElectionTimeouts()
@@ -69,6 +88,8 @@
   , self(this->settings.peersAddress)
   , deadlines(std::make_shared<DeadlineQueue>(this->io))
   , metrics(std::make_shared<Metrics>())
+  , descriptors(
+      std::make_shared<DescriptorBudget>(DescriptorLimit(this->settings)))
   , log(this->settings.name,
         this->settings.decisionLinesPerSecond,
         WriteToStandardOutput)
@@ -80,7 +101,9 @@
   , speedProbe([] { return TimeFixedComputation(SuspendAwareNow); })
   , cluster(this->self, !this->settings.dataFolder.empty())
   , membership(this->self, this->settings.tolerance)
-  , client(std::make_shared<HttpClient>(this->io, this->deadlines))
+  , client(std::make_shared<HttpClient>(this->io,
+                                        this->deadlines,
+                                        this->descriptors))
   , stop(this->settings.gracePeriod)
 {
 }
@@ -344,7 +367,9 @@
 }
 
 std::shared_ptr<HttpServer>
-Node::Impl::MakeServer(const std::string& aAddress, LocalHandler aHandler)
+Node::Impl::MakeServer(const std::string& aAddress,
+                       std::optional<DescriptorOwner> aOwner,
+                       LocalHandler aHandler)
 {
   if (aAddress.empty()) {
     return nullptr;
@@ -352,8 +377,15 @@
   HttpServerOptions options;
   options.address = aAddress;
   options.limits.bodyBytes = kMaxBodyBytes;
-  options.limits.callerConnections = kMaxConnectionsPerListener;
   options.listener = api::Listener::Control;
+  if (aOwner) {
+    // The budget alone limits the connections.
+    options.limits.callerConnections = ~std::uint32_t{ 0 };
+    options.descriptors = this->descriptors;
+    options.owner = *aOwner;
+  } else {
+    options.limits.callerConnections = kMaxProbeConnections;
+  }
   return std::make_shared<HttpServer>(this->io,
                                       std::move(options),
                                       this->deadlines,
@@ -371,12 +403,13 @@
         this->OnCall(std::move(aRequest), aControl, std::move(aDone));
       };
   };
-  this->callersServer =
-    this->MakeServer(this->settings.callersAddress, calls(false));
-  this->controlServer =
-    this->MakeServer(this->settings.controlAddress, calls(true));
+  this->callersServer = this->MakeServer(
+    this->settings.callersAddress, DescriptorOwner::Callers, calls(false));
+  this->controlServer = this->MakeServer(
+    this->settings.controlAddress, DescriptorOwner::Control, calls(true));
   this->readyServer =
     this->MakeServer(this->settings.readyAddress,
+                     std::nullopt,
                      [this](const api::HttpRequest& /*aRequest*/,
                             const api::ReplyCallback& aDone) {
                        api::HttpReply reply;
@@ -387,6 +420,7 @@
                      });
   this->metricsServer = this->MakeServer(
     this->settings.metricsAddress,
+    std::nullopt,
     [this](const api::HttpRequest& /*aRequest*/,
            const api::ReplyCallback& aDone) { aDone(this->MetricsReply()); });
 }
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -3,6 +3,7 @@
 #define hyssoppaddle_node_NodeImpl_h
 
 #include "agreement/Membership.h"
+#include "base/DescriptorBudget.h"
 #include "dispatch/Dispatcher.h"
 #include "node/CallHandler.h"
 #include "node/CallMeter.h"
@@ -43,6 +44,7 @@
   void MakeServers();
   [[nodiscard]] std::shared_ptr<shell::HttpServer> MakeServer(
     const std::string& aAddress,
+    std::optional<DescriptorOwner> aOwner,
     shell::LocalHandler aHandler);
 
   // NodeEvents.cpp: messages, calls, and output of the dispatcher.
@@ -104,6 +106,7 @@
   void Reload();
   [[nodiscard]] bool IsReady(Time aNow) const;
   [[nodiscard]] api::HttpReply MetricsReply() const;
+  void LogDescriptorShortage(Time aNow);
   void LogThrottled(const dispatch::Decision& aDecision);
   void LogUnthrottled(const dispatch::Decision& aDecision);
 
@@ -114,6 +117,7 @@
   shell::asio::io_context io{ 1 };
   std::shared_ptr<shell::DeadlineQueue> deadlines;
   std::shared_ptr<shell::Metrics> metrics;
+  std::shared_ptr<DescriptorBudget> descriptors;
   LineLog log;
   LoopMeter loopMeter;
   CallMeter callMeter;
@@ -162,6 +166,8 @@
   StopSequence stop;
   // Of transfers before a stop, and of those while the disk takes no writes.
   Time nextTransferAttempt{};
+  std::uint64_t loggedDescriptorRefusals = 0;
+  Time descriptorShortageEndsAt{}; // unless refusals follow; zero: none
 };
 
 } // namespace hyssoppaddle::node
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -18,6 +18,9 @@
 constexpr config::Range kTimeRangeMs{ 1, 3600000 };
 constexpr double kMaxSeconds = 3600.0;
 constexpr config::Range kCountRange{ 0, 100 };
+// With fewer descriptors a node cannot hold its files and the links to its
+// peers.
+constexpr config::Range kDescriptorRange{ 64, 100000000 };
 
 void
 ReadSeeds(ObjectReader& aReader, NodeSettings& aSettings, FindingLog& aLog)
@@ -116,6 +119,8 @@
                  settings.decisionLinesPerSecond,
                  { 0, 100000 },
                  Need::Optional);
+  reader.Integer(
+    "descriptors", settings.descriptors, kDescriptorRange, Need::Optional);
   ReadSeeds(reader, settings, log);
   ReadDataCentres(reader, settings);
   ReadTolerance(reader, settings, log);
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -38,6 +38,8 @@
   Duration gracePeriod = dispatch::seconds(6);
   agreement::FaultTolerance tolerance;
   std::uint32_t decisionLinesPerSecond = 200;
+  // File descriptors that this process may open; 0: the limit of the process.
+  std::uint32_t descriptors = 0;
   dispatch::Options dispatch;
 };
 
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -35,6 +35,8 @@
 // timeouts of the others.
 constexpr Duration kSlowCampaignDelay = milliseconds(600);
 constexpr Duration kSpeedReportInterval = milliseconds(200);
+// A shortage of descriptors has ended after this time without refusals.
+constexpr Duration kShortageEnd = std::chrono::seconds(2);
 // Name of the field in a report of a voter to the leader.
 constexpr std::string_view kSlownessField = "slowness";
 
@@ -93,6 +95,7 @@
           { "term", std::to_string(this->cluster.LeaderTerm()) } } });
     this->lastLoggedLeader = leader;
   }
+  this->LogDescriptorShortage(now);
   if (const auto load =
         this->loopMeter.TakeReport(now, this->dispatcherTerm != 0)) {
     this->LogUnthrottled(*load);
@@ -154,9 +157,8 @@
 Node::Impl::MeasureSpeed(Time aNow)
 {
   this->speedProbe.Tick(aNow);
-  const bool shouldWait =
-    this->storageRefuses ||
-    this->speedProbe.Slowness() >= HandoverPolicy::kSlow;
+  const bool shouldWait = this->storageRefuses ||
+                          this->speedProbe.Slowness() >= HandoverPolicy::kSlow;
   this->replica->DelayCampaigns(shouldWait ? kSlowCampaignDelay : Duration(0));
 }
 
@@ -449,6 +451,21 @@
                        number(this->replica->RaftState().CommitIndex()) });
   }
   std::string text = this->metrics->Render(gauges);
+  text += "# HELP hyssoppaddle_descriptors_in_use Open connections by owner.\n"
+          "# TYPE hyssoppaddle_descriptors_in_use gauge\n";
+  std::string refusals =
+    "# HELP hyssoppaddle_descriptors_refused_total Refusals by owner.\n"
+    "# TYPE hyssoppaddle_descriptors_refused_total counter\n";
+  for (std::size_t i = 0; i < DescriptorBudget::kOwners; ++i) {
+    const auto owner = static_cast<DescriptorOwner>(i);
+    const std::string label =
+      "{owner=\"" + std::string(DescriptorBudget::NameOf(owner)) + "\"} ";
+    text += "hyssoppaddle_descriptors_in_use" + label +
+            std::to_string(this->descriptors->InUse(owner)) + "\n";
+    refusals += "hyssoppaddle_descriptors_refused_total" + label +
+                std::to_string(this->descriptors->Refused(owner)) + "\n";
+  }
+  text += refusals;
   text += "# HELP hyssoppaddle_loop_seconds_total Time of the event loop.\n"
           "# TYPE hyssoppaddle_loop_seconds_total counter\n";
   for (std::size_t i = 0; i < LoopMeter::kParts; ++i) {
@@ -467,6 +484,32 @@
   return { 200, "text/plain; version=0.0.4", {}, std::move(text) };
 }
 
+void
+Node::Impl::LogDescriptorShortage(Time aNow)
+{
+  std::uint64_t refused = 0;
+  dispatch::Decision shortage{ "descriptor_shortage", {}, {} };
+  for (std::size_t i = 0; i < DescriptorBudget::kOwners; ++i) {
+    const auto owner = static_cast<DescriptorOwner>(i);
+    refused += this->descriptors->Refused(owner);
+    shortage.fields.push_back(
+      { DescriptorBudget::NameOf(owner),
+        std::to_string(this->descriptors->InUse(owner)) });
+  }
+  const bool isShort = this->descriptorShortageEndsAt != Time{};
+  if (refused != this->loggedDescriptorRefusals) {
+    this->loggedDescriptorRefusals = refused;
+    this->descriptorShortageEndsAt = aNow + kShortageEnd;
+    if (!isShort) {
+      this->LogUnthrottled(shortage);
+    }
+  } else if (isShort && aNow >= this->descriptorShortageEndsAt) {
+    this->descriptorShortageEndsAt = Time{};
+    shortage.kind = "descriptor_shortage_ended";
+    this->LogUnthrottled(shortage);
+  }
+}
+
 void
 Node::Impl::LogThrottled(const dispatch::Decision& aDecision)
 {
--- a/src/shell/HttpServer.cpp
+++ b/src/shell/HttpServer.cpp
@@ -18,6 +18,8 @@
 // Number of connections over the limit that are answered at the same time.
 // Further ones are closed without an answer.
 constexpr std::size_t kMaxRefusedConnections = 256;
+// The same where descriptors are scarce.
+constexpr std::size_t kMaxRefusedWithBudget = 64;
 // Connections accepted in one turn of the event loop.
 constexpr std::size_t kMaxAcceptedAtOnce = 64;
 
@@ -144,10 +146,13 @@
 HttpServer::StartSession(Socket aSocket)
 {
   const std::size_t limit = this->options.limits.callerConnections;
-  const bool overLimit = this->sessions.size() >= limit;
+  const bool overLimit =
+    this->sessions.size() >= limit || !this->AcquireDescriptor();
   this->metrics->Add(overLimit ? Counter::ConnectionsRefused
                                : Counter::ConnectionsAccepted);
-  if (this->sessions.size() >= limit + kMaxRefusedConnections) {
+  const std::size_t maxRefused =
+    this->options.descriptors ? kMaxRefusedWithBudget : kMaxRefusedConnections;
+  if (overLimit && this->refusedSessions >= maxRefused) {
     return;
   }
   ErrorValue error;
@@ -155,8 +160,33 @@
   aSocket.set_option(Tcp::no_delay(true), error);
   HttpSession::Spawn(std::make_shared<HttpSession>(this->shared_from_this(),
                                                    std::move(aSocket),
-                                                   FormatEndpoint(remote)),
-                     overLimit);
+                                                   FormatEndpoint(remote),
+                                                   overLimit));
+}
+
+bool
+HttpServer::AcquireDescriptor()
+{
+  DescriptorBudget* budget = this->options.descriptors.get();
+  if (budget == nullptr || budget->Acquire(this->options.owner)) {
+    return true;
+  }
+  return this->CloseLongestIdle() && budget->Acquire(this->options.owner);
+}
+
+bool
+HttpServer::CloseLongestIdle()
+{
+  if (this->idleSessions.empty()) {
+    return false;
+  }
+  HttpSession* session = this->idleSessions.front();
+  if (SteadyClock::now() - session->IdleSince() <
+      this->options.minIdleBeforeClose) {
+    return false;
+  }
+  session->CloseWhenIdle();
+  return true;
 }
 
 } // namespace hyssoppaddle::shell
--- a/src/shell/HttpServer.h
+++ b/src/shell/HttpServer.h
@@ -4,6 +4,7 @@
 #define hyssoppaddle_shell_HttpServer_h
 
 #include "api/ControlHandler.h"
+#include "base/DescriptorBudget.h"
 #include "base/Result.h"
 #include "config/Settings.h"
 #include "shell/Asio.h"
@@ -11,6 +12,7 @@
 #include "shell/Metrics.h"
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,6 +34,13 @@
   std::optional<config::TlsSettings> tls;
   config::LimitSettings limits;
   api::Listener listener = api::Listener::Callers;
+  // Null: `limits` alone bounds the connections.
+  std::shared_ptr<DescriptorBudget> descriptors;
+  DescriptorOwner owner = DescriptorOwner::Callers;
+  // When no descriptor is left, the connection that has been idle for longest
+  // is closed. One that was idle for less than this may be about to carry the
+  // next request, which would be lost with it.
+  Duration minIdleBeforeClose = std::chrono::seconds(1);
 };
 
 class HttpServer : public std::enable_shared_from_this<HttpServer>
@@ -60,6 +69,9 @@
   // Accepts the connections that wait already.
   void AcceptWaiting();
   void StartSession(Socket aSocket);
+  [[nodiscard]] bool AcquireDescriptor();
+  // Returns false if no connection has been idle for long enough.
+  bool CloseLongestIdle();
 
   asio::io_context& io;
   HttpServerOptions options;
@@ -71,6 +83,9 @@
   Acceptor acceptor;
   Timer retryTimer;
   std::unordered_set<HttpSession*> sessions;
+  std::size_t refusedSessions = 0; // of `sessions`: only told that they are
+  // A subset of `sessions`; the one that has been idle for longest is first.
+  std::list<HttpSession*> idleSessions;
   bool stopping = false;
 };
 
--- a/src/shell/HttpSession.cpp
+++ b/src/shell/HttpSession.cpp
@@ -70,28 +70,62 @@
 
 HttpSession::HttpSession(std::shared_ptr<HttpServer> aServer,
                          Socket aSocket,
-                         std::string aRemoteAddress)
+                         std::string aRemoteAddress,
+                         bool aOverLimit)
   : server(std::move(aServer))
   , stream(std::move(aSocket), this->server->tls.get())
   , remoteAddress(std::move(aRemoteAddress))
   , deadline(*this->server->deadlines, [this] { this->OnDeadline(); })
+  , overLimit(aOverLimit)
+  , ownsDescriptor(!aOverLimit && this->server->options.descriptors)
 {
   this->server->sessions.insert(this);
+  this->server->refusedSessions += aOverLimit ? 1 : 0;
 }
 
 HttpSession::~HttpSession()
 {
+  this->SetIdle(false);
+  this->ReleaseDescriptor();
   this->server->sessions.erase(this);
+  this->server->refusedSessions -= this->overLimit ? 1 : 0;
 }
 
 void
-HttpSession::Spawn(std::shared_ptr<HttpSession> aSession, bool aOverLimit)
+HttpSession::SetIdle(bool aIdle)
+{
+  if (aIdle == this->idle) {
+    return;
+  }
+  this->idle = aIdle;
+  if (this->overLimit) {
+    return; // closing it would make no room
+  }
+  std::list<HttpSession*>& idleSessions = this->server->idleSessions;
+  if (aIdle) {
+    this->idleSince = SteadyClock::now();
+    this->idlePosition = idleSessions.insert(idleSessions.end(), this);
+  } else {
+    idleSessions.erase(this->idlePosition);
+  }
+}
+
+void
+HttpSession::ReleaseDescriptor()
+{
+  if (std::exchange(this->ownsDescriptor, false)) {
+    this->server->options.descriptors->Release(this->server->options.owner);
+  }
+}
+
+void
+HttpSession::Spawn(std::shared_ptr<HttpSession> aSession)
 {
   auto& io = aSession->server->io;
   asio::co_spawn(
     io,
-    [session = std::move(aSession), aOverLimit]() -> Awaitable<void> {
-      co_await session->Run(aOverLimit);
+    [session = std::move(aSession)]() -> Awaitable<void> {
+      co_await session->Run();
     },
     asio::detached);
 }
@@ -101,6 +135,8 @@
 {
   if (this->idle) {
     this->stream.Close();
+    this->SetIdle(false);
+    this->ReleaseDescriptor();
   }
 }
 
@@ -116,14 +152,14 @@
 }
 
 Awaitable<void>
-HttpSession::Run(bool aOverLimit)
+HttpSession::Run()
 {
   const auto& limits = this->server->options.limits;
   this->deadline.Set(limits.headerTimeout);
   const ErrorValue error =
     co_await this->stream.Handshake(asio::ssl::stream_base::server);
   this->deadline.Clear();
-  if (aOverLimit && !error) {
+  if (this->overLimit && !error) {
     const api::HttpReply reply =
       ProblemReply({ 503,
                      "too_many_connections",
@@ -135,7 +171,7 @@
     co_await asio::async_write(
       this->stream, asio::buffer(text), StoreError(ignored));
   }
-  bool more = !error && !aOverLimit;
+  bool more = !error && !this->overLimit;
   while (more && !this->server->stopping) {
     more = co_await this->ServeOne();
   }
@@ -151,14 +187,14 @@
   if (this->buffer.capacity() > kMaxIdleBufferBytes) {
     this->buffer = beast::flat_buffer();
   }
-  this->idle = true;
+  this->SetIdle(true);
   this->deadline.Set(this->server->options.limits.idleTimeout);
   ErrorValue error;
   const std::size_t bytesRead = co_await this->stream.async_read_some(
     this->buffer.prepare(kReadBytes), StoreError(error));
   this->buffer.commit(bytesRead);
   this->deadline.Clear();
-  this->idle = false;
+  this->SetIdle(false);
   co_return !error;
 }
 
@@ -278,7 +314,7 @@
   }
   socket.shutdown(Tcp::socket::shutdown_send, error);
   this->deadline.Set(kLingerTimeout);
-  this->idle = true;
+  this->SetIdle(true);
   std::string rest(kReadBytes, '\0');
   std::size_t total = 0;
   while (!error && total < kMaxLingerBytes) {
--- a/src/shell/HttpSession.h
+++ b/src/shell/HttpSession.h
@@ -16,17 +16,24 @@
 class HttpSession : public std::enable_shared_from_this<HttpSession>
 {
 public:
+  // With aOverLimit, the session answers 503 immediately and closes. Otherwise
+  // it owns a descriptor of the server's budget.
   HttpSession(std::shared_ptr<HttpServer> aServer,
               Socket aSocket,
-              std::string aRemoteAddress);
+              std::string aRemoteAddress,
+              bool aOverLimit);
   ~HttpSession();
 
-  // With aOverLimit, the session answers 503 immediately and closes.
-  static void Spawn(std::shared_ptr<HttpSession> aSession, bool aOverLimit);
+  static void Spawn(std::shared_ptr<HttpSession> aSession);
   void CloseWhenIdle();
+  // Meaningful only while the session is one of the idle ones of its server.
+  [[nodiscard]] SteadyClock::time_point IdleSince() const
+  {
+    return this->idleSince;
+  }
 
 private:
-  Awaitable<void> Run(bool aOverLimit);
+  Awaitable<void> Run();
   Awaitable<bool> ServeOne();
   Awaitable<bool> AwaitFirstByte();
   Awaitable<bool> Dispatch();
@@ -34,6 +41,8 @@
   Awaitable<void> AnswerBadHeader(ErrorValue aError);
   Awaitable<void> Linger();
   void OnDeadline();
+  void SetIdle(bool aIdle);
+  void ReleaseDescriptor();
 
   std::shared_ptr<HttpServer> server;
   Stream stream;
@@ -41,7 +50,12 @@
   beast::flat_buffer buffer;
   std::optional<RequestParser> parser;
   Deadline deadline;
-  bool idle = false;     // no byte of the next request has been read
+  bool overLimit = false;
+  bool ownsDescriptor = false;
+  bool idle = false; // no byte of the next request has been read
+  SteadyClock::time_point idleSince{};
+  // Valid while `idle` is true and `overLimit` is false.
+  std::list<HttpSession*>::iterator idlePosition;
   bool timedOut = false; // set when `deadline` expires
 };
 
--- /dev/null
+++ b/test/node/HttpClientTest.cpp
@@ -0,0 +1,161 @@
+// Tests that the client of the upstreams keeps to its budget of descriptors.
+#include "node/HttpClient.h"
+
+#include "base/DescriptorBudget.h"
+#include "shell/HttpServer.h"
+#include "support/TestTrace.h"
+
+#include <algorithm>
+
+using namespace hyssoppaddle;
+using namespace hyssoppaddle::shell;
+using node::Delivery;
+using node::HttpClient;
+using node::OutboundRequest;
+using node::OutboundResult;
+using test::TestTrace;
+
+namespace {
+
+// Of 16 descriptors 12 are given out, 4 of them kept for the other owners.
+constexpr std::size_t kDescriptors = 16;
+constexpr std::size_t kRoom = 8;
+
+// A client and upstreams with many addresses, which answer at once or never.
+class ClientFixture
+{
+public:
+  explicit ClientFixture(bool aUpstreamsAnswer)
+    : budget(std::make_shared<DescriptorBudget>(kDescriptors))
+    , deadlines(std::make_shared<DeadlineQueue>(this->io))
+    , client(
+        std::make_shared<HttpClient>(this->io, this->deadlines, this->budget))
+  {
+    HttpServerOptions options;
+    options.address = "0.0.0.0:0";
+    this->server = std::make_shared<HttpServer>(
+      this->io,
+      options,
+      this->deadlines,
+      std::make_shared<Metrics>(),
+      nullptr,
+      [this, aUpstreamsAnswer](const api::HttpRequest& /*aRequest*/,
+                               const api::ReplyCallback& aReply) {
+        ++this->received;
+        if (aUpstreamsAnswer) {
+          aReply({ 200, "text/plain", {}, "" });
+        } else {
+          this->held.push_back(aReply);
+        }
+      });
+    if (!this->server->Start()) {
+      std::abort();
+    }
+  }
+
+  // Sends a request to the upstream with the number aUpstream.
+  void Send(std::size_t aUpstream, Duration aTimeLimit)
+  {
+    OutboundRequest request;
+    request.address = "127.0.0." + std::to_string(aUpstream + 1) + ":" +
+                      std::to_string(this->server->Port());
+    request.method = "POST";
+    request.target = "/";
+    request.timeLimit = aTimeLimit;
+    ++this->open;
+    this->client->Send(
+      std::move(request),
+      [] { return true; },
+      [this](const OutboundResult& aResult) {
+        --this->open;
+        this->answered += aResult.delivery == Delivery::Answered ? 1 : 0;
+        this->notSent += aResult.delivery == Delivery::NotSent ? 1 : 0;
+      });
+  }
+  // Runs until all requests have a result. Returns the peak of descriptors.
+  std::size_t RunUntilDone()
+  {
+    std::size_t peak = 0;
+    while (this->open > 0) {
+      this->io.run_one();
+      peak = std::max(peak, this->InUse());
+    }
+    // The upstreams still have to read what was sent last.
+    constexpr int kTurns = 50;
+    for (int turn = 0; turn < kTurns; ++turn) {
+      this->io.poll();
+    }
+    return peak;
+  }
+  [[nodiscard]] std::size_t InUse() const
+  {
+    return this->budget->InUse(DescriptorOwner::Upstreams);
+  }
+  [[nodiscard]] std::uint64_t ConnectionsOpened() const
+  {
+    return this->client->ConnectionsOpened();
+  }
+  [[nodiscard]] std::size_t Answered() const { return this->answered; }
+  [[nodiscard]] std::size_t NotSent() const { return this->notSent; }
+  [[nodiscard]] std::size_t Received() const { return this->received; }
+
+private:
+  asio::io_context io{ 1 };
+  std::shared_ptr<DescriptorBudget> budget;
+  std::shared_ptr<DeadlineQueue> deadlines;
+  std::shared_ptr<HttpClient> client;
+  std::shared_ptr<HttpServer> server;
+  std::vector<api::ReplyCallback> held;
+  std::size_t open = 0;
+  std::size_t answered = 0;
+  std::size_t notSent = 0;
+  std::size_t received = 0;
+};
+
+constexpr Duration kLongLimit = std::chrono::seconds(30);
+constexpr Duration kShortLimit = std::chrono::milliseconds(200);
+
+} // namespace
+
+// Load pattern: a new leader calls all upstreams at once. Guards against a
+// client that takes all descriptors of the process, and against requests that
+// are forgotten while they wait for one.
+Test(HttpClient, KeepsToItsBudgetOfDescriptors)
+{
+  TestTrace trace;
+  constexpr std::size_t kUpstreams = 5 * kRoom;
+  trace.Section("more upstreams than descriptors are called at once", [&] {
+    ClientFixture fixture(true);
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      fixture.Send(i, kLongLimit);
+    }
+    EXPECT_THAT(trace, fixture.RunUntilDone() <= kRoom);
+    EXPECT_EQUAL(trace, fixture.Answered(), kUpstreams);
+  });
+  trace.Section("idle connections give way, one after the other", [&] {
+    ClientFixture fixture(true);
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      fixture.Send(i, kLongLimit);
+      EXPECT_THAT(trace, fixture.RunUntilDone() <= kRoom);
+    }
+    EXPECT_EQUAL(trace, fixture.Answered(), kUpstreams);
+    EXPECT_EQUAL(trace, fixture.InUse(), kRoom);
+    trace.Section("the others are used again", [&] {
+      const std::uint64_t before = fixture.ConnectionsOpened();
+      fixture.Send(kUpstreams - 1, kLongLimit);
+      fixture.RunUntilDone();
+      EXPECT_EQUAL(trace, fixture.ConnectionsOpened(), before);
+    });
+  });
+  trace.Section("upstreams that do not answer hold all descriptors", [&] {
+    ClientFixture fixture(false);
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      fixture.Send(i, kShortLimit);
+    }
+    EXPECT_THAT(trace, fixture.RunUntilDone() <= kRoom);
+    trace.Section("what was never sent is reported as such", [&] {
+      EXPECT_EQUAL(trace, fixture.Answered(), 0U);
+      EXPECT_EQUAL(trace, fixture.NotSent() + fixture.Received(), kUpstreams);
+    });
+  });
+}
