Count the memory of tasks when a pool is sized

Cause: pools, and the capacity by which jobs are rejected, were counted in cores. Change: EffectiveCores counts the scarcer of cores and memory, for pools and for admission. Test: MemoryBoundPool fails before it (six tasks wait for ever beside six idle instances on standby).

--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -1,6 +1,7 @@
 // Chooses the next tasks and their upstreams, and decides which jobs are
 // rejected.
 #include "dispatch/Dispatcher.h"
+#include "dispatch/EffectiveCores.h"
 #include "dispatch/Text.h"
 #include "dispatch/WorkRank.h"
 
@@ -127,11 +128,9 @@
       continue;
     }
     ++load.upstreams;
-    std::int64_t milliCpus = session.record.capacity.milliCpus;
-    for (const auto& [key, live] : session.runs) {
-      milliCpus -= live.longRunning && !live.fills ? live.size.milliCpus : 0;
-    }
-    load.capacity += static_cast<double>(milliCpus) / 1000.0;
+    const state::Resources& capacity = session.record.capacity;
+    load.capacity += EffectiveCores(capacity, capacity) -
+                     EffectiveCores(LongRunningUse(session), capacity);
   }
   return load;
 }
--- a/src/dispatch/DispatcherPools.cpp
+++ b/src/dispatch/DispatcherPools.cpp
@@ -1,5 +1,6 @@
 // Measures the load of each pool.
 #include "dispatch/Dispatcher.h"
+#include "dispatch/EffectiveCores.h"
 #include "dispatch/RoomSearch.h"
 
 #include <algorithm>
@@ -77,11 +78,12 @@
   return pools;
 }
 
-// Cores of the tasks that wait only for capacity.
+// Effective cores of the tasks that wait only for capacity.
 double
 Dispatcher::WaitingCores(const ServiceId& aService) const
 {
-  std::int64_t milliCpus = 0;
+  const state::Resources capacity = this->EmptyCapacity(aService);
+  double cores = 0;
   for (const auto& [id, view] : this->views) {
     if (view.service != aService || view.pending.empty()) {
       continue;
@@ -90,10 +92,10 @@
     for (const work::TaskRef& task : view.pending) {
       const work::Step& step = job.spec.steps[task.step];
       const bool allowed = this->IsWithinLimit(view.workspace, step.size);
-      milliCpus += step.fills || !allowed ? 0 : step.size.milliCpus;
+      cores += step.fills || !allowed ? 0 : EffectiveCores(step.size, capacity);
     }
   }
-  return static_cast<double>(milliCpus) / 1000.0;
+  return cores;
 }
 
 // Average number of cores that the job keeps busy until it ends.
@@ -142,17 +144,12 @@
 void
 Dispatcher::AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const
 {
-  const auto cores = [](std::int64_t aMilliCpus) {
-    return static_cast<double>(aMilliCpus) / 1000.0;
-  };
-  for (const auto& [key, live] : aSession.runs) {
-    if (!live.fills) {
-      (live.longRunning ? aPool.longRunningCores : aPool.runningCores) +=
-        cores(live.size.milliCpus);
-    }
-  }
-  if (aSession.record.capacity.milliCpus > 0) {
-    aPool.coresPerUpstream = cores(aSession.record.capacity.milliCpus);
+  const state::Resources& capacity = aSession.record.capacity;
+  const double longRunning = EffectiveCores(LongRunningUse(aSession), capacity);
+  aPool.longRunningCores += longRunning;
+  aPool.runningCores += EffectiveCores(aSession.used, capacity) - longRunning;
+  if (capacity.milliCpus > 0) {
+    aPool.coresPerUpstream = EffectiveCores(capacity, capacity);
   }
   const bool isAvailable = IsAvailable(aSession);
   aPool.present += isAvailable ? 1 : 0;
--- a/src/dispatch/PoolBalance.h
+++ b/src/dispatch/PoolBalance.h
@@ -20,6 +20,7 @@
 
 namespace hyssoppaddle::dispatch {
 
+// Cores are effective cores, as EffectiveCores computes them.
 struct PoolLoad
 {
   ServiceId service;
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -108,6 +108,21 @@
   }
 };
 
+// Resources used by the long-running tasks; best-effort ones count only their
+// memory.
+[[nodiscard]] inline state::Resources
+LongRunningUse(const UpstreamSession& aSession)
+{
+  state::Resources use;
+  for (const auto& [key, live] : aSession.runs) {
+    if (live.longRunning) {
+      use += live.size;
+      use.milliCpus -= live.fills ? live.size.milliCpus : 0;
+    }
+  }
+  return use;
+}
+
 } // namespace hyssoppaddle::dispatch
 
 #endif
