Send no orders during a transfer, and count only rounds that began after a pause

Cause, by reading: a leader that had told another voter to take over went on sending orders while a majority had answered within 800 ms, and again when the transfer had failed, although its offer may still be under way. A round of confirmation that was open when the process stood still counted afterwards, although it proved the leadership before the pause. Change: OrderPermission, apart from input and output: a pause and a transfer withdraw the permission, and only a round that began later restores it; no round begins and no order leaves during a transfer.

--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -304,8 +304,7 @@
     this->LogThrottled({ "leadership_lost", {}, {} });
     return;
   }
-  // The votes of a majority confirm the leadership.
-  this->leadershipConfirmed = true;
+  this->orderPermission.OnElected();
   this->handover.OnElected(SuspendAwareNow());
   this->dispatcher->BecomeLeader(
     leadingTerm, SuspendAwareNow(), shell::WallClockNow());
@@ -357,8 +356,8 @@
 Node::Impl::MaySendInstructions(Time aNow) const
 {
   const agreement::Raft& raft = this->replica->RaftState();
-  if (raft.CurrentRole() != agreement::Role::Leader ||
-      !this->leadershipConfirmed) {
+  if (raft.CurrentRole() != agreement::Role::Leader || raft.IsTransferring() ||
+      !this->orderPermission.IsProven()) {
     return false;
   }
   const auto& voters = raft.ActiveConfiguration().voters;
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -15,6 +15,7 @@
 #include "node/LineLog.h"
 #include "node/LoopMeter.h"
 #include "node/Node.h"
+#include "node/OrderPermission.h"
 #include "node/Protocol.h"
 #include "node/Replica.h"
 #include "node/SpeedProbe.h"
@@ -87,6 +88,8 @@
   // upstream.
   void DetectPause(Time aNow);
   void ConfirmLeadership(Time aNow);
+  // Orders end with the first offer to another voter.
+  void TransferLeadership(InstanceId aTo, Time aNow);
   void MeasureSpeed(Time aNow);
   void ReportSpeed(Time aNow);
   void RecordSpeedReport(const InstanceId& aFrom,
@@ -150,9 +153,7 @@
   bool outputProcessingScheduled = false;
   bool callsScheduled = false;
   Time lastHandlerAt{}; // time at which a handler last ran
-  bool confirmationPending = false;
-  // False after a pause, until a majority has confirmed the leadership again.
-  bool leadershipConfirmed = true;
+  OrderPermission orderPermission;
   Time nextStatusAt{};
   Time nextJoinRequest{};
   Time nextSpeedReport{};
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -131,7 +131,7 @@
   }
   // Messages that arrived during the pause do not prove that this node is still
   // the leader.
-  this->leadershipConfirmed = false;
+  this->orderPermission.OnPause();
   if (gap > kPauseThreshold) {
     this->cluster.ResetSilenceTimers(aNow);
     this->LogUnthrottled(
@@ -142,15 +142,25 @@
 void
 Node::Impl::ConfirmLeadership(Time aNow)
 {
-  if (this->leadershipConfirmed || this->confirmationPending ||
-      !this->replica->IsLeader()) {
+  if (!this->replica->IsLeader() ||
+      this->replica->RaftState().IsTransferring()) {
     return;
   }
-  this->confirmationPending = true;
-  this->replica->Confirm(aNow, [this](bool aConfirmed) {
-    this->confirmationPending = false;
-    this->leadershipConfirmed = aConfirmed;
-  });
+  if (const auto ticket = this->orderPermission.BeginRound()) {
+    this->replica->Confirm(aNow, [this, ticket = *ticket](bool aConfirmed) {
+      this->orderPermission.EndRound(ticket, aConfirmed);
+    });
+  }
+}
+
+void
+Node::Impl::TransferLeadership(InstanceId aTo, Time aNow)
+{
+  this->StepReplica(agreement::TransferLeadership{ std::move(aTo) }, aNow);
+  // It may have ended already, or found no voter.
+  if (this->replica->RaftState().IsTransferring()) {
+    this->orderPermission.OnTransfer();
+  }
 }
 
 void
@@ -211,7 +221,7 @@
     { "leadership_handed_over",
       {},
       { { "to", next->value }, { "slowness", std::to_string(slowness) } } });
-  this->StepReplica(agreement::TransferLeadership{ *next }, aNow);
+  this->TransferLeadership(*next, aNow);
 }
 
 // A leader that cannot write still commits what a majority of the others has
@@ -227,7 +237,7 @@
   this->nextTransferAttempt = aNow + kRefusedTransferInterval;
   this->LogUnthrottled(
     { "leadership_handed_over", {}, { { "reason", "storage_refused" } } });
-  this->StepReplica(agreement::TransferLeadership{}, aNow);
+  this->TransferLeadership({}, aNow);
 }
 
 wire::NodeStatus
@@ -377,7 +387,7 @@
   const bool leads = this->replica && this->replica->IsLeader();
   if (leads && aNow >= this->nextTransferAttempt) {
     this->nextTransferAttempt = aNow + kTransferRetryInterval;
-    this->StepReplica(agreement::TransferLeadership{ {} }, aNow);
+    this->TransferLeadership({}, aNow);
   }
   const auto next = [&] {
     const StopProgress progress{ this->callersServer->Connections() +
