Let an exception in a handler end its call, not the process

Cause, by reading: nothing caught an exception in a handler of the event loop, so that it would end the process; in a coroutine it passed unseen, and the client of the upstreams lost the connection and its descriptor for good. Change: RunGuarded goes on with the other handlers, logs handler_failed, and a leader hands over, since what it keeps only in memory can be incomplete. Coroutines log what they throw; the client keeps its connection. A step of the replica stays fatal: its state could differ from that of the others.

--- a/src/node/HttpClient.cpp
+++ b/src/node/HttpClient.cpp
@@ -4,6 +4,7 @@
 
 #include "base/DescriptorBudget.h"
 #include "shell/Endpoint.h"
+#include "shell/HandlerErrors.h"
 #include "shell/Signal.h"
 
 #include <algorithm>
@@ -227,7 +228,7 @@
     [self = this->shared_from_this(), connection]() -> Awaitable<void> {
       co_await self->Run(connection);
     },
-    asio::detached);
+    DetachedWithLog("client"));
 }
 
 Awaitable<void>
@@ -265,7 +266,12 @@
       aConnection->pendingRequest = std::move(host.waiting.front());
       host.waiting.pop_front();
     }
-    done(std::move(result));
+    try {
+      done(std::move(result));
+    } catch (...) {
+      // The connection and its descriptor stay in use.
+      LogHandlerError("answer", std::current_exception());
+    }
     if (aConnection->pendingRequest || this->stopping) {
       continue;
     }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -3,6 +3,7 @@
 
 #include "node/Clock.h"
 #include "shell/Clock.h"
+#include "shell/HandlerErrors.h"
 #include "shell/JsonLog.h"
 
 #include <nlohmann/json.hpp>
@@ -445,7 +446,7 @@
 void
 Node::Run()
 {
-  this->impl->io.run();
+  shell::RunGuarded(this->impl->io, [this] { this->impl->OnHandlerError(); });
 }
 
 } // namespace hyssoppaddle::node
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -233,6 +233,18 @@
   this->ScheduleOutputProcessing();
 }
 
+void
+Node::Impl::OnHandlerError()
+{
+  this->LogThrottled({ "handler_failed", {}, {} }); // counts it
+  this->outputProcessingScheduled = false;
+  this->callsScheduled = false;
+  if (this->replica && this->replica->IsLeader()) {
+    this->TransferLeadership({}, SuspendAwareNow());
+  }
+  this->ArmTick();
+}
+
 InstanceId
 Node::Impl::CallTarget()
 {
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -79,6 +79,10 @@
   // Routes the waiting calls if CallTarget has changed since the last call.
   void RouteWaitingCalls();
 
+  // After an exception in a handler. What this node keeps only in memory can be
+  // incomplete, so another one should lead.
+  void OnHandlerError();
+
   // NodeTimers.cpp: periodic tasks, stop and reload.
   void ArmTick();
   void Tick();
--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -12,7 +12,7 @@
 }
 
 void
-Replica::Step(const agreement::Event& aEvent, Time aNow)
+Replica::Step(const agreement::Event& aEvent, Time aNow) noexcept
 {
   this->eventQueue.push_back({ aEvent, aNow });
   if (this->stepping) {
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -47,7 +47,9 @@
 
   Replica(agreement::Raft aRaft, ReplicaHooks aHooks);
 
-  void Step(const agreement::Event& aEvent, Time aNow);
+  // An exception ends the process: the replica would be in the middle of a
+  // step, and its state could differ from that of the others.
+  void Step(const agreement::Event& aEvent, Time aNow) noexcept;
   // Proposes a batch. On a node that is not the leader, the result is Rejected
   // at once.
   void Propose(const work::Batch& aBatch, Time aNow, ProposalCallback aDone);
--- a/src/shell/Attempt.cpp
+++ b/src/shell/Attempt.cpp
@@ -3,6 +3,7 @@
 
 #include "shell/Endpoint.h"
 #include "shell/Exchange.h"
+#include "shell/HandlerErrors.h"
 #include "shell/Relay.h"
 
 #include <algorithm>
@@ -251,7 +252,7 @@
                                                    : SendResult::Failed;
   }
   this->pumping = true;
-  asio::co_spawn(this->relay.io, this->PumpBody(), asio::detached);
+  asio::co_spawn(this->relay.io, this->PumpBody(), DetachedWithLog("attempt"));
   error = co_await this->ReadAnswerHeader();
   if (error) {
     this->failure = "read: " + error.message();
--- a/src/shell/HttpSession.cpp
+++ b/src/shell/HttpSession.cpp
@@ -1,6 +1,7 @@
 // Serves the requests of one connection, one after the other.
 #include "shell/HttpSession.h"
 
+#include "shell/HandlerErrors.h"
 #include "shell/Problems.h"
 #include "shell/Relay.h"
 #include "shell/Signal.h"
@@ -127,7 +128,7 @@
     [session = std::move(aSession)]() -> Awaitable<void> {
       co_await session->Run();
     },
-    asio::detached);
+    DetachedWithLog("session"));
 }
 
 void
--- a/src/shell/InstructionSender.cpp
+++ b/src/shell/InstructionSender.cpp
@@ -3,6 +3,7 @@
 
 #include "api/InstructionJson.h"
 #include "shell/Endpoint.h"
+#include "shell/HandlerErrors.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,7 +50,7 @@
       this->io,
       [self = this->shared_from_this(), next = std::move(instruction)]() mutable
       -> Awaitable<void> { co_await self->Deliver(next); },
-      asio::detached);
+      DetachedWithLog("instructions"));
   }
 }
 
--- a/src/shell/PeerLink.cpp
+++ b/src/shell/PeerLink.cpp
@@ -1,5 +1,6 @@
 // Implements the greeting and the framing of a peer connection.
 #include "shell/PeerLink.h"
+#include "shell/HandlerErrors.h"
 
 #include "wire/Codec.h"
 
@@ -274,7 +275,7 @@
     [self = this->shared_from_this()]() -> Awaitable<void> {
       co_await self->WriteQueue();
     },
-    asio::detached);
+    DetachedWithLog("peer link"));
 }
 
 Awaitable<void>
--- a/src/shell/PeerNetwork.cpp
+++ b/src/shell/PeerNetwork.cpp
@@ -2,6 +2,7 @@
 #include "shell/PeerNetwork.h"
 
 #include "shell/Endpoint.h"
+#include "shell/HandlerErrors.h"
 #include "shell/JsonLog.h"
 #include "shell/RedialDelay.h"
 #include "shell/TlsContext.h"
@@ -201,7 +202,7 @@
           [self, socket = std::move(aSocket)]() mutable -> Awaitable<void> {
             co_await self->Serve(socket);
           },
-          asio::detached);
+          DetachedWithLog("peers"));
       }
       self->Accept();
     });
@@ -250,7 +251,7 @@
     [self = this->shared_from_this(), peer]() -> Awaitable<void> {
       co_await self->DialLoop(peer);
     },
-    asio::detached);
+    DetachedWithLog("peers"));
 }
 
 Awaitable<void>
--- a/test/node/HttpClientTest.cpp
+++ b/test/node/HttpClientTest.cpp
@@ -6,6 +6,7 @@
 #include "support/TestTrace.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 using namespace hyssoppaddle;
 using namespace hyssoppaddle::shell;
@@ -70,8 +71,12 @@
         --this->open;
         this->answered += aResult.delivery == Delivery::Answered ? 1 : 0;
         this->notSent += aResult.delivery == Delivery::NotSent ? 1 : 0;
+        if (std::exchange(this->throws, false)) {
+          throw std::runtime_error("unexpected answer");
+        }
       });
   }
+  void ThrowInNextHandler() { this->throws = true; }
   // Runs until all requests have a result. Returns the peak of descriptors.
   std::size_t RunUntilDone()
   {
@@ -106,6 +111,7 @@
   std::shared_ptr<HttpClient> client;
   std::shared_ptr<HttpServer> server;
   std::vector<api::ReplyCallback> held;
+  bool throws = false;
   std::size_t open = 0;
   std::size_t answered = 0;
   std::size_t notSent = 0;
@@ -117,6 +123,24 @@
 
 } // namespace
 
+// Guards against a connection and a descriptor that are lost for good when the
+// handler of an answer throws.
+Test(HttpClient, KeepsTheConnectionWhenAHandlerThrows)
+{
+  TestTrace trace;
+  ClientFixture fixture(true);
+  fixture.ThrowInNextHandler();
+  fixture.Send(0, kLongLimit);
+  fixture.RunUntilDone();
+  for (std::size_t i = 0; i < kRoom; ++i) {
+    fixture.Send(0, kLongLimit);
+    fixture.RunUntilDone();
+  }
+  EXPECT_EQUAL(trace, fixture.Answered(), kRoom + 1);
+  EXPECT_EQUAL(trace, fixture.ConnectionsOpened(), 1U);
+  EXPECT_EQUAL(trace, fixture.InUse(), 1U);
+}
+
 // Load pattern: a new leader calls all upstreams at once. Guards against a
 // client that takes all descriptors of the process, and against requests that
 // are forgotten while they wait for one.
