Follow rising rates, expect turns, and release a surplus gradually

(2) Late jobs asked for instances as others do. (3) 286 instances left for standby at once, 3 s after a peak, when the next peak began. Change: expected work is bounded by the length of the jobs and follows the trend of the rate; late jobs ask for what ends them in 3 s; a pool gives a sixteenth of its surplus to standby at a time; TurnForecast learns the length of turns and moves idle instances ahead of the next one.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -47,6 +47,7 @@
   this->tickets.Clear();
   this->owner = {};
   this->forecast = {};
+  this->turns = {};
   this->recentLoads.clear();
 }
 
@@ -234,7 +235,10 @@
   }
   for (const JobId& id : accepted) {
     if (const auto view = this->views.find(id); view != this->views.end()) {
-      this->forecast.AddJob(view->second.service, CoresOf(view->second), aNow);
+      this->forecast.AddJob(view->second.service,
+                            CoresOf(view->second),
+                            ChainOf(view->second),
+                            aNow);
       const auto recent = this->recentLoads.find(view->second.service);
       if (recent != this->recentLoads.end() && !view->second.longRunning) {
         recent->second.load.backlog += view->second.remainingWork;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -22,6 +22,7 @@
 #include "dispatch/PlanPass.h"
 #include "dispatch/QueueIndex.h"
 #include "dispatch/TicketCache.h"
+#include "dispatch/TurnForecast.h"
 #include "work/WorkState.h"
 
 #include <set>
@@ -229,6 +230,7 @@
   // DispatcherInstances.cpp: orders to the owner of the instances.
   void AskForInstances();
   void BalancePools();
+  void ObserveTurns(std::span<const PoolLoad> aPools);
   void OrderMove(const PoolMove& aMove);
   void ProposeOrder(InstanceOwner::OpenOrder aOrder);
   [[nodiscard]] bool MayOrder(const std::string& aInstance) const;
@@ -240,13 +242,16 @@
   [[nodiscard]] bool HasRuns(const std::string& aInstance) const;
   void ResendUnconfirmed();
   void RequestTickets(const JobView& aView, const work::TaskRef& aTask);
+  void MoveLongRunningAhead();
   [[nodiscard]] bool MayStopLongRunning(const work::TaskRef& aTask) const;
   bool Evacuate(UpstreamSession& aSession, bool aStopAll);
 
   // DispatcherPools.cpp: load of the pools.
   [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
+  [[nodiscard]] static Duration ChainOf(const JobView& aView);
   [[nodiscard]] static double CoresOf(const JobView& aView);
   [[nodiscard]] double PlannedCores(const ServiceId& aService) const;
+  [[nodiscard]] static double UrgencyOf(const JobView& aView, WallTime aNow);
   [[nodiscard]] double WaitingCores(const ServiceId& aService) const;
   [[nodiscard]] double ReachableCores(const ServiceId& aService) const;
   void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
@@ -316,6 +321,7 @@
   TicketCache tickets;
   InstanceOwner owner;
   DemandForecast forecast;
+  TurnForecast turns;
   std::map<ServiceId, RecentLoad> recentLoads;
   std::uint64_t loadMeasurements = 0;
   OrderHistory history; // kept when leadership is lost
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -138,12 +138,28 @@
     return;
   }
   this->owner.nextBalanceAt = this->now + kBalanceInterval;
+  std::vector<PoolLoad> pools = this->PoolLoads();
+  this->ObserveTurns(pools);
   for (const PoolMove& move :
-       this->owner.balance.PlanMoves(this->PoolLoads(), this->now)) {
+       this->owner.balance.PlanMoves(std::move(pools), this->now)) {
     this->OrderMove(move);
   }
 }
 
+void
+Dispatcher::ObserveTurns(std::span<const PoolLoad> aPools)
+{
+  std::vector<ServiceDemand> demands;
+  for (const PoolLoad& pool : aPools) {
+    if (!pool.standby) {
+      demands.push_back({ pool.service,
+                          this->forecast.RecentCores(pool.service, this->now),
+                          pool.runningCores });
+    }
+  }
+  this->turns.Observe(demands, this->now);
+}
+
 bool
 Dispatcher::HasRuns(const std::string& aInstance) const
 {
--- a/src/dispatch/DispatcherPools.cpp
+++ b/src/dispatch/DispatcherPools.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/Dispatcher.h"
 #include "dispatch/EffectiveCores.h"
 #include "dispatch/RoomSearch.h"
+#include "dispatch/WorkRank.h"
 
 #include <algorithm>
 
@@ -11,6 +12,9 @@
 
 // Lower bound of a critical path, because shorter estimates are unreliable.
 constexpr Duration kMinChain = milliseconds(500);
+// Late jobs are worth little at any time, so their pool need not grow to end
+// them sooner than this.
+constexpr Duration kLateClearance = seconds(3);
 // From the end of a move to the first start: the announcement, its commit and
 // the first renewal of the lease.
 constexpr Duration kArrivalDelay = milliseconds(300);
@@ -37,6 +41,8 @@
     pool.plannedCores = this->PlannedCores(service.name);
     pool.expectedCores = this->forecast.ExpectedCores(
       service.name, this->options.moveTime + kArrivalDelay, this->now);
+    pool.peakCores = this->turns.ExpectedCores(
+      service.name, this->options.moveTime + kArrivalDelay, this->now);
     pool.demandObserved = this->forecast.HasArrivals(service.name);
   }
   const auto find = [&pools](const ServiceId& aService) {
@@ -89,15 +95,37 @@
       continue;
     }
     const work::Job& job = *this->FindJob(id);
+    const double urgency = UrgencyOf(view, this->wall);
     for (const work::TaskRef& task : view.pending) {
       const work::Step& step = job.spec.steps[task.step];
       const bool allowed = this->IsWithinLimit(view.workspace, step.size);
-      cores += step.fills || !allowed ? 0 : EffectiveCores(step.size, capacity);
+      cores += step.fills || !allowed
+                 ? 0
+                 : urgency * EffectiveCores(step.size, capacity);
     }
   }
   return cores;
 }
 
+// Fraction of the cores of a job that its pool should have for it: less than 1
+// for jobs that are late whatever is done.
+double
+Dispatcher::UrgencyOf(const JobView& aView, WallTime aNow)
+{
+  if (RankOf(aView, 1.0, aNow).outlook == WorkRank::Outlook::InTime) {
+    return 1.0;
+  }
+  const Duration chain = ChainOf(aView);
+  return static_cast<double>(chain.count()) /
+         static_cast<double>(std::max(chain, kLateClearance).count());
+}
+
+Duration
+Dispatcher::ChainOf(const JobView& aView)
+{
+  return std::max(aView.remainingChain, kMinChain);
+}
+
 // Average number of cores that the job keeps busy until it ends.
 double
 Dispatcher::CoresOf(const JobView& aView)
@@ -105,8 +133,8 @@
   if (aView.longRunning) {
     return 0;
   }
-  const Duration chain = std::max(aView.remainingChain, kMinChain);
-  return aView.remainingWork * 1000.0 / static_cast<double>(chain.count());
+  return aView.remainingWork * 1000.0 /
+         static_cast<double>(ChainOf(aView).count());
 }
 
 double
@@ -114,7 +142,9 @@
 {
   double cores = 0;
   for (const auto& [id, view] : this->views) {
-    cores += view.service == aService ? CoresOf(view) : 0;
+    cores += view.service == aService
+               ? CoresOf(view) * UrgencyOf(view, this->wall)
+               : 0;
   }
   return cores;
 }
--- a/src/dispatch/PoolBalance.cpp
+++ b/src/dispatch/PoolBalance.cpp
@@ -14,6 +14,14 @@
 // A surplus of this duration moves to standby. It is longer than the time for
 // which an idle instance costs as much as two moves.
 constexpr Duration kIdleBeforeStandby = std::chrono::seconds(3);
+// Demand that has ceased for this time was the end of a peak, not a pause in
+// it.
+constexpr Duration kCalmAfter = std::chrono::seconds(2);
+// An idle pool gives this part of its surplus to standby at a time, but at
+// least kMinRelease: when one queue's peak ends another one's begins, and an
+// instance on its way to standby cannot serve it.
+constexpr std::size_t kReleaseDivisor = 16;
+constexpr std::size_t kMinRelease = 4;
 // A service without any job for this time counts as idle.
 constexpr Duration kMaxDemandWait = std::chrono::seconds(60);
 // Fraction of the planned cores that is counted. Running tasks count in full
@@ -45,12 +53,33 @@
   return std::max(byCores, aPool.present + aPool.arriving + aPool.missing);
 }
 
+std::size_t
+PoolBalance::UpstreamsForPeak(const PoolLoad& aPool)
+{
+  const std::size_t needed = NeededUpstreams(aPool);
+  if (aPool.standby || aPool.peakCores <= 0) {
+    return needed;
+  }
+  PoolLoad atPeak = aPool;
+  atPeak.expectedCores = 0;
+  atPeak.plannedCores = 0;
+  atPeak.waitingCores = 0;
+  atPeak.runningCores = std::max(aPool.peakCores, aPool.runningCores);
+  return std::max(needed, NeededUpstreams(atPeak));
+}
+
 bool
 PoolBalance::AwaitsDemand(const PoolLoad& aPool, Time aNow) const
 {
   return !aPool.demandObserved && aNow - *this->observedSince < kMaxDemandWait;
 }
 
+bool
+PoolBalance::IsCalm(Time aNow) const
+{
+  return !this->lastAskedAt || aNow - *this->lastAskedAt >= kCalmAfter;
+}
+
 std::vector<PoolMove>
 PoolBalance::PlanMoves(std::vector<PoolLoad> aPools, Time aNow)
 {
@@ -59,8 +88,10 @@
   const PoolLoad* standby = nullptr;
   std::vector<PoolLoad*> donors;
   std::vector<std::pair<std::size_t, PoolLoad*>> receivers;
+  std::vector<std::pair<std::size_t, PoolLoad*>> peaks;
   for (PoolLoad& pool : aPools) {
-    const std::size_t needed = NeededUpstreams(pool);
+    const std::size_t neededNow = NeededUpstreams(pool);
+    const std::size_t needed = UpstreamsForPeak(pool);
     const std::size_t have = pool.present + pool.arriving;
     if (pool.standby) {
       standby = &pool;
@@ -80,8 +111,11 @@
     pool.idle.clear();
     const bool asks =
       pool.waitingCores > 0 || pool.expectedCores > 0 || pool.missing > 0;
-    if (have < needed && asks) {
-      receivers.emplace_back(needed - have, &pool);
+    if (have < neededNow && asks) {
+      receivers.emplace_back(neededNow - have, &pool);
+    }
+    if (pool.peakCores > 0 && needed > std::max(have, neededNow)) {
+      peaks.emplace_back(needed - std::max(have, neededNow), &pool);
     }
   }
   std::sort(receivers.begin(),
@@ -89,6 +123,10 @@
             [](const auto& aLeft, const auto& aRight) {
               return aLeft.first > aRight.first;
             });
+  if (!receivers.empty()) {
+    this->lastAskedAt = aNow;
+  }
+  receivers.insert(receivers.end(), peaks.begin(), peaks.end());
   for (auto& [missing, receiver] : receivers) {
     for (PoolLoad* donor : donors) {
       while (missing > 0 && !donor->idle.empty()) {
@@ -105,8 +143,10 @@
     if (standby == nullptr || donor->standby || !longIdle) {
       continue;
     }
-    for (const std::string& instance : donor->idle) {
-      moves.push_back({ instance, standby->service });
+    const std::size_t released =
+      std::max(donor->idle.size() / kReleaseDivisor, kMinRelease);
+    for (std::size_t i = 0; i < std::min(released, donor->idle.size()); ++i) {
+      moves.push_back({ donor->idle[i], standby->service });
     }
   }
   return moves;
--- a/test/dispatch/InstancesTest.cpp
+++ b/test/dispatch/InstancesTest.cpp
@@ -187,11 +187,11 @@
   });
   for (int i = 0; i < 30; ++i) {
     now += milliseconds(100);
-    forecast.AddJob(queue, 10, now);
+    forecast.AddJob(queue, 10, seconds(5), now);
   }
   trace.Section("long-running tasks are no sign of demand", [&] {
     const ServiceId archive("archive");
-    forecast.AddJob(archive, 0, now);
+    forecast.AddJob(archive, 0, seconds(5), now);
     EXPECT_THAT(trace, !forecast.HasArrivals(archive));
     EXPECT_THAT(trace, forecast.HasArrivals(queue));
   });
@@ -199,6 +199,26 @@
     const double cores = forecast.ExpectedCores(queue, ahead, now);
     EXPECT_THAT(trace, cores > 160 && cores < 210);
   });
+  trace.Section("jobs of 600 ms follow each other on 60 cores", [&] {
+    const ServiceId brief("brief");
+    Time at = now;
+    for (int i = 0; i < 30; ++i) {
+      at += milliseconds(100);
+      forecast.AddJob(brief, 10, milliseconds(600), at);
+    }
+    const double cores = forecast.ExpectedCores(brief, ahead, at);
+    EXPECT_THAT(trace, cores > 53 && cores < 70);
+  });
+  trace.Section("a rate that doubles within a second counts for more", [&] {
+    const ServiceId rising("rising");
+    Time at = now;
+    for (int i = 0; i < 40; ++i) {
+      at += milliseconds(100);
+      forecast.AddJob(rising, i < 30 ? 5 : 10, seconds(5), at);
+    }
+    const double cores = forecast.ExpectedCores(rising, ahead, at);
+    EXPECT_THAT(trace, cores > 180 && cores < 300);
+  });
   trace.Section("three seconds without a job leave almost nothing", [&] {
     EXPECT_THAT(trace,
                 forecast.ExpectedCores(queue, ahead, now + seconds(3)) < 5);
