Move long-running tasks first in a wave, and leave idle instances to a peak

All of the standby pool that was free went into maintenance at once, also while a peak asked for it. Change: tasks of steps with a limit leave instances that are due from the beginning of the wave on, while their instances go on serving others; long-running tasks are placed on instances that are not due where there are any. Beside peaks idle instances go into maintenance only half as fast again as the wave needs.

--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -1,4 +1,10 @@
 // Maintenance waves: evacuates instances and orders their maintenance.
+//
+// Load pattern: half of a large fleet is due while queues peak in turn. A step
+// allows only a few of its long-running tasks to be away at a time, so the
+// instances that run them take longest to evacuate. These tasks leave first,
+// from the beginning of the wave on, while their instances go on serving
+// others.
 #include "dispatch/Dispatcher.h"
 #include "dispatch/Text.h"
 
@@ -23,6 +29,11 @@
 // Evacuations take seconds, so waves need no check at every tick.
 constexpr Duration kWaveInterval = milliseconds(100);
 constexpr Duration kMissingRetry = milliseconds(1000);
+// A wave beside peaks is ahead of its schedule by this part of it.
+constexpr std::uint32_t kAheadDivisor = 2;
+// Long-running tasks that are considered in one check, because each of them
+// takes a search through the upstreams of its pool.
+constexpr std::size_t kMaxMovedAhead = 16;
 
 // The record of a boot that has ended can remain for some time, and a delayed
 // announcement can bring it back: only its answers show that it lives.
@@ -106,11 +117,56 @@
     return;
   }
   this->owner.nextWaveCheckAt = this->now + kWaveInterval;
+  for (auto& [id, session] : this->sessions) {
+    session.maintenanceDue = false;
+  }
   for (const auto& [number, wave] : this->state.Tables().waves) {
     if (!wave.IsCompleted()) {
       this->RunWave(number, wave);
     }
   }
+  this->MoveLongRunningAhead();
+}
+
+// Stops long-running tasks on instances that are due, as far as their jobs
+// allow and other upstreams take them.
+void
+Dispatcher::MoveLongRunningAhead()
+{
+  std::map<ServiceId, std::vector<Candidate>> candidates;
+  std::size_t considered = 0;
+  for (auto& [id, session] : this->sessions) {
+    if (!session.maintenanceDue || session.evacuating) {
+      continue;
+    }
+    std::vector<RunKey> movable;
+    for (const auto& [key, live] : session.runs) {
+      const work::Job* job = this->FindJob(key.first.job);
+      if (live.longRunning && !live.stopping && job != nullptr &&
+          job->spec.steps[key.first.step].maxUnavailable > 0 &&
+          this->MayStopLongRunning(key.first)) {
+        movable.push_back(key);
+      }
+    }
+    for (const RunKey& key : movable) {
+      const auto view = this->views.find(key.first.job);
+      if (view == this->views.end() || !this->MayStopLongRunning(key.first)) {
+        continue; // another task of its step has just been stopped
+      }
+      if (++considered > kMaxMovedAhead) {
+        return;
+      }
+      const ServiceId& service = session.record.service;
+      const auto [found, isNew] = candidates.try_emplace(service);
+      if (isNew) {
+        found->second = FindCandidates(this->sessions, service, this->now);
+      }
+      if (HasLastingRoom(found->second,
+                         this->QueryOf(view->second, key.first))) {
+        this->RequestStop(session, key, "maintenance ahead");
+      }
+    }
+  }
 }
 
 void
@@ -170,14 +226,22 @@
     } else if (session.unanswered > 0 || !session.fenceConfirmed) {
       ++away; // silent: its maintenance may have started
     } else if (!session.record.draining) {
+      session.maintenanceDue = true;
       candidates.emplace_back(session.used.milliCpus, instance);
     }
   }
   const std::uint32_t requiredAway = this->RequiredAway(aWave);
   const std::uint32_t atMost = std::max<std::uint32_t>(1, aWave.maxAway);
+  // While queues peak, the next peak may need the idle instances, so that they
+  // go only a little ahead of the schedule.
+  const std::uint32_t idleAtMost =
+    this->owner.balance.IsCalm(this->now)
+      ? atMost
+      : std::clamp<std::uint32_t>(
+          requiredAway + requiredAway / kAheadDivisor, 1, atMost);
   // Only after all instances that are away have been counted.
   for (const std::string& instance : missing) {
-    if (away < atMost) {
+    if (away < idleAtMost) {
       away += this->MaintainMissing(aNumber, instance) ? 1 : 0;
     }
   }
@@ -194,7 +258,7 @@
   }
   std::sort(candidates.begin(), candidates.end());
   for (const auto& [load, instance] : candidates) {
-    if (away >= atMost) {
+    if (away >= idleAtMost) {
       return;
     }
     // A busy instance is evacuated only if the wave would otherwise be late.
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -112,13 +112,24 @@
   return size;
 }
 
+bool
+HasLastingRoom(std::span<const Candidate> aCandidates,
+               const PlacementQuery& aQuery)
+{
+  return std::any_of(
+    aCandidates.begin(), aCandidates.end(), [&](const Candidate& aCandidate) {
+      return !aCandidate.session->maintenanceDue &&
+             RefusalOf(aCandidate, aQuery) == Refusal::None;
+    });
+}
+
 const Candidate*
 ChooseUpstream(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery)
 {
   const work::Step& step = *aQuery.step;
   using Score =
-    std::tuple<bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
+    std::tuple<bool, bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
   std::optional<Score> best;
   const Candidate* chosen = nullptr;
   for (const Candidate& candidate : aCandidates) {
@@ -132,6 +143,7 @@
     const bool isOffRack = !wanted.empty() && session.record.Rack() != wanted;
     const Score score{ id == aQuery.avoid,
                        isOffRack,
+                       step.longRunning && session.maintenanceDue,
                        session.consecutiveFailures,
                        Disturbance(session, step),
                        session.Free().milliCpus };
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -70,6 +70,11 @@
 SizeInRoom(const work::Step& aStep);
 
 // Returns the best upstream, or null when none is suitable.
+// True when an upstream takes the task that no wave will maintain.
+bool
+HasLastingRoom(std::span<const Candidate> aCandidates,
+               const PlacementQuery& aQuery);
+
 const Candidate*
 ChooseUpstream(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery);
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -89,6 +89,8 @@
   Time paceCheckedAt{};
   Time evacuatingSince{};
   Time nextOrderAt{};
+  // A wave will maintain its instance. Long-running tasks avoid it.
+  bool maintenanceDue = false;
   // No new starts: it is ordered into maintenance or to another pool.
   bool evacuating = false;
 
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -25,6 +25,7 @@
   Time endsAt{};
   state::Resources size;
   bool longRunning = false;
+  Time startedAt{};
 };
 
 struct FakeUpstream
@@ -131,6 +132,8 @@
   std::map<InstanceId, FakeUpstream> upstreams;
   std::map<std::string, FakeInstance> instances;
   bool holdCommits = false; // keeps proposals uncommitted
+  // Time from its start until a long-running task is at work.
+  Duration warmUp{ 0 };
   // The owner carries out maintenance without answering.
   bool ownerDropsAnswers = false;
   bool ownerRefusesMaintenance = false;
--- a/test/dispatch/FakeDeploymentUpstreams.cpp
+++ b/test/dispatch/FakeDeploymentUpstreams.cpp
@@ -110,7 +110,10 @@
   }
   answer.unreadableRows = up->listsOneUnreadableRow ? 1 : 0;
   for (const auto& [task, run] : up->running) {
-    answer.running.push_back({ task, run.run, "", 100, std::nullopt });
+    const bool isWarm =
+      !run.longRunning || this->now >= run.startedAt + this->warmUp;
+    answer.running.push_back(
+      { task, run.run, "", isWarm ? 100U : 0U, std::nullopt });
   }
   answer.ended = up->ended;
   return answer;
