Report a shortage of descriptors only when something is refused

Change: HasRoom is asked first; a refusal is counted when no idle connection is left. Test: HttpClient KeepsToItsBudgetOfDescriptors checks the count.

--- a/src/base/DescriptorBudget.cpp
+++ b/src/base/DescriptorBudget.cpp
@@ -34,7 +34,7 @@
 }
 
 bool
-DescriptorBudget::Acquire(DescriptorOwner aOwner)
+DescriptorBudget::HasRoom(DescriptorOwner aOwner) const
 {
   const std::size_t owner = IndexOf(aOwner);
   std::size_t needed = 0; // by the other owners, in use or guaranteed
@@ -47,7 +47,14 @@
   }
   const bool isGuaranteed =
     this->inUse[owner] < this->guaranteed[owner] && used < this->total;
-  if (!isGuaranteed && this->inUse[owner] + needed >= this->total) {
+  return isGuaranteed || this->inUse[owner] + needed < this->total;
+}
+
+bool
+DescriptorBudget::Acquire(DescriptorOwner aOwner)
+{
+  const std::size_t owner = IndexOf(aOwner);
+  if (!this->HasRoom(aOwner)) {
     ++this->refused[owner];
     return false;
   }
--- a/src/base/DescriptorBudget.h
+++ b/src/base/DescriptorBudget.h
@@ -32,8 +32,9 @@
   // readiness and connections that are refused with an answer.
   explicit DescriptorBudget(std::size_t aLimit);
 
-  // Returns false when no descriptor is left for aOwner. Otherwise Release must
-  // be called once the descriptor is closed.
+  [[nodiscard]] bool HasRoom(DescriptorOwner aOwner) const;
+  // Returns false, and counts a refusal, when no descriptor is left for aOwner.
+  // Otherwise Release must be called once the descriptor is closed.
   [[nodiscard]] bool Acquire(DescriptorOwner aOwner);
   void Release(DescriptorOwner aOwner);
 
--- a/src/node/HttpClient.cpp
+++ b/src/node/HttpClient.cpp
@@ -148,17 +148,14 @@
 bool
 HttpClient::AcquireDescriptor()
 {
-  if (this->descriptors->Acquire(DescriptorOwner::Upstreams)) {
-    return true;
+  if (!this->descriptors->HasRoom(DescriptorOwner::Upstreams) &&
+      !this->idleConnections.empty()) {
+    Connection& longestIdle = *this->idleConnections.front();
+    this->idleConnections.pop_front();
+    longestIdle.idle = false;
+    longestIdle.Expire();
+    this->ReleaseDescriptor(longestIdle);
   }
-  if (this->idleConnections.empty()) {
-    return false;
-  }
-  Connection& longestIdle = *this->idleConnections.front();
-  this->idleConnections.pop_front();
-  longestIdle.idle = false;
-  longestIdle.Expire();
-  this->ReleaseDescriptor(longestIdle);
   return this->descriptors->Acquire(DescriptorOwner::Upstreams);
 }
 
--- a/src/shell/HttpServer.cpp
+++ b/src/shell/HttpServer.cpp
@@ -168,25 +168,26 @@
 HttpServer::AcquireDescriptor()
 {
   DescriptorBudget* budget = this->options.descriptors.get();
-  if (budget == nullptr || budget->Acquire(this->options.owner)) {
+  if (budget == nullptr) {
     return true;
   }
-  return this->CloseLongestIdle() && budget->Acquire(this->options.owner);
+  if (!budget->HasRoom(this->options.owner)) {
+    this->CloseLongestIdle();
+  }
+  return budget->Acquire(this->options.owner);
 }
 
-bool
+void
 HttpServer::CloseLongestIdle()
 {
   if (this->idleSessions.empty()) {
-    return false;
+    return;
   }
   HttpSession* session = this->idleSessions.front();
-  if (SteadyClock::now() - session->IdleSince() <
+  if (SteadyClock::now() - session->IdleSince() >=
       this->options.minIdleBeforeClose) {
-    return false;
+    session->CloseWhenIdle();
   }
-  session->CloseWhenIdle();
-  return true;
 }
 
 } // namespace hyssoppaddle::shell
--- a/src/shell/HttpServer.h
+++ b/src/shell/HttpServer.h
@@ -70,8 +70,8 @@
   void AcceptWaiting();
   void StartSession(Socket aSocket);
   [[nodiscard]] bool AcquireDescriptor();
-  // Returns false if no connection has been idle for long enough.
-  bool CloseLongestIdle();
+  // Closes no connection if none has been idle for long enough.
+  void CloseLongestIdle();
 
   asio::io_context& io;
   HttpServerOptions options;
--- a/test/node/HttpClientTest.cpp
+++ b/test/node/HttpClientTest.cpp
@@ -96,6 +96,10 @@
   {
     return this->budget->InUse(DescriptorOwner::Upstreams);
   }
+  [[nodiscard]] std::uint64_t Refused() const
+  {
+    return this->budget->Refused(DescriptorOwner::Upstreams);
+  }
   [[nodiscard]] std::uint64_t ConnectionsOpened() const
   {
     return this->client->ConnectionsOpened();
@@ -164,6 +168,7 @@
     }
     EXPECT_EQUAL(trace, fixture.Answered(), kUpstreams);
     EXPECT_EQUAL(trace, fixture.InUse(), kRoom);
+    EXPECT_EQUAL(trace, fixture.Refused(), 0U);
     trace.Section("the others are used again", [&] {
       const std::uint64_t before = fixture.ConnectionsOpened();
       fixture.Send(kUpstreams - 1, kLongLimit);
