review: case 1 also counts jobs that ran though they were rejected

Cause: a POST that gets the 401 of another call is rejected for its client, and runs. Change: the stand-in checks whether a rejected job has started. No source is changed.

--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -610,10 +610,29 @@
         this->Note(std::string("FOREIGN: POST ") + id + " at node " +
                    std::to_string(aNode) + ": 200 " + answer.body);
       }
+      if (answer.status == 401) {
+        const std::lock_guard lock(this->world.mutex);
+        this->rejected.push_back(id);
+        this->Note(std::string("POST ") + id + " at node " +
+                   std::to_string(aNode) + " is rejected: 401");
+      }
       SleepMs(answer.status == 200 ? 200 : 30);
     }
   }
 
+  // Jobs whose only attempt was rejected and of which a subtask started.
+  std::size_t CountRejectedAndStarted()
+  {
+    std::size_t count = 0;
+    for (const std::string& id : this->rejected) {
+      if (this->world.CountStarts(id) > 0) {
+        ++count;
+        this->Note("REFUSED: job " + id + " was rejected and has started");
+      }
+    }
+    return count;
+  }
+
   Message CallNode(int aNode,
                    const std::string& aMethod,
                    const std::string& aTarget,
@@ -710,7 +729,8 @@
     for (std::thread& client : clients) {
       client.join();
     }
-    return { this->wrong > 0 || this->unknownKey > 0,
+    const std::size_t refused = this->CountRejectedAndStarted();
+    return { this->wrong > 0 || this->unknownKey > 0 || refused > 0,
              "of " + std::to_string(this->asked) + " calls in " +
                std::to_string(rounds) + " rounds: " +
                std::to_string(this->wrong) +
@@ -718,11 +738,14 @@
                "(MIXED), " +
                std::to_string(this->unknownKey) +
                " calls with an unknown key got 200 (ROUTE), " +
+               std::to_string(refused) +
+               " jobs ran that were rejected (REFUSED), " +
                std::to_string(this->foreign) +
                " others got the answer of another call" };
   }
 
   std::atomic<int> unknownKey{ 0 };
+  std::vector<std::string> rejected; // guarded by the world's mutex
   std::atomic<int> foreign{ 0 };
   std::atomic<bool> finished{ false };
   std::atomic<int> asked{ 0 };
