--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -72,7 +72,7 @@
 
 private:
   static constexpr std::int64_t kConfigApplyMs = 2000;
-  static constexpr std::int64_t kFinishMs = 14000;   // finish_s
+  static constexpr std::int64_t kFinishMs = 14000; // finish_s
   static constexpr std::int64_t kNothingRunsMs = 3000;
   static constexpr std::int64_t kVisibleMs = 3000 + 2000; // visible_ms + 2 s
   static constexpr std::int64_t kContactMs = 3000;
@@ -96,11 +96,8 @@
     for (int i = 0; i < aCount; ++i) {
       const int number = ++this->lastWorker;
       const std::string address = this->AddressOf(20 + number, kWorkerPort);
-      auto worker = std::make_unique<Worker>(this->world,
-                                             "i-" + std::to_string(number),
-                                             aService,
-                                             address,
-                                             aCpu);
+      auto worker = std::make_unique<Worker>(
+        this->world, "i-" + std::to_string(number), aService, address, aCpu);
       const std::lock_guard lock(this->world.mutex);
       this->world.workers.push_back(std::move(worker));
     }
@@ -223,11 +220,10 @@
     const std::int64_t until = SteadyMs() + 20000;
     const auto isReady = [&] {
       const std::lock_guard lock(this->world.mutex);
-      return std::all_of(this->world.workers.begin(),
-                         this->world.workers.end(),
-                         [](const auto& aItem) {
-                           return aItem->IsRegistered();
-                         });
+      return std::all_of(
+        this->world.workers.begin(),
+        this->world.workers.end(),
+        [](const auto& aItem) { return aItem->IsRegistered(); });
     };
     while (!isReady()) {
       if (SteadyMs() > until) {
@@ -284,11 +280,15 @@
     if (this->world.CountStarts(aId) > 0) {
       return { false, "the job has started" };
     }
-    return { true,
-             "LOST: job " + aId + " is shown as " + state + " and nothing of "
-             "it has started " + std::to_string(SteadyMs() - aAllSince) +
-             " ms after nothing hindered it any more; free cpu in its pool: " +
-             std::to_string(this->FreeCpu(aService)) };
+    return {
+      true,
+      "LOST: job " + aId + " is shown as " + state +
+        " and nothing of "
+        "it has started " +
+        std::to_string(SteadyMs() - aAllSince) +
+        " ms after nothing hindered it any more; free cpu in its pool: " +
+        std::to_string(this->FreeCpu(aService))
+    };
   }
 
   // A tenant's limit is lowered. Its job in one pool waits for its job in
@@ -325,15 +325,13 @@
                    { "mem_mb", 1024 },
                    { "estimated_ms", 800 } });
     const std::int64_t until = SteadyMs() + 20000;
-    while (this->StateOf("bur", "00000000000000b1", "key-one") !=
-           "completed") {
+    while (this->StateOf("bur", "00000000000000b1", "key-one") != "completed") {
       if (SteadyMs() > until) {
         throw CannotRun("the first job did not complete");
       }
       SleepMs(500);
     }
-    return this->ExpectStart(
-      "ast", "00000000000000b2", "key-one", SteadyMs());
+    return this->ExpectStart("ast", "00000000000000b2", "key-one", SteadyMs());
   }
 
   static Json LastingStep(int aCount, std::int64_t aCpu, int aPerWorker)
@@ -407,8 +405,7 @@
     if (this->trouble) {
       this->SetUnhealthy({ 18, 19 }, false);
     }
-    return this->ExpectStart(
-      "leo", "00000000000000c2", "key-one", healthyAt);
+    return this->ExpectStart("leo", "00000000000000c2", "key-one", healthyAt);
   }
 
   Played PlayPending()
@@ -482,10 +479,9 @@
     this->PutConfig(1, { "can" }, { { "t1", "key-one", 0 } });
     this->AddWorkers("can", 8, 16000);
     this->WaitUntilReady({ "can" }, "key-one");
-    const Json work{ { "ms", 12000 },
-                     { "cpu", 11000 },
-                     { "gang", 4 },
-                     { "checkpoints", true } };
+    const Json work{
+      { "ms", 12000 }, { "cpu", 11000 }, { "gang", 4 }, { "checkpoints", true }
+    };
     this->Submit("can",
                  job,
                  "key-one",
@@ -522,12 +518,12 @@
       SleepMs(1000);
     }
     const std::lock_guard lock(this->world.mutex);
-    const auto alone = std::count_if(
-      this->world.ends.begin(),
-      this->world.ends.end(),
-      [&](const Observed& aEnd) {
-        return aEnd.how == "alone" && aEnd.at > calmFrom + kContactMs;
-      });
+    const auto alone = std::count_if(this->world.ends.begin(),
+                                     this->world.ends.end(),
+                                     [&](const Observed& aEnd) {
+                                       return aEnd.how == "alone" &&
+                                              aEnd.at > calmFrom + kContactMs;
+                                     });
     return { alone > 0,
              (alone > 0 ? "GANG: " : "not completed; ") +
                std::to_string(alone) +
@@ -601,9 +597,8 @@
                             { "cpu", 100 },
                             { "mem_mb", 64 },
                             { "estimated_ms", 100 } } } } };
-      const Message answer =
-        this->CallNode(
-          aNode, "POST", std::string("/can/") + id, job.dump(), "key-one");
+      const Message answer = this->CallNode(
+        aNode, "POST", std::string("/can/") + id, job.dump(), "key-one");
       if (answer.status == 200 &&
           answer.body.find("state") != std::string::npos) {
         ++this->foreign;
@@ -730,18 +725,17 @@
       client.join();
     }
     const std::size_t refused = this->CountRejectedAndStarted();
-    return { this->wrong > 0 || this->unknownKey > 0 || refused > 0,
-             "of " + std::to_string(this->asked) + " calls in " +
-               std::to_string(rounds) + " rounds: " +
-               std::to_string(this->wrong) +
-               " jobs that last were shown as completed or without a state "
-               "(MIXED), " +
-               std::to_string(this->unknownKey) +
-               " calls with an unknown key got 200 (ROUTE), " +
-               std::to_string(refused) +
-               " jobs ran that were rejected (REFUSED), " +
-               std::to_string(this->foreign) +
-               " others got the answer of another call" };
+    return {
+      this->wrong > 0 || this->unknownKey > 0 || refused > 0,
+      "of " + std::to_string(this->asked) + " calls in " +
+        std::to_string(rounds) + " rounds: " + std::to_string(this->wrong) +
+        " jobs that last were shown as completed or without a state "
+        "(MIXED), " +
+        std::to_string(this->unknownKey) +
+        " calls with an unknown key got 200 (ROUTE), " +
+        std::to_string(refused) + " jobs ran that were rejected (REFUSED), " +
+        std::to_string(this->foreign) + " others got the answer of another call"
+    };
   }
 
   std::atomic<int> unknownKey{ 0 };
--- a/review/standin/Net.h
+++ b/review/standin/Net.h
@@ -69,8 +69,7 @@
   address.sin_family = AF_INET;
   address.sin_port =
     htons(static_cast<std::uint16_t>(std::atoi(aAddress.c_str() + colon + 1)));
-  ::inet_pton(
-    AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
+  ::inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
   return address;
 }
 
@@ -87,8 +86,8 @@
 {
   std::size_t sent = 0;
   while (sent < aText.size()) {
-    const auto count = ::send(
-      aSocket, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
+    const auto count =
+      ::send(aSocket, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
     if (count > 0) {
       sent += static_cast<std::size_t>(count);
     } else if (errno != EAGAIN || !WaitFor(aSocket, POLLOUT, aUntil)) {
@@ -134,8 +133,7 @@
   } else {
     const auto space = first.find(' ');
     aMessage.method = first.substr(0, space);
-    aMessage.target =
-      first.substr(space + 1, first.rfind(' ') - space - 1);
+    aMessage.target = first.substr(space + 1, first.rfind(' ') - space - 1);
   }
   for (at += 2; at < head.size();) {
     const auto lineEnd = head.find("\r\n", at);
@@ -197,8 +195,7 @@
             "Content-Length: " +
             std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
     std::string buffer;
-    if (!WriteAll(fd, text, until) ||
-        !ReadMessage(fd, buffer, answer, until)) {
+    if (!WriteAll(fd, text, until) || !ReadMessage(fd, buffer, answer, until)) {
       answer = Message{};
     }
   }
@@ -243,11 +240,10 @@
     const int on = 1;
     ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const sockaddr_in address = Endpoint(aAddress);
-    const bool isListening =
-      ::bind(this->listener,
-             reinterpret_cast<const sockaddr*>(&address),
-             sizeof(address)) == 0 &&
-      ::listen(this->listener, 128) == 0;
+    const bool isListening = ::bind(this->listener,
+                                    reinterpret_cast<const sockaddr*>(&address),
+                                    sizeof(address)) == 0 &&
+                             ::listen(this->listener, 128) == 0;
     if (!isListening) {
       std::_Exit(2);
     }
--- a/review/standin/Nodes.h
+++ b/review/standin/Nodes.h
@@ -56,8 +56,7 @@
   void Start(int aNode, const std::string& aSuffix)
   {
     const std::string base = this->folder + "/node-" + std::to_string(aNode);
-    const std::string variable =
-      "HYSSOPPADDLE_CONFIG=" + base + "." + aSuffix;
+    const std::string variable = "HYSSOPPADDLE_CONFIG=" + base + "." + aSuffix;
     const std::string log = base + ".log";
     const pid_t pid = ::fork();
     if (pid != 0) {
--- a/review/standin/Worker.h
+++ b/review/standin/Worker.h
@@ -79,9 +79,8 @@
       return this->Before();
     }
     const std::int64_t restore = this->carried.empty() ? 0 : kRestoreMs;
-    return this->Before() +
-           std::max<std::int64_t>(
-             0, SteadyMs() - *this->workingSince - restore);
+    return this->Before() + std::max<std::int64_t>(
+                              0, SteadyMs() - *this->workingSince - restore);
   }
   [[nodiscard]] std::string Checkpoint(std::int64_t aProgress) const
   {
@@ -89,10 +88,8 @@
       return this->carried;
     }
     char text[32];
-    std::snprintf(text,
-                  sizeof(text),
-                  "%08llx",
-                  static_cast<unsigned long long>(aProgress));
+    std::snprintf(
+      text, sizeof(text), "%08llx", static_cast<unsigned long long>(aProgress));
     return text + this->task.substr(8, 8);
   }
   // The value of the last full checkpoint interval of this run.
@@ -403,19 +400,18 @@
     if (aRequest.target == "/hold") {
       this->Renew(asked);
       const auto seen = asked.value("last_seen", std::uint64_t{ 0 });
-      std::erase_if(this->ends, [&](const Ended& aEnd) {
-        return aEnd.number <= seen;
-      });
+      std::erase_if(this->ends,
+                    [&](const Ended& aEnd) { return aEnd.number <= seen; });
     }
     return 200;
   }
 
   void Renew(const Json& aAsked)
   {
-    this->lease = std::max(
-      this->lease,
-      std::min(aAsked.value("deadline_ms", std::int64_t{ 0 }),
-               this->ClockMs() + kMaxHoldMs));
+    this->lease =
+      std::max(this->lease,
+               std::min(aAsked.value("deadline_ms", std::int64_t{ 0 }),
+                        this->ClockMs() + kMaxHoldMs));
   }
 
   int Start(const Json& aAsked, Json& aBody)
@@ -456,12 +452,8 @@
     if (run.work.cpu > this->FreeCpu()) {
       return refuse("room");
     }
-    this->world.starts.push_back({ run.arrivedAt,
-                                   this->id,
-                                   run.task,
-                                   run.number,
-                                   "",
-                                   run.carried });
+    this->world.starts.push_back(
+      { run.arrivedAt, this->id, run.task, run.number, "", run.carried });
     this->world.record.Write("worker " + this->id + " starts " + run.task +
                              " run " + std::to_string(run.number) +
                              " checkpoint \"" + run.carried + "\"");
@@ -514,20 +506,22 @@
         if (this->ended) {
           return;
         }
-        report = { { "service", this->service },
-                   { "address", this->address },
-                   { "zone", "dc-0" },
-                   { "version", "v1" },
-                   { "slots", 8 },
-                   { "state", "ready" },
-                   { "cold_remaining_ms", 0 },
-                   { "capacity",
-                     { { "cpu", this->cpu }, { "mem_mb", 65536 }, { "gpu", 0 } } },
-                   { "labels", { "a", "r1-1" } },
-                   { "machine", "m-" + this->address },
-                   { "clock_ms", this->ClockMs() },
-                   { "born", this->born },
-                   { "sequence", ++this->sequence } };
+        report = {
+          { "service", this->service },
+          { "address", this->address },
+          { "zone", "dc-0" },
+          { "version", "v1" },
+          { "slots", 8 },
+          { "state", "ready" },
+          { "cold_remaining_ms", 0 },
+          { "capacity",
+            { { "cpu", this->cpu }, { "mem_mb", 65536 }, { "gpu", 0 } } },
+          { "labels", { "a", "r1-1" } },
+          { "machine", "m-" + this->address },
+          { "clock_ms", this->ClockMs() },
+          { "born", this->born },
+          { "sequence", ++this->sequence }
+        };
       }
       const std::string to =
         control.empty()
