review: the scripts name their record, and case 1 records each call

Cause: the record of case 1 held only the wrong answers. Change: play.sh takes the path of the record; each call of case 1 is written to it.

--- a/review/play.sh
+++ b/review/play.sh
@@ -2,12 +2,12 @@
 # Plays one scenario of the stand-in against four nodes (three with a disk) as separate processes on
 # 127.0.0.0/8, started with the command of deploy/system.toml. The settings are what the template
 # platform/node-settings.json.in gives for a small deployment with the bounds of ncu-sched.
-# TROUBLE=0 leaves out the disruption. Writes record.txt into the folder of the case.
+# TROUBLE=0 leaves out the disruption. Writes what was sent, answered and run to RECORD.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-# Usage: review/play.sh SCENARIO CASE-FOLDER
+# Usage: review/play.sh SCENARIO RECORD
 set -uo pipefail
 scenario=$1
-record=$(cd "$2" && pwd)/record.txt
+record=$(cd "$(dirname "$2")" && pwd)/$(basename "$2")
 cd "$(dirname "$0")/.."
 root=$PWD
 program=$root/target/hyssoppaddle
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -650,14 +650,18 @@
                    const std::string& aKey)
   {
     ++this->asked;
-    return CallOnce(this->AddressOf(aNode, 0),
-                    aMethod,
-                    aTarget,
-                    aBody,
-                    { { "Host", "pay.example" },
-                      { "X-Api-Key", aKey },
-                      { "X-Deadline-Ms", "3000" } },
-                    3000);
+    const Message answer = CallOnce(this->AddressOf(aNode, 0),
+                                    aMethod,
+                                    aTarget,
+                                    aBody,
+                                    { { "Host", "pay.example" },
+                                      { "X-Api-Key", aKey },
+                                      { "X-Deadline-Ms", "3000" } },
+                                    3000);
+    this->Note("client " + aMethod + " " + aTarget + " with " + aKey +
+               " at node " + std::to_string(aNode) + ": " +
+               std::to_string(answer.status) + " " + answer.body);
+    return answer;
   }
 
   // A node without a disk that has just started is killed and started again
