--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -44,6 +44,7 @@
   this->failedOn.clear();
   this->proposedStarts.clear();
   this->dirtyServices.clear();
+  this->lastPlans.clear();
   this->tickets.Clear();
   this->owner = {};
   this->forecast = {};
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -104,6 +104,12 @@
     std::optional<double> reachable;
   };
 
+  struct LastPlan
+  {
+    Time at{};
+    std::size_t skippedJobs = 0; // waiting jobs that it did not look at
+  };
+
   // Dispatcher.cpp: committed commands and job views.
   void On(const work::SetSetup& aCommand, work::Verdict aVerdict);
   void On(const work::SubmitJob& aCommand, work::Verdict aVerdict);
@@ -317,6 +323,7 @@
   // Tasks whose start is proposed but not yet committed.
   std::set<work::TaskRef> proposedStarts;
   std::set<ServiceId> dirtyServices; // services that must be planned again
+  std::map<ServiceId, LastPlan> lastPlans;
   QueueIndex queues;
   TicketCache tickets;
   InstanceOwner owner;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -43,6 +43,8 @@
 void
 Dispatcher::PlanService(const ServiceId& aService)
 {
+  LastPlan& lastPlan = this->lastPlans[aService];
+  lastPlan = { this->now, 0 };
   std::vector<std::pair<WorkRank, JobView*>> waiting;
   std::map<WorkspaceId, double> shares;
   for (auto& [id, view] : this->views) {
@@ -82,6 +84,7 @@
     }
     this->LogPlacement(*view, pending, rank, i);
     if (misses > kMaxMissesPerPlan) {
+      lastPlan.skippedJobs = waiting.size() - i - 1;
       return;
     }
   }
@@ -212,7 +215,8 @@
         { "busy_millicores", Text(busy) },
         { "backlog_core_ms", Text(static_cast<std::int64_t>(load.backlog)) },
         { "waiting_jobs", Text(waiting) },
-        { "at_workspace_limit", Text(limited) } });
+        { "at_workspace_limit", Text(limited) },
+        { "skipped_jobs", Text(this->lastPlans[service].skippedJobs) } });
     this->LogWaitingTask(service);
   }
 }
@@ -248,10 +252,14 @@
   const auto count = [&refusals](Refusal aRefusal) {
     return Text(refusals[static_cast<std::size_t>(aRefusal)]);
   };
+  const bool isAllowed =
+    this->IsWithinLimit(waiting->workspace, query.step->size);
   this->LogDecision(
     "task_waits",
     waiting->id.value,
     { { "service", aService.value },
+      { "planned_ms_ago", Text(this->now - this->lastPlans[aService].at) },
+      { "at_workspace_limit", isAllowed ? "no" : "yes" },
       { "task", Text(query.task) },
       { "long_running", query.step->longRunning ? "yes" : "no" },
       { "fills", query.step->fills ? "yes" : "no" },
--- a/test/dispatch/DispatcherTest.cpp
+++ b/test/dispatch/DispatcherTest.cpp
@@ -102,6 +102,8 @@
     EXPECT_EQUAL(trace, line["upstreams"], std::string("2"));
     EXPECT_EQUAL(trace, line["step_limit"], std::string("2"));
     EXPECT_EQUAL(trace, line["most_free_millicores"], std::string("7000"));
+    EXPECT_EQUAL(trace, line["at_workspace_limit"], std::string("no"));
+    EXPECT_THAT(trace, std::stol(line["planned_ms_ago"]) <= 1500);
   });
   trace.Section(
     "it is the task that the line is about, although others wait", [&] {
