Drop replies to calls of an earlier process

Callers of a node that was killed and restarted got the leader's replies to calls that other clients had made at the process before: a job that lasts shown as completed, 200 for an unknown key, 401 for a job that runs.

Cause: CallRouter numbered forwarded calls from 1 in each process, and the leader replies to the node, not to the process that sent the call. A call that waited at the leader was answered to the next process, where its number belonged to another call.

TokenSequence draws the start of the numbers of each process from a random seed, so that such a reply matches no open call. Messages between nodes are unchanged.

--- a/src/node/CallMeter.cpp
+++ b/src/node/CallMeter.cpp
@@ -56,6 +56,7 @@
     }
   };
   addCount("late_replies", this->lateReplies);
+  addCount("foreign_replies", this->foreignReplies);
   addCount("dropped", this->dropped);
   addCount("evicted", this->evicted);
   const Duration wait = std::exchange(this->longestWait, Duration(0));
--- a/src/node/CallMeter.h
+++ b/src/node/CallMeter.h
@@ -23,6 +23,8 @@
   void Record(const Call& aCall, Duration aElapsed);
   // Counts a reply whose call this node had given up before.
   void RecordLateReply() { ++this->lateReplies; }
+  // Counts a reply to a call of an earlier process of this node.
+  void RecordForeignReply() { ++this->foreignReplies; }
   // How long a call waited on this leader until it was handled or discarded.
   void RecordWait(Duration aWait)
   {
@@ -33,8 +35,9 @@
   // Counts a call that was returned to a waiting caller as not run.
   void RecordEvicted() { ++this->evicted; }
 
-  // Returns a log line once a second if there was a call or a late reply since
-  // the last one. Each field holds the number of calls and their milliseconds.
+  // Returns a log line once a second if there was a call or an unexpected reply
+  // since the last one. Each field holds the number of calls and their
+  // milliseconds.
   [[nodiscard]] std::optional<dispatch::Decision> TakeReport(Time aNow);
 
 private:
@@ -48,6 +51,7 @@
   std::array<Kind, kKinds> kinds{}; // since the last report
   // The figures below are since the last report.
   std::uint64_t lateReplies = 0;
+  std::uint64_t foreignReplies = 0;
   std::uint64_t dropped = 0;
   std::uint64_t evicted = 0;
   Duration longestWait{ 0 };
--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -42,9 +42,12 @@
   this->unanswered = true;
 }
 
-CallRouter::CallRouter(InstanceId aSelf, Callbacks aCallbacks)
+CallRouter::CallRouter(InstanceId aSelf,
+                       std::uint64_t aSeed,
+                       Callbacks aCallbacks)
   : self(std::move(aSelf))
   , callbacks(std::move(aCallbacks))
+  , tokens(aSeed)
 {
 }
 
@@ -54,7 +57,7 @@
                   Time aNow,
                   api::ReplyCallback aDone)
 {
-  const std::uint64_t token = ++this->lastToken;
+  const std::uint64_t token = this->tokens.Next();
   aCall.token = token;
   OpenCall& open = this->calls[token];
   open.call = std::move(aCall);
@@ -118,6 +121,10 @@
 void
 CallRouter::OnReply(const InstanceId& aFrom, wire::RemoteReply aReply)
 {
+  if (!this->tokens.HasIssued(aReply.token)) {
+    this->callbacks.foreignReply();
+    return;
+  }
   const auto found = this->calls.find(aReply.token);
   if (found == this->calls.end() || found->second.sentTo != aFrom) {
     this->callbacks.lateReply();
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -7,6 +7,7 @@
 
 #include "api/ControlHandler.h"
 #include "base/Time.h"
+#include "base/TokenSequence.h"
 #include "dispatch/Decision.h"
 #include "node/Calls.h"
 #include "wire/PeerMessage.h"
@@ -41,9 +42,14 @@
     std::function<void(const dispatch::Decision&)> logDecision;
     // Called for a reply to a call that was given up or sent to another leader.
     std::function<void()> lateReply = [] {};
+    // Called for a reply to a call that this process has not sent: an earlier
+    // process of this node has.
+    std::function<void()> foreignReply = [] {};
   };
 
-  CallRouter(InstanceId aSelf, Callbacks aCallbacks);
+  // aSeed must differ from that of every earlier process of this node: the
+  // leader replies to the node, not to the process that sent the call.
+  CallRouter(InstanceId aSelf, std::uint64_t aSeed, Callbacks aCallbacks);
 
   // The router assigns the token of aCall. aLimit is how long the sender waits
   // for a reply.
@@ -101,7 +107,7 @@
 
   InstanceId self;
   Callbacks callbacks;
-  std::uint64_t lastToken = 0;
+  TokenSequence tokens;
   std::map<std::uint64_t, OpenCall> calls;
   bool closed = false; // since GiveUpAll
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -326,7 +326,9 @@
     this->LogThrottled(aDecision);
   };
   callbacks.lateReply = [this] { this->callMeter.RecordLateReply(); };
-  this->router = std::make_unique<CallRouter>(this->self, std::move(callbacks));
+  callbacks.foreignReply = [this] { this->callMeter.RecordForeignReply(); };
+  this->router = std::make_unique<CallRouter>(
+    this->self, RandomSeed(), std::move(callbacks));
 }
 
 void
--- a/test/node/CallDeadlineTest.cpp
+++ b/test/node/CallDeadlineTest.cpp
@@ -29,7 +29,7 @@
   };
   callbacks.encode = [](const Reply&) { return api::HttpReply{}; };
   callbacks.logDecision = [](const dispatch::Decision&) {};
-  CallRouter router(InstanceId("a"), callbacks);
+  CallRouter router(InstanceId("a"), 1, callbacks);
   wire::RemoteCall call;
   call.fields = { { "Host", "h" } };
   router.Route(call, seconds(2), start, [](const api::HttpReply&) {});
--- a/test/node/CallMeterTest.cpp
+++ b/test/node/CallMeterTest.cpp
@@ -17,12 +17,14 @@
   meter.Record(SubmitCall{}, milliseconds(8));
   meter.Record(GetSetupCall{}, milliseconds(1));
   meter.RecordLateReply();
+  meter.RecordForeignReply();
   const auto report = meter.TakeReport(Time(seconds(100)));
   EXPECT_THAT(trace, report.has_value());
   EXPECT_EQUAL(trace, FieldOf(*report, "submit"), "2 in 11 ms, longest 8 ms");
   EXPECT_EQUAL(trace, FieldOf(*report, "get_setup"), "1 in 1 ms, longest 1 ms");
   EXPECT_EQUAL(trace, FieldOf(*report, "cancel"), "missing");
   EXPECT_EQUAL(trace, FieldOf(*report, "late_replies"), "1");
+  EXPECT_EQUAL(trace, FieldOf(*report, "foreign_replies"), "1");
   trace.Section("the next report begins anew", [&] {
     meter.Record(GetSetupCall{}, milliseconds(2));
     EXPECT_THAT(trace, !meter.TakeReport(Time(milliseconds(100500))));
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -17,14 +17,22 @@
 namespace {
 
 const Time kStart{ seconds(100) };
+constexpr std::uint64_t kSeed = 1;
 
 struct RouterFixture
 {
+  explicit RouterFixture(std::uint64_t aSeed = kSeed)
+    : seed(aSeed)
+  {
+  }
+
+  std::uint64_t seed;
   InstanceId leader{ "b" };
   std::vector<std::pair<InstanceId, std::uint64_t>> sent;
   std::vector<CallRouter::RoutedReplyCallback> handledLocally;
   std::vector<api::HttpReply> replies;
-  CallRouter router{ InstanceId("a"), this->Callbacks() };
+  std::size_t foreignReplies = 0;
+  CallRouter router{ InstanceId("a"), this->seed, this->Callbacks() };
 
   CallRouter::Callbacks Callbacks()
   {
@@ -44,6 +52,7 @@
       return reply;
     };
     callbacks.logDecision = [](const dispatch::Decision&) {};
+    callbacks.foreignReply = [this] { ++this->foreignReplies; };
     return callbacks;
   }
 
@@ -100,6 +109,35 @@
   });
 }
 
+// Guards against clients of a restarted node that get the leader's replies to
+// calls of the process before it.
+Test(CallRouter, ARestartedNodeDropsRepliesToItsEarlierProcess)
+{
+  TestTrace trace;
+  RouterFixture killed(1);
+  RouterFixture restarted(2);
+  for (int i = 0; i < 3; ++i) {
+    killed.Route();
+    restarted.Route("GET");
+  }
+  trace.Section("the leader replies to the calls of the killed process", [&] {
+    for (const auto& [leader, token] : killed.sent) {
+      restarted.router.OnReply(leader, { token, 200, false, {}, "{}" });
+    }
+    EXPECT_EQUAL(trace, restarted.replies.size(), 0U);
+    EXPECT_EQUAL(trace, restarted.foreignReplies, 3U);
+  });
+  trace.Section("then to those of the new one", [&] {
+    for (const auto& [leader, token] : restarted.sent) {
+      restarted.router.OnReply(leader, { token, 404, false, {}, "" });
+    }
+    EXPECT_EQUAL(trace, restarted.replies.size(), 3U);
+    for (const api::HttpReply& reply : restarted.replies) {
+      EXPECT_EQUAL(trace, reply.status, 404U);
+    }
+  });
+}
+
 // Guards against a call that waits for a paused leader, whose connection stays
 // open, after another node has taken over.
 Test(CallRouter, LeavesALeaderThatIsReplacedWhileItsConnectionIsOpen)
--- a/test/node/OverloadTest.cpp
+++ b/test/node/OverloadTest.cpp
@@ -226,8 +226,10 @@
       return reply;
     };
     callbacks.logDecision = [](const dispatch::Decision&) {};
-    this->routers.push_back(std::make_unique<CallRouter>(
-      InstanceId("entry" + std::to_string(aIndex)), std::move(callbacks)));
+    this->routers.push_back(
+      std::make_unique<CallRouter>(InstanceId("entry" + std::to_string(aIndex)),
+                                   aIndex,
+                                   std::move(callbacks)));
   }
 
   void TickAll()
