Number each attempt of a forwarded call

A call whose link to the leader was lost is sent to the same leader again. It kept its number, so that the reply to the first copy ended the call: its caller could be told 429 although the second copy was accepted and its job ran.

Each attempt now has its own number, and the reply to an abandoned one counts as late. Calls are idempotent, so the reply to the repeated one is the valid one.

With the number kept, the test CallRouter DropsTheReplyToAnAttemptThatWasRepeatedWithTheSameLeader fails.

--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -58,7 +58,6 @@
                   api::ReplyCallback aDone)
 {
   const std::uint64_t token = this->tokens.Next();
-  aCall.token = token;
   OpenCall& open = this->calls[token];
   open.call = std::move(aCall);
   open.done = std::move(aDone);
@@ -70,24 +69,28 @@
   }
   const InstanceId leader = this->callbacks.leader();
   if (!leader.empty()) {
-    this->Forward(open, leader, aNow);
+    this->Forward(token, leader, aNow);
   }
 }
 
 void
-CallRouter::Forward(OpenCall& aCall, const InstanceId& aLeader, Time aNow)
+CallRouter::Forward(std::uint64_t aToken, const InstanceId& aLeader, Time aNow)
 {
-  aCall.sentTo = aLeader;
-  aCall.refused = false;
-  SetTimeLeft(aCall.call, aCall.answerBy - aNow);
+  const std::uint64_t token = this->tokens.Next();
+  auto entry = this->calls.extract(aToken);
+  entry.key() = token;
+  OpenCall& open = this->calls.insert(std::move(entry)).position->second;
+  open.call.token = token;
+  open.sentTo = aLeader;
+  open.refused = false;
+  SetTimeLeft(open.call, open.answerBy - aNow);
   if (aLeader != this->self) {
-    this->callbacks.send(aLeader, aCall.call);
+    this->callbacks.send(aLeader, open.call);
     return;
   }
-  this->callbacks.handleLocally(
-    aCall.call, [this, token = aCall.call.token](RoutedReply aReply) {
-      this->OnLocalReply(token, std::move(aReply));
-    });
+  this->callbacks.handleLocally(open.call, [this, token](RoutedReply aReply) {
+    this->OnLocalReply(token, std::move(aReply));
+  });
 }
 
 void
@@ -220,7 +223,7 @@
     }
   }
   for (const std::uint64_t token : unsent) {
-    this->Forward(this->calls.at(token), leader, aNow);
+    this->Forward(token, leader, aNow);
   }
   for (const std::uint64_t token : expired) {
     if (this->calls.contains(token)) {
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -51,7 +51,9 @@
   // leader replies to the node, not to the process that sent the call.
   CallRouter(InstanceId aSelf, std::uint64_t aSeed, Callbacks aCallbacks);
 
-  // The router assigns the token of aCall. aLimit is how long the sender waits
+  // The router assigns the token of aCall, a new one for each attempt, so that
+  // the reply to an abandoned attempt is not taken for that to a later one.
+  // aLimit is how long the sender waits
   // for a reply.
   void Route(wire::RemoteCall aCall,
              Duration aLimit,
@@ -95,7 +97,7 @@
     void AbandonReceiver();
   };
 
-  void Forward(OpenCall& aCall, const InstanceId& aLeader, Time aNow);
+  void Forward(std::uint64_t aToken, const InstanceId& aLeader, Time aNow);
   // True when the caller is better served by another attempt later. aLeader is
   // empty when there is none.
   [[nodiscard]] static bool MustGiveUp(const OpenCall& aCall,
@@ -108,8 +110,8 @@
   InstanceId self;
   Callbacks callbacks;
   TokenSequence tokens;
-  std::map<std::uint64_t, OpenCall> calls;
-  bool closed = false; // since GiveUpAll
+  std::map<std::uint64_t, OpenCall> calls; // by token of the last attempt
+  bool closed = false;                     // since GiveUpAll
 };
 
 } // namespace hyssoppaddle::node
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -138,6 +138,29 @@
   });
 }
 
+// Guards against a caller that is told that its call was rejected, although the
+// leader accepted the copy that was sent after the link to it was lost.
+Test(CallRouter, DropsTheReplyToAnAttemptThatWasRepeatedWithTheSameLeader)
+{
+  TestTrace trace;
+  RouterFixture fixture;
+  fixture.Route();
+  fixture.router.OnPeerLost(InstanceId("b"));
+  fixture.router.Tick(kStart + milliseconds(100));
+  EXPECT_EQUAL(trace, fixture.sent.size(), 2U);
+  trace.Section("the first copy was rejected", [&] {
+    fixture.router.OnReply(InstanceId("b"),
+                           { fixture.sent.at(0).second, 429, false, {}, "" });
+    EXPECT_EQUAL(trace, fixture.replies.size(), 0U);
+  });
+  trace.Section("the second one is accepted", [&] {
+    fixture.router.OnReply(InstanceId("b"),
+                           { fixture.sent.at(1).second, 202, false, {}, "" });
+    EXPECT_EQUAL(trace, fixture.replies.at(0).status, 202U);
+    EXPECT_EQUAL(trace, fixture.router.CountOpenCalls(), 0U);
+  });
+}
+
 // Guards against a call that waits for a paused leader, whose connection stays
 // open, after another node has taken over.
 Test(CallRouter, LeavesALeaderThatIsReplacedWhileItsConnectionIsOpen)
