Number commands and renewals of `hyssoppaddle run` per process

A leader's reply to a command of the process before a restart could decide a command of the new one, and the reply to an earlier renewal could extend a lease that is measured from a later time.

Both draw their numbers from TokenSequence with the seed of the process.

With all sequences started at 0 instead, the tests SubmissionTable IgnoresTokensOfAnEarlierProcess and RenewalTracker IgnoresRepliesToAnEarlierProcess fail.

--- a/src/core/RenewalTracker.cpp
+++ b/src/core/RenewalTracker.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-RenewalTracker::RenewalTracker(Duration aInterval)
+RenewalTracker::RenewalTracker(Duration aInterval, std::uint64_t aSeed)
   : interval(aInterval)
+  , nonces(aSeed)
 {
 }
 
@@ -34,7 +35,7 @@
 RenewalTracker::Start(Time aNow)
 {
   this->lastSent = aNow;
-  const std::uint64_t nonce = this->nextNonce++;
+  const std::uint64_t nonce = this->nonces.Next();
   this->outstanding.emplace(nonce, aNow);
   if (this->outstanding.size() > kMaxOutstanding) {
     this->outstanding.erase(this->outstanding.begin());
--- a/src/core/RenewalTracker.h
+++ b/src/core/RenewalTracker.h
@@ -5,6 +5,7 @@
 
 #include "agreement/LogEntry.h"
 #include "base/Time.h"
+#include "base/TokenSequence.h"
 #include "wire/PeerMessage.h"
 
 #include <cstdint>
@@ -23,7 +24,10 @@
 class RenewalTracker
 {
 public:
-  explicit RenewalTracker(Duration aInterval);
+  // aSeed must differ from that of every earlier process of this instance: the
+  // reply to one of their renewals must not extend a lease that is measured
+  // from a later time.
+  RenewalTracker(Duration aInterval, std::uint64_t aSeed);
 
   // True when the regular interval has passed since the last renewal was sent.
   [[nodiscard]] bool IsDue(Time aNow) const;
@@ -35,7 +39,8 @@
   std::uint64_t Start(Time aNow);
 
   // Records a reply of the leader. Unknown nonces, which come from an earlier
-  // leader or from a repeated reply, are ignored.
+  // leader, from a repeated reply or from a renewal of an earlier process, are
+  // ignored.
   void RecordReply(const wire::RenewReply& aReply);
 
   // Returns the newest renewal whose index has been applied here; each renewal
@@ -52,7 +57,7 @@
 
   Duration interval;
   std::optional<Time> lastSent;
-  std::uint64_t nextNonce = 1;
+  TokenSequence nonces;
   // Renewals without a reply: at most kMaxOutstanding, the oldest is dropped.
   std::map<std::uint64_t, Time> outstanding;
   // Replies whose index has not been applied here yet, by nonce.
--- a/src/core/SubmissionTable.cpp
+++ b/src/core/SubmissionTable.cpp
@@ -5,6 +5,11 @@
 
 namespace hyssoppaddle::core {
 
+SubmissionTable::SubmissionTable(std::uint64_t aSeed)
+  : tokens(aSeed)
+{
+}
+
 void
 SubmissionTable::Park(Submission aSubmission)
 {
@@ -20,7 +25,7 @@
 std::uint64_t
 SubmissionTable::Add(Submission aSubmission, const InstanceId& aLeader)
 {
-  const std::uint64_t token = this->nextToken++;
+  const std::uint64_t token = this->tokens.Next();
   this->deadlines.emplace(aSubmission.deadline, token);
   this->sent.emplace(token, Sent{ std::move(aSubmission), aLeader });
   return token;
@@ -42,15 +47,15 @@
 std::vector<Submission>
 SubmissionTable::TakeForwardedTo(const InstanceId& aPeer)
 {
-  std::vector<std::uint64_t> tokens;
+  std::vector<std::uint64_t> forwarded;
   for (const auto& [token, entry] : this->sent) {
     if (entry.leader == aPeer) {
-      tokens.push_back(token);
+      forwarded.push_back(token);
     }
   }
   std::vector<Submission> taken;
-  taken.reserve(tokens.size());
-  for (const std::uint64_t token : tokens) {
+  taken.reserve(forwarded.size());
+  for (const std::uint64_t token : forwarded) {
     taken.push_back(*this->Take(token));
   }
   return taken;
--- a/src/core/SubmissionTable.h
+++ b/src/core/SubmissionTable.h
@@ -5,6 +5,7 @@
 #define hyssoppaddle_core_SubmissionTable_h
 
 #include "agreement/LogEntry.h"
+#include "base/TokenSequence.h"
 #include "core/Submission.h"
 #include "state/Outcome.h"
 
@@ -27,13 +28,17 @@
 class SubmissionTable
 {
 public:
+  // aSeed must differ from that of every earlier process of this instance,
+  // whose replies may still arrive.
+  explicit SubmissionTable(std::uint64_t aSeed);
+
   // Queues a submission until a leader is known.
   void Park(Submission aSubmission);
   // Removes and returns all parked submissions, oldest first.
   std::deque<Submission> TakeParked();
 
   // Records a submission that was proposed here or forwarded to aLeader. The
-  // token is never reused in this process.
+  // token is never reused in this process, nor by a later one.
   std::uint64_t Add(Submission aSubmission, const InstanceId& aLeader);
   // Removes and returns the submission with this token, if it has not ended.
   std::optional<Submission> Take(std::uint64_t aToken);
@@ -75,7 +80,7 @@
   std::map<agreement::LogIndex, state::Outcome> applied;
   std::vector<DecidedSubmission> decided;
   std::multimap<agreement::LogIndex, DecidedSubmission> held;
-  std::uint64_t nextToken = 1;
+  TokenSequence tokens;
 
   void MatchOutcome(agreement::LogIndex aIndex);
 };
--- a/test/core/RenewalTrackerTest.cpp
+++ b/test/core/RenewalTrackerTest.cpp
@@ -24,7 +24,7 @@
 Test(RenewalTracker, MeasuresTheLeaseFromTheSendTime)
 {
   TestTrace trace;
-  RenewalTracker tracker(kInterval);
+  RenewalTracker tracker(kInterval, 1);
   trace.Section("a renewal is sent at 10 us and its reply arrives later", [&] {
     const std::uint64_t nonce = tracker.Start(At(10));
     tracker.RecordReply({ nonce, 5, {} });
@@ -45,7 +45,7 @@
 Test(RenewalTracker, IgnoresUnexpectedReplies)
 {
   TestTrace trace;
-  RenewalTracker tracker(kInterval);
+  RenewalTracker tracker(kInterval, 1);
   trace.Section("one reply arrives twice and an unknown one once", [&] {
     const std::uint64_t nonce = tracker.Start(At(10));
     tracker.RecordReply({ nonce, 1, {} });
@@ -60,7 +60,7 @@
 Test(RenewalTracker, LimitsUnscheduledRenewals)
 {
   TestTrace trace;
-  RenewalTracker tracker(kInterval);
+  RenewalTracker tracker(kInterval, 1);
   trace.Section("a renewal has just been sent", [&] {
     tracker.Start(At(1000000));
     EXPECT_THAT(trace, !tracker.MaySendNow(At(1010000)));
@@ -69,3 +69,18 @@
     EXPECT_THAT(trace, tracker.IsDue(At(2000000)));
   });
 }
+
+// Guards against a lease that is measured from a renewal of this process and
+// confirmed by the reply to one of the process before a restart.
+Test(RenewalTracker, IgnoresRepliesToAnEarlierProcess)
+{
+  TestTrace trace;
+  RenewalTracker killed(kInterval, 1);
+  RenewalTracker restarted(kInterval, 2);
+  const std::uint64_t old = killed.Start(At(10));
+  const std::uint64_t own = restarted.Start(At(5000));
+  restarted.RecordReply({ old, 1, {} });
+  EXPECT_THAT(trace, !restarted.TakeEffective(1).has_value());
+  restarted.RecordReply({ own, 1, {} });
+  EXPECT_THAT(trace, restarted.TakeEffective(1).has_value());
+}
--- a/test/core/SubmissionTableTest.cpp
+++ b/test/core/SubmissionTableTest.cpp
@@ -29,7 +29,7 @@
 Test(SubmissionTable, PairsCommitAndOutcomeInEitherOrder)
 {
   TestTrace trace;
-  SubmissionTable table;
+  SubmissionTable table(1);
   trace.Section("two commands have been proposed", [&] {
     const std::uint64_t first =
       table.Add(MakeHttpSubmission(1, Time(Duration(9))), kLeader);
@@ -60,7 +60,7 @@
 Test(SubmissionTable, TakesSubmissionsForwardedToALostPeer)
 {
   TestTrace trace;
-  SubmissionTable table;
+  SubmissionTable table(1);
   trace.Section("one submission is sent to n1, one to n2", [&] {
     table.Add(MakeHttpSubmission(1, Time(Duration(9))), kLeader);
     const std::uint64_t other =
@@ -79,7 +79,7 @@
 Test(SubmissionTable, MarksExpiredSubmissionsThatMayBeLogged)
 {
   TestTrace trace;
-  SubmissionTable table;
+  SubmissionTable table(1);
   trace.Section("one submission is parked and one sent, and both expire", [&] {
     table.Park(MakeHttpSubmission(1, Time(Duration(5))));
     table.Add(MakeHttpSubmission(2, Time(Duration(5))), kLeader);
@@ -91,3 +91,18 @@
     }
   });
 }
+
+// Guards against taking the reply to a command of the process before a restart
+// for that to a command of this one.
+Test(SubmissionTable, IgnoresTokensOfAnEarlierProcess)
+{
+  TestTrace trace;
+  SubmissionTable killed(1);
+  SubmissionTable restarted(2);
+  const std::uint64_t old =
+    killed.Add(MakeHttpSubmission(1, Time(Duration(9))), kLeader);
+  const std::uint64_t own =
+    restarted.Add(MakeHttpSubmission(2, Time(Duration(9))), kLeader);
+  EXPECT_THAT(trace, !restarted.Take(old).has_value());
+  EXPECT_THAT(trace, restarted.Take(own).has_value());
+}
