Plan again where a workspace waits for its limit

Callers saw an accepted job that never started: its workspace ran nothing, and all cores of its pool were free.

Cause: the limit of a workspace covers its runs in all services, but the end of a run marked only its own service to be planned. A task that its limit had turned down in another service was not looked at again.

The dispatcher keeps, for each workspace, the services in which its limit turned down a task, and marks them when a run of the workspace ends or is lost anywhere. Starts that a pass withdraws again mark nothing.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -39,6 +39,7 @@
   this->bootCounts.clear();
   this->views.clear();
   this->used.clear();
+  this->waitingForLimit.clear();
   this->orders.clear();
   this->pendingAnnouncements.clear();
   this->failedOn.clear();
@@ -107,6 +108,24 @@
 
 void
 Dispatcher::DropRun(const InstanceId& aUpstream, const RunKey& aKey)
+{
+  const UpstreamSession* session = this->FindSession(aUpstream);
+  if (session == nullptr || !session->runs.contains(aKey)) {
+    return;
+  }
+  // The limit of a workspace covers its runs in all services.
+  const auto waiting =
+    this->waitingForLimit.extract(session->runs.at(aKey).workspace);
+  if (!waiting.empty()) {
+    this->dirtyServices.insert(waiting.mapped().begin(),
+                               waiting.mapped().end());
+  }
+  this->dirtyServices.insert(session->record.service);
+  this->WithdrawRun(aUpstream, aKey);
+}
+
+void
+Dispatcher::WithdrawRun(const InstanceId& aUpstream, const RunKey& aKey)
 {
   UpstreamSession* session = this->FindSession(aUpstream);
   if (session == nullptr) {
@@ -124,7 +143,6 @@
   }
   this->used[run.workspace] -= run.size;
   session->runs.erase(found);
-  this->dirtyServices.insert(session->record.service);
 }
 
 UpstreamSession*
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -265,7 +265,10 @@
   [[nodiscard]] state::Resources EmptyCapacity(const ServiceId& aService) const;
 
   void AddRun(const InstanceId& aUpstream, const RunKey& aKey, LiveRun aRun);
+  // Removes a run and marks the services that its room is for.
   void DropRun(const InstanceId& aUpstream, const RunKey& aKey);
+  // Removes a run that was proposed in the present pass. Marks no service.
+  void WithdrawRun(const InstanceId& aUpstream, const RunKey& aKey);
   [[nodiscard]] UpstreamSession* FindSession(const InstanceId& aId);
   [[nodiscard]] Destination DestinationOf(
     const InstanceId& aId,
@@ -316,7 +319,10 @@
   std::map<InstanceId, BootCount> bootCounts;   // kept when a record is removed
   std::map<JobId, JobView> views;               // of jobs that have not ended
   std::map<WorkspaceId, state::Resources> used; // by all live runs
-  std::map<std::uint64_t, Order> orders;        // awaiting an answer, by token
+  // Services with tasks that the limit of a workspace has kept waiting. They
+  // are planned again when a run of the workspace ends in any service.
+  std::map<WorkspaceId, std::set<ServiceId>> waitingForLimit;
+  std::map<std::uint64_t, Order> orders; // awaiting an answer, by token
   // Announcements that are being checked, by the token of the call.
   std::map<std::uint64_t, Announcement> pendingAnnouncements;
   std::map<work::TaskRef, InstanceId> failedOn; // upstream of the last failure
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -393,9 +393,8 @@
     }
     for (std::size_t i = before; i < this->output.commands.size(); ++i) {
       const auto& start = std::get<work::StartRun>(this->output.commands[i]);
-      this->DropRun(start.run.upstream, { start.task, start.run.number });
+      this->WithdrawRun(start.run.upstream, { start.task, start.run.number });
       this->proposedStarts.erase(start.task);
-      this->dirtyServices.erase(aView.service);
     }
     this->output.commands.resize(before);
     aPass.unplaceable.clear(); // the members have released their room
@@ -435,8 +434,11 @@
   const work::Step& step = job.spec.steps[aTask.step];
   // A task that needs tickets requests them before there is room for it.
   const bool needsTicket = aView.needsAdvice && this->options.hasAdvisor;
-  if ((!needsTicket && aPass.IsUnplaceable(step)) ||
-      !this->IsWithinLimit(aView.workspace, step.size)) {
+  if (!needsTicket && aPass.IsUnplaceable(step)) {
+    return false;
+  }
+  if (!this->IsWithinLimit(aView.workspace, step.size)) {
+    this->waitingForLimit[aView.workspace].insert(aView.service);
     return false;
   }
   if (!aView.hasQueue) {
--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -180,12 +180,13 @@
 void
 FakeDeployment::Submit(const std::string& aJob,
                        const std::string& aQueue,
-                       std::vector<work::Step> aSteps)
+                       std::vector<work::Step> aSteps,
+                       const std::string& aWorkspace)
 {
   work::SubmitJob submit;
   submit.id = JobId(aJob);
   submit.queue = work::QueueId(aQueue);
-  submit.workspace = WorkspaceId(aQueue);
+  submit.workspace = WorkspaceId(aWorkspace.empty() ? aQueue : aWorkspace);
   submit.spec.steps = std::move(aSteps);
   this->submitted[aJob] = this->Wall();
   this->proposed.push_back({ submit });
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -90,9 +90,11 @@
   // state and keeps the replicated state.
   void ChangeLeader();
 
+  // aWorkspace is that of the queue's name if it is empty.
   void Submit(const std::string& aJob,
               const std::string& aQueue,
-              std::vector<work::Step> aSteps);
+              std::vector<work::Step> aSteps,
+              const std::string& aWorkspace = {});
   // Asks whether a job would be accepted now. Returns the time after which its
   // caller should retry if it is rejected.
   std::optional<Duration> Offer(const std::string& aQueue,
