Look at all waiting jobs in a plan

Callers of one workspace saw an accepted job that never started in a pool that was nearly empty, while another workspace had many tasks waiting for its limit.

Cause: a plan ended after 40 tasks that it could not place, on the ground that the pool is then full. Tasks over the limit of their workspace counted too, and so did tasks that are too large, lack a label or belong to a gang without room. Long-running tasks rank first and hid every job behind them.

A plan now looks at every waiting job. Its cost stays bounded in another way: it searches the upstreams only for tasks that may fit.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -45,7 +45,7 @@
   this->failedOn.clear();
   this->proposedStarts.clear();
   this->dirtyServices.clear();
-  this->lastPlans.clear();
+  this->plannedAt.clear();
   this->tickets.Clear();
   this->owner = {};
   this->forecast = {};
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -104,12 +104,6 @@
     std::optional<double> reachable;
   };
 
-  struct LastPlan
-  {
-    Time at{};
-    std::size_t skippedJobs = 0; // waiting jobs that it did not look at
-  };
-
   // Dispatcher.cpp: committed commands and job views.
   void On(const work::SetSetup& aCommand, work::Verdict aVerdict);
   void On(const work::SubmitJob& aCommand, work::Verdict aVerdict);
@@ -194,6 +188,9 @@
   // DispatcherPlan.cpp: choice of tasks and upstreams, and rejection of jobs.
   void Plan();
   void PlanService(const ServiceId& aService);
+  void PlaceTasks(PlanPass& aPass,
+                  JobView& aView,
+                  std::span<const work::TaskRef> aPending);
   void LogPlacement(const JobView& aView,
                     std::span<const work::TaskRef> aBefore,
                     const WorkRank& aRank,
@@ -328,8 +325,8 @@
   std::map<work::TaskRef, InstanceId> failedOn; // upstream of the last failure
   // Tasks whose start is proposed but not yet committed.
   std::set<work::TaskRef> proposedStarts;
-  std::set<ServiceId> dirtyServices; // services that must be planned again
-  std::map<ServiceId, LastPlan> lastPlans;
+  std::set<ServiceId> dirtyServices;   // services that must be planned again
+  std::map<ServiceId, Time> plannedAt; // last plan
   QueueIndex queues;
   TicketCache tickets;
   InstanceOwner owner;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-// Number of tasks that may fail to find capacity before the rest of a plan is
-// skipped. The pool is then full, and the next run that ends or upstream that
-// joins triggers a new plan.
-constexpr std::size_t kMaxMissesPerPlan = 40;
-
 // How long a measured load is used for admission. Jobs that are accepted in the
 // meantime are added to it.
 constexpr Duration kLoadLifetime = milliseconds(100);
@@ -43,8 +38,7 @@
 void
 Dispatcher::PlanService(const ServiceId& aService)
 {
-  LastPlan& lastPlan = this->lastPlans[aService];
-  lastPlan = { this->now, 0 };
+  this->plannedAt[aService] = this->now;
   std::vector<std::pair<WorkRank, JobView*>> waiting;
   std::map<WorkspaceId, double> shares;
   for (auto& [id, view] : this->views) {
@@ -66,26 +60,33 @@
       }
       return aLeft.second->id < aRight.second->id;
     });
-  PlanPass pass;
-  pass.candidates = FindCandidates(this->sessions, aService, this->now);
-  std::size_t misses = 0;
+  PlanPass pass(FindCandidates(this->sessions, aService, this->now));
   for (std::size_t i = 0; i < waiting.size(); ++i) {
     auto& [rank, view] = waiting[i];
     const std::vector<work::TaskRef> pending = view->pending;
-    for (const work::TaskRef& task : pending) {
-      const work::Job* job = this->FindJob(task.job);
-      const bool placed = job->spec.steps[task.step].gang
-                            ? this->PlaceGang(pass, *view, task)
-                            : this->PlaceTask(pass, *view, task);
-      misses += placed ? 0 : 1;
-      if (misses > kMaxMissesPerPlan) {
-        break;
-      }
-    }
+    this->PlaceTasks(pass, *view, pending);
     this->LogPlacement(*view, pending, rank, i);
-    if (misses > kMaxMissesPerPlan) {
-      lastPlan.skippedJobs = waiting.size() - i - 1;
-      return;
+  }
+}
+
+void
+Dispatcher::PlaceTasks(PlanPass& aPass,
+                       JobView& aView,
+                       std::span<const work::TaskRef> aPending)
+{
+  const work::Job& job = *this->FindJob(aView.id);
+  const work::TaskRef* missed = nullptr;
+  for (const work::TaskRef& task : aPending) {
+    // What keeps a task waiting is the same for all tasks of its step.
+    if (missed != nullptr && missed->occurrence == task.occurrence &&
+        missed->step == task.step) {
+      continue;
+    }
+    const bool placed = job.spec.steps[task.step].gang
+                          ? this->PlaceGang(aPass, aView, task)
+                          : this->PlaceTask(aPass, aView, task);
+    if (!placed) {
+      missed = &task;
     }
   }
 }
@@ -215,8 +216,7 @@
         { "busy_millicores", Text(busy) },
         { "backlog_core_ms", Text(static_cast<std::int64_t>(load.backlog)) },
         { "waiting_jobs", Text(waiting) },
-        { "at_workspace_limit", Text(limited) },
-        { "skipped_jobs", Text(this->lastPlans[service].skippedJobs) } });
+        { "at_workspace_limit", Text(limited) } });
     this->LogWaitingTask(service);
   }
 }
@@ -258,7 +258,7 @@
     "task_waits",
     waiting->id.value,
     { { "service", aService.value },
-      { "planned_ms_ago", Text(this->now - this->lastPlans[aService].at) },
+      { "planned_ms_ago", Text(this->now - this->plannedAt[aService]) },
       { "at_workspace_limit", isAllowed ? "no" : "yes" },
       { "task", Text(query.task) },
       { "long_running", query.step->longRunning ? "yes" : "no" },
@@ -340,7 +340,7 @@
     }
   }
   std::map<std::string, std::int64_t> room;
-  for (const Candidate& candidate : aPass.candidates) {
+  for (const Candidate& candidate : aPass.Candidates()) {
     room[candidate.session->record.Rack()] +=
       candidate.session->Free().milliCpus;
   }
@@ -386,6 +386,20 @@
     number = std::max(number, members[i].lastRun + 1);
     refs.push_back(std::move(ref));
   }
+  const work::Step& step = job.spec.steps[aTask.step];
+  const bool needsTicket = aView.needsAdvice && this->options.hasAdvisor;
+  if (!needsTicket && aPass.IsGangUnplaceable(step)) {
+    return false;
+  }
+  state::Resources total;
+  for (std::size_t i = 0; i < refs.size(); ++i) {
+    total += step.size;
+  }
+  if (!this->IsWithinLimit(aView.workspace, total)) {
+    this->waitingForLimit[aView.workspace].insert(aView.service);
+    return false;
+  }
+  const PlanPass::Misses misses = aPass.GetMisses();
   const std::size_t before = this->output.commands.size();
   for (const work::TaskRef& ref : refs) {
     if (this->ProposeStart(aPass, aView, ref, number)) {
@@ -397,7 +411,10 @@
       this->proposedStarts.erase(start.task);
     }
     this->output.commands.resize(before);
-    aPass.unplaceable.clear(); // the members have released their room
+    aPass.RestoreMisses(misses);
+    if (aView.hasQueue && !needsTicket) {
+      aPass.RecordGangMiss(step);
+    }
     return false;
   }
   for (const work::TaskRef& ref : refs) {
@@ -446,7 +463,7 @@
   }
   PlacementQuery query = this->QueryOf(aView, aTask);
   query.rack = this->RackOf(aPass, job, aTask);
-  const Candidate* chosen = ChooseUpstream(aPass.candidates, query);
+  const Candidate* chosen = ChooseUpstream(aPass.Candidates(), query);
   if (chosen == nullptr) {
     if (query.hasTicket) {
       this->RequestTickets(aView, aTask);
--- a/src/dispatch/PlanPass.cpp
+++ b/src/dispatch/PlanPass.cpp
@@ -1,27 +1,83 @@
-// Remembers the sizes that found no room in this pass.
+// Remembers what found no room in this pass.
 #include "dispatch/PlanPass.h"
 
 #include <algorithm>
 
 namespace hyssoppaddle::dispatch {
 
+namespace {
+
+// Steps that use the room of an upstream like any other step of their size.
+bool
+IsUnconstrained(const work::Step& aStep)
+{
+  return aStep.requiredLabel.empty() && aStep.maxPerUpstream == 0 &&
+         !aStep.fills;
+}
+
+} // namespace
+
+PlanPass::PlanPass(std::vector<Candidate> aCandidates)
+  : candidates(std::move(aCandidates))
+{
+  this->MeasureRoom();
+}
+
+void
+PlanPass::MeasureRoom()
+{
+  state::Resources most;
+  for (const Candidate& candidate : this->candidates) {
+    const state::Resources free = candidate.session->Free();
+    most.milliCpus = std::max(most.milliCpus, free.milliCpus);
+    most.memoryMb = std::max(most.memoryMb, free.memoryMb);
+    most.accelerators = std::max(most.accelerators, free.accelerators);
+  }
+  this->misses.mostFree = most;
+}
+
 bool
 PlanPass::IsUnplaceable(const work::Step& aStep) const
 {
-  return !aStep.fills && std::any_of(this->unplaceable.begin(),
-                                     this->unplaceable.end(),
+  if (!SizeInRoom(aStep).FitsInto(this->misses.mostFree)) {
+    return true;
+  }
+  return !aStep.fills && std::any_of(this->misses.sizes.begin(),
+                                     this->misses.sizes.end(),
                                      [&](const state::Resources& aSize) {
                                        return aSize.FitsInto(aStep.size);
                                      });
 }
 
+bool
+PlanPass::IsGangUnplaceable(const work::Step& aStep) const
+{
+  if (this->IsUnplaceable(aStep)) {
+    return true;
+  }
+  return !aStep.fills &&
+         std::any_of(this->misses.gangs.begin(),
+                     this->misses.gangs.end(),
+                     [&](const auto& aGang) {
+                       return aGang.first.FitsInto(aStep.size) &&
+                              aGang.second <= aStep.count;
+                     });
+}
+
 void
 PlanPass::RecordMiss(const work::Step& aStep)
 {
-  const bool isConstrained =
-    !aStep.requiredLabel.empty() || aStep.maxPerUpstream > 0 || aStep.fills;
-  if (!isConstrained) {
-    this->unplaceable.push_back(aStep.size);
+  if (IsUnconstrained(aStep)) {
+    this->misses.sizes.push_back(aStep.size);
+  }
+  this->MeasureRoom();
+}
+
+void
+PlanPass::RecordGangMiss(const work::Step& aStep)
+{
+  if (IsUnconstrained(aStep)) {
+    this->misses.gangs.emplace_back(aStep.size, aStep.count);
   }
 }
 
--- a/src/dispatch/PlanPass.h
+++ b/src/dispatch/PlanPass.h
@@ -1,30 +1,62 @@
 // State of one pass over the waiting tasks of a service.
 //
-// Load pattern: at a peak hundreds of tasks wait for a full pool. A task that
-// needs at least as much as one that found no room is not tried again in the
-// same pass.
+// Load pattern: at a peak hundreds of tasks wait for a full pool. A pass looks
+// at all of them, because one that finds no room tells nothing about a smaller
+// one behind it. It searches the upstreams only for tasks that may fit, so that
+// a full pool costs a comparison for each of the others.
 #ifndef hyssoppaddle_dispatch_PlanPass_h
 #define hyssoppaddle_dispatch_PlanPass_h
 
 #include "dispatch/Placement.h"
 
+#include <span>
+#include <utility>
 #include <vector>
 
 namespace hyssoppaddle::dispatch {
 
-struct PlanPass
+class PlanPass
 {
-  // Usable upstreams of the service. Starts that are proposed during the pass
-  // reduce their room but do not change which of them are usable.
-  std::vector<Candidate> candidates;
-  // Sizes that fit no candidate, of steps without constraints of their own.
-  std::vector<state::Resources> unplaceable;
+public:
+  // What the searches of the pass have shown not to fit. Holds as long as no
+  // candidate gains room.
+  struct Misses
+  {
+    // At least the free resources of each candidate.
+    state::Resources mostFree;
+    // Sizes that fit no candidate, of steps without constraints of their own.
+    std::vector<state::Resources> sizes;
+    // The same for steps whose members start together, with their numbers.
+    std::vector<std::pair<state::Resources, std::uint32_t>> gangs;
+  };
+
+  // aCandidates are the usable upstreams of the service. Starts that are
+  // proposed during the pass reduce their room but do not change which of them
+  // are usable.
+  explicit PlanPass(std::vector<Candidate> aCandidates);
 
+  [[nodiscard]] std::span<const Candidate> Candidates() const
+  {
+    return this->candidates;
+  }
   // True when the step is certain to find no upstream: its constraints can only
   // exclude further candidates.
   [[nodiscard]] bool IsUnplaceable(const work::Step& aStep) const;
+  // The same for all members of a gang together.
+  [[nodiscard]] bool IsGangUnplaceable(const work::Step& aStep) const;
   // Records that the step found no upstream.
   void RecordMiss(const work::Step& aStep);
+  void RecordGangMiss(const work::Step& aStep);
+
+  // For starts that are withdrawn: what was missed while they held room.
+  [[nodiscard]] const Misses& GetMisses() const { return this->misses; }
+  void RestoreMisses(Misses aMisses) { this->misses = std::move(aMisses); }
+
+private:
+  void MeasureRoom();
+
+  std::vector<Candidate> candidates;
+  Misses misses;
 };
 
 } // namespace hyssoppaddle::dispatch
--- a/test/dispatch/WaitingWorkTest.cpp
+++ b/test/dispatch/WaitingWorkTest.cpp
@@ -9,6 +9,43 @@
 using dispatch::milliseconds;
 using dispatch::seconds;
 
+namespace {
+
+// A service "print" with four upstreams of 8 cores, and its leader.
+void
+MakeReady(FakeDeployment& aDeployment)
+{
+  aDeployment.AddService("print");
+  for (int i = 0; i < 4; ++i) {
+    aDeployment.AddUpstream("print");
+  }
+  aDeployment.ElectLeader();
+  aDeployment.Run(milliseconds(100));
+}
+
+// Sixty jobs that rank before all others wait for something that is not there.
+// A small job behind them starts at once.
+void
+ExpectSmallJobPasses(TestTrace& aTrace,
+                     FakeDeployment& aDeployment,
+                     const work::Step& aWaiting,
+                     const std::string& aWorkspace = {})
+{
+  for (int i = 0; i < 60; ++i) {
+    aDeployment.Submit(
+      "a" + std::to_string(i), "print", { aWaiting }, aWorkspace);
+  }
+  aDeployment.Run(milliseconds(500));
+  const std::size_t before = aDeployment.RunningOn("print");
+  aTrace.Section("a job behind those that wait starts", [&] {
+    aDeployment.Submit("small", "print", { MakeStep(2, 500, seconds(1)) });
+    aDeployment.Run(milliseconds(100));
+    EXPECT_EQUAL(aTrace, aDeployment.RunningOn("print"), before + 2);
+  });
+}
+
+} // namespace
+
 // Guards against a job that is never started because the limit of its workspace
 // was released by runs in another service.
 Test(WaitingWork, StartsWhenItsWorkspaceReleasesItsLimitInAnotherService)
@@ -68,3 +105,79 @@
     }));
   });
 }
+
+// Guards against tasks over the limit of one workspace that keep the jobs of
+// all others out of a pool with free capacity.
+Test(WaitingWork, TasksOverTheirLimitDoNotHideTheJobsBehindThem)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  deployment.AddService("other");
+  deployment.SetLimit("other", { 2000, 0, 0 });
+  MakeReady(deployment);
+  work::Step step = MakeStep(1, 1000, seconds(600));
+  step.longRunning = true;
+  ExpectSmallJobPasses(trace, deployment, step, "other");
+  EXPECT_EQUAL(trace, deployment.RunningOn("print"), 4U);
+}
+
+// The same for tasks that no upstream has enough cores for.
+Test(WaitingWork, TasksWithoutRoomDoNotHideTheJobsBehindThem)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment);
+  work::Step step = MakeStep(1, 9000, seconds(600));
+  step.longRunning = true;
+  ExpectSmallJobPasses(trace, deployment, step);
+}
+
+// The same for tasks that no upstream has the label for.
+Test(WaitingWork, TasksWithoutTheirLabelDoNotHideTheJobsBehindThem)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment);
+  work::Step step = MakeStep(1, 1000, seconds(600));
+  step.longRunning = true;
+  step.requiredLabel = "missing";
+  ExpectSmallJobPasses(trace, deployment, step);
+}
+
+// The same for gangs without room for all members. A gang that fits starts
+// behind those that do not.
+Test(WaitingWork, GangsWithoutRoomDoNotHideTheJobsBehindThem)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment);
+  work::Step step = MakeStep(8, 5000, seconds(600));
+  step.longRunning = true;
+  step.gang = true;
+  ExpectSmallJobPasses(trace, deployment, step);
+  trace.Section("all members of a smaller gang start", [&] {
+    step.count = 4;
+    deployment.Submit("gang", "print", { step });
+    deployment.Run(milliseconds(100));
+    EXPECT_EQUAL(trace, deployment.RunningOn("print"), 6U);
+  });
+}
+
+// Guards against a gang that is kept out by what another gang missed while it
+// held room that it has given back.
+Test(WaitingWork, AWithdrawnGangLeavesNoTrace)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment);
+  work::Step large = MakeStep(7, 4000, seconds(600));
+  large.longRunning = true;
+  large.gang = true;
+  work::Step wide = MakeStep(9, 4000, seconds(600));
+  wide.longRunning = true;
+  wide.gang = true;
+  deployment.Submit("a", "print", { wide });
+  deployment.Submit("b", "print", { large });
+  deployment.Run(milliseconds(100));
+  EXPECT_EQUAL(trace, deployment.RunningOn("print"), 7U);
+}
