Plan again when an upstream becomes usable

Callers saw an accepted job that never started: the upstreams with room for it had refused it once, and were sound again.

Cause: new starts avoid an upstream for 150 ms after it refused one, and for 5 s after repeated failures. The task is planned again a few milliseconds after the refusal and finds no usable upstream. Nothing marks the service when the delay has passed.

A plan marks the upstreams that it leaves out, and each tick plans the service of a marked one that has become usable, whatever had made it unusable.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -454,6 +454,7 @@
     this->Renew(id, session);
     this->EndLostRuns(id, session);
     this->RemoveIfSilent(id, session);
+    this->PlanAgainIfUsable(session);
   }
   std::erase_if(this->owner.takenDown, [this](const auto& aItem) {
     return this->now >= aItem.second.until;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -188,6 +188,12 @@
   // DispatcherPlan.cpp: choice of tasks and upstreams, and rejection of jobs.
   void Plan();
   void PlanService(const ServiceId& aService);
+  // The usable upstreams of a service. Marks the others as left out.
+  [[nodiscard]] std::vector<Candidate> TakeCandidates(
+    const ServiceId& aService);
+  // Marks the service of an upstream that has become usable since it was left
+  // out of a plan. No event tells when a delay has passed.
+  void PlanAgainIfUsable(UpstreamSession& aSession);
   void PlaceTasks(PlanPass& aPass,
                   JobView& aView,
                   std::span<const work::TaskRef> aPending);
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -60,7 +60,7 @@
       }
       return aLeft.second->id < aRight.second->id;
     });
-  PlanPass pass(FindCandidates(this->sessions, aService, this->now));
+  PlanPass pass(this->TakeCandidates(aService));
   for (std::size_t i = 0; i < waiting.size(); ++i) {
     auto& [rank, view] = waiting[i];
     const std::vector<work::TaskRef> pending = view->pending;
@@ -69,6 +69,31 @@
   }
 }
 
+std::vector<Candidate>
+Dispatcher::TakeCandidates(const ServiceId& aService)
+{
+  std::vector<Candidate> candidates;
+  for (auto& [id, session] : this->sessions) {
+    if (session.record.service != aService) {
+      continue;
+    }
+    session.leftOutOfPlan = !IsUsable(session, this->now);
+    if (!session.leftOutOfPlan) {
+      candidates.push_back({ &id, &session });
+    }
+  }
+  return candidates;
+}
+
+void
+Dispatcher::PlanAgainIfUsable(UpstreamSession& aSession)
+{
+  if (aSession.leftOutOfPlan && IsUsable(aSession, this->now)) {
+    aSession.leftOutOfPlan = false;
+    this->dirtyServices.insert(aSession.record.service);
+  }
+}
+
 void
 Dispatcher::PlaceTasks(PlanPass& aPass,
                        JobView& aView,
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -82,6 +82,8 @@
   std::map<RunKey, LiveRun> runs;
 
   Time avoidUntil{}; // no new starts before this
+  // Was not usable when its service was last planned.
+  bool leftOutOfPlan = false;
   std::uint32_t consecutiveFailures = 0;
   std::optional<Time> leavesBy;   // expected departure while draining
   std::optional<Time> departedAt; // when its departure was announced
--- a/test/dispatch/FakeDeploymentUpstreams.cpp
+++ b/test/dispatch/FakeDeploymentUpstreams.cpp
@@ -167,6 +167,8 @@
     answer.result = OrderResult::Superseded;
   } else if (aOrder.leaseUntil <= this->ClockOf(*up)) {
     answer.result = OrderResult::Expired;
+  } else if (up->refusesStarts) {
+    answer.result = OrderResult::Unhealthy;
   } else if (!used.FitsInto(up->record.capacity)) {
     answer.result = OrderResult::NoCapacity;
     ++this->rejectedStarts;
--- a/test/dispatch/WaitingWorkTest.cpp
+++ b/test/dispatch/WaitingWorkTest.cpp
@@ -181,3 +181,69 @@
   deployment.Run(milliseconds(100));
   EXPECT_EQUAL(trace, deployment.RunningOn("print"), 7U);
 }
+
+namespace {
+
+// Four upstreams of 8 cores, of which up-4 alone has room for a task of more
+// than 3 cores.
+void
+OccupyAllButOne(FakeDeployment& aDeployment)
+{
+  MakeReady(aDeployment);
+  work::Step step = MakeStep(3, 5000, seconds(600));
+  step.longRunning = true;
+  step.maxPerUpstream = 1;
+  aDeployment.upstreams.at(InstanceId("up-4")).refusesStarts = true;
+  aDeployment.Submit("occupant", "print", { step });
+  aDeployment.Run(seconds(1));
+}
+
+} // namespace
+
+// Guards against a job that is never started because the only upstream with
+// room for it refused a start, and nothing else happens in its service.
+Test(WaitingWork, StartsWhenAnUpstreamThatRefusedItsStartTakesItAgain)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  OccupyAllButOne(deployment);
+  EXPECT_EQUAL(trace, deployment.RunningOn("print"), 3U);
+  trace.Section("its only upstream refuses it", [&] {
+    deployment.Submit("job", "print", { MakeStep(1, 6000, seconds(2)) });
+    deployment.Run(seconds(3));
+    EXPECT_EQUAL(trace, deployment.RunningOn("print"), 3U);
+  });
+  trace.Section("the upstream is sound again", [&] {
+    deployment.upstreams.at(InstanceId("up-4")).refusesStarts = false;
+    EXPECT_THAT(trace, deployment.RunUntil(seconds(1), [&] {
+      return deployment.RunningOn("print") == 4;
+    }));
+  });
+}
+
+// The same for an upstream that new starts avoid because its tasks have failed.
+Test(WaitingWork, StartsWhenTheQuarantineOfAnUpstreamEnds)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  OccupyAllButOne(deployment);
+  FakeUpstream& failing = deployment.upstreams.at(InstanceId("up-4"));
+  failing.refusesStarts = false;
+  failing.failsAllTasks = true;
+  trace.Section("three tasks fail on the upstream", [&] {
+    deployment.Submit(
+      "failing", "print", { MakeStep(1, 6000, milliseconds(50)) });
+    EXPECT_THAT(trace, deployment.RunUntil(seconds(3), [&] {
+      return deployment.StateOf("failing") == work::JobState::Failed;
+    }));
+  });
+  trace.Section("a job for it starts when the quarantine ends", [&] {
+    failing.failsAllTasks = false;
+    deployment.Submit("job", "print", { MakeStep(1, 6000, seconds(2)) });
+    deployment.Run(seconds(4));
+    EXPECT_EQUAL(trace, deployment.RunningOn("print"), 3U);
+    EXPECT_THAT(trace, deployment.RunUntil(seconds(2), [&] {
+      return deployment.RunningOn("print") == 4;
+    }));
+  });
+}
