Copy only the waiting tasks that may fit

A plan that looks at all waiting jobs copied the tasks of each of them. It now copies those of steps that may find an upstream, so that a full pool costs a comparison for each waiting step.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -194,11 +194,20 @@
   // Marks the service of an upstream that has become usable since it was left
   // out of a plan. No event tells when a delay has passed.
   void PlanAgainIfUsable(UpstreamSession& aSession);
+  // The waiting tasks of a job that may find an upstream in this pass.
+  [[nodiscard]] std::vector<work::TaskRef> TasksToPlace(const PlanPass& aPass,
+                                                        const JobView& aView);
   void PlaceTasks(PlanPass& aPass,
                   JobView& aView,
-                  std::span<const work::TaskRef> aPending);
+                  std::span<const work::TaskRef> aTasks);
+  [[nodiscard]] bool NeedsTicket(const JobView& aView) const;
+  // False when the limit of the workspace leaves no room for aSize. The service
+  // is then planned again when a run of the workspace ends.
+  [[nodiscard]] bool CheckLimit(const JobView& aView,
+                                const state::Resources& aSize);
   void LogPlacement(const JobView& aView,
-                    std::span<const work::TaskRef> aBefore,
+                    const work::TaskRef& aFirst,
+                    std::size_t aPlaced,
                     const WorkRank& aRank,
                     std::size_t aAhead);
   bool PlaceTask(PlanPass& aPass, JobView& aView, const work::TaskRef& aTask);
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -18,6 +18,13 @@
 // Interval between two service_load lines.
 constexpr Duration kLoadLogInterval = seconds(1);
 
+// What keeps a task waiting is the same for all tasks of its step.
+bool
+IsSameStep(const work::TaskRef& aLeft, const work::TaskRef& aRight)
+{
+  return aLeft.occurrence == aRight.occurrence && aLeft.step == aRight.step;
+}
+
 bool
 Exceeds(std::int64_t aUsed, std::int64_t aMore, std::int64_t aLimit)
 {
@@ -63,12 +70,56 @@
   PlanPass pass(this->TakeCandidates(aService));
   for (std::size_t i = 0; i < waiting.size(); ++i) {
     auto& [rank, view] = waiting[i];
-    const std::vector<work::TaskRef> pending = view->pending;
-    this->PlaceTasks(pass, *view, pending);
-    this->LogPlacement(*view, pending, rank, i);
+    const std::vector<work::TaskRef> tasks = this->TasksToPlace(pass, *view);
+    const std::size_t before = view->pending.size();
+    this->PlaceTasks(pass, *view, tasks);
+    const std::size_t placed = before - view->pending.size();
+    if (placed > 0) {
+      this->LogPlacement(*view, tasks.front(), placed, rank, i);
+    }
   }
 }
 
+std::vector<work::TaskRef>
+Dispatcher::TasksToPlace(const PlanPass& aPass, const JobView& aView)
+{
+  const work::Job& job = *this->FindJob(aView.id);
+  const bool needsTicket = this->NeedsTicket(aView);
+  std::vector<work::TaskRef> tasks;
+  const work::TaskRef* last = nullptr;
+  bool mayFit = false;
+  for (const work::TaskRef& task : aView.pending) {
+    if (last == nullptr || !IsSameStep(*last, task)) {
+      const work::Step& step = job.spec.steps[task.step];
+      // A task that needs tickets requests them before there is room for it.
+      mayFit = (needsTicket || !(step.gang ? aPass.IsGangUnplaceable(step)
+                                           : aPass.IsUnplaceable(step))) &&
+               this->CheckLimit(aView, step.size);
+    }
+    if (mayFit) {
+      tasks.push_back(task);
+    }
+    last = &task;
+  }
+  return tasks;
+}
+
+bool
+Dispatcher::NeedsTicket(const JobView& aView) const
+{
+  return aView.needsAdvice && this->options.hasAdvisor;
+}
+
+bool
+Dispatcher::CheckLimit(const JobView& aView, const state::Resources& aSize)
+{
+  if (this->IsWithinLimit(aView.workspace, aSize)) {
+    return true;
+  }
+  this->waitingForLimit[aView.workspace].insert(aView.service);
+  return false;
+}
+
 std::vector<Candidate>
 Dispatcher::TakeCandidates(const ServiceId& aService)
 {
@@ -97,14 +148,12 @@
 void
 Dispatcher::PlaceTasks(PlanPass& aPass,
                        JobView& aView,
-                       std::span<const work::TaskRef> aPending)
+                       std::span<const work::TaskRef> aTasks)
 {
   const work::Job& job = *this->FindJob(aView.id);
   const work::TaskRef* missed = nullptr;
-  for (const work::TaskRef& task : aPending) {
-    // What keeps a task waiting is the same for all tasks of its step.
-    if (missed != nullptr && missed->occurrence == task.occurrence &&
-        missed->step == task.step) {
+  for (const work::TaskRef& task : aTasks) {
+    if (missed != nullptr && IsSameStep(*missed, task)) {
       continue;
     }
     const bool placed = job.spec.steps[task.step].gang
@@ -120,22 +169,19 @@
 // lines a second.
 void
 Dispatcher::LogPlacement(const JobView& aView,
-                         std::span<const work::TaskRef> aBefore,
+                         const work::TaskRef& aFirst,
+                         std::size_t aPlaced,
                          const WorkRank& aRank,
                          std::size_t aAhead)
 {
   constexpr std::array<std::string_view, 3> kOutlooks{ "in time",
                                                        "late",
                                                        "hopeless" };
-  const std::size_t placed = aBefore.size() - aView.pending.size();
-  if (placed == 0) {
-    return; // service_load counts the waiting jobs
-  }
   this->LogDecision(
     "tasks_placed",
     aView.id.value,
-    { { "first", Text(aBefore.front()) },
-      { "placed", Text(placed) },
+    { { "first", Text(aFirst) },
+      { "placed", Text(aPlaced) },
       { "waiting", Text(aView.pending.size()) },
       { "jobs_ahead", Text(aAhead) },
       { "outlook",
@@ -412,7 +458,7 @@
     refs.push_back(std::move(ref));
   }
   const work::Step& step = job.spec.steps[aTask.step];
-  const bool needsTicket = aView.needsAdvice && this->options.hasAdvisor;
+  const bool needsTicket = this->NeedsTicket(aView);
   if (!needsTicket && aPass.IsGangUnplaceable(step)) {
     return false;
   }
@@ -420,8 +466,7 @@
   for (std::size_t i = 0; i < refs.size(); ++i) {
     total += step.size;
   }
-  if (!this->IsWithinLimit(aView.workspace, total)) {
-    this->waitingForLimit[aView.workspace].insert(aView.service);
+  if (!this->CheckLimit(aView, total)) {
     return false;
   }
   const PlanPass::Misses misses = aPass.GetMisses();
@@ -458,7 +503,7 @@
       failed != this->failedOn.end()) {
     query.avoid = failed->second;
   }
-  if (aView.needsAdvice && this->options.hasAdvisor) {
+  if (this->NeedsTicket(aView)) {
     query.hasTicket = [this, aTask](const InstanceId& aUpstream) {
       return !this->tickets.Find(StepOf(aTask), aUpstream, this->now).empty();
     };
@@ -475,12 +520,8 @@
   const work::Job& job = *this->FindJob(aTask.job);
   const work::Step& step = job.spec.steps[aTask.step];
   // A task that needs tickets requests them before there is room for it.
-  const bool needsTicket = aView.needsAdvice && this->options.hasAdvisor;
-  if (!needsTicket && aPass.IsUnplaceable(step)) {
-    return false;
-  }
-  if (!this->IsWithinLimit(aView.workspace, step.size)) {
-    this->waitingForLimit[aView.workspace].insert(aView.service);
+  if ((!this->NeedsTicket(aView) && aPass.IsUnplaceable(step)) ||
+      !this->CheckLimit(aView, step.size)) {
     return false;
   }
   if (!aView.hasQueue) {
