--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -119,8 +119,6 @@
   void RefreshAllViews();
   void AdoptRuns();
   void HandleRunEnd(const work::EndRun& aCommand, const LiveRun& aRun);
-  void LogServiceLoads();
-  void LogWaitingTask(const ServiceId& aService);
   void StopGang(const work::TaskRef& aTask);
   void QuarantineIfFailing(const InstanceId& aId, UpstreamSession& aSession);
   void ReplaceBoot(const InstanceId& aId,
@@ -185,7 +183,7 @@
                                       const UpstreamSession& aSession);
   void ClearDepartureIfAlive(UpstreamSession& aSession, Time aAsked);
 
-  // DispatcherPlan.cpp: choice of tasks and upstreams, and rejection of jobs.
+  // DispatcherPlan.cpp: choice of tasks and upstreams.
   void Plan();
   void PlanService(const ServiceId& aService);
   // The usable upstreams of a service. Marks the others as left out.
@@ -220,13 +218,17 @@
                                        const work::TaskRef& aTask) const;
   [[nodiscard]] bool IsWithinLimit(const WorkspaceId& aWorkspace,
                                    const state::Resources& aSize) const;
-  [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
-  [[nodiscard]] RecentLoad& RecentLoadOf(const ServiceId& aService);
   [[nodiscard]] double ShareOf(const WorkspaceId& aWorkspace) const;
   [[nodiscard]] std::string RackOf(const PlanPass& aPass,
                                    const work::Job& aJob,
                                    const work::TaskRef& aTask) const;
 
+  // DispatcherLoads.cpp: loads of the services, and rejection of jobs.
+  [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
+  [[nodiscard]] RecentLoad& RecentLoadOf(const ServiceId& aService);
+  void LogServiceLoads();
+  void LogWaitingTask(const ServiceId& aService);
+
   // DispatcherDrainAndPace.cpp: tasks on draining upstreams, and best-effort
   // tasks that slow down serving tasks.
   void StopTasksOnDraining(UpstreamSession& aSession);
--- a/test/dispatch/StrategyTest.cpp
+++ b/test/dispatch/StrategyTest.cpp
@@ -150,7 +150,12 @@
 Test(Placement, SkipsTasksThatNeedMoreThanOneThatFoundNoRoom)
 {
   TestTrace trace;
-  dispatch::PlanPass pass;
+  const InstanceId id("a");
+  const Time now{ seconds(10) };
+  work::Upstream record;
+  record.capacity = { 8000, 1000, 0 };
+  dispatch::UpstreamSession session(record, now, now);
+  dispatch::PlanPass pass({ { &id, &session } });
   work::Step small;
   small.size = { 2000, 100, 0 };
   work::Step large = small;
@@ -173,6 +178,22 @@
     filling.fills = true;
     EXPECT_THAT(trace, !pass.IsUnplaceable(filling));
   });
+  trace.Section("nothing larger than the room of each upstream fits", [&] {
+    work::Step huge;
+    huge.size = { 100, 1001, 0 };
+    huge.fills = true;
+    EXPECT_THAT(trace, pass.IsUnplaceable(huge));
+  });
+  trace.Section("a gang that found no room excludes larger gangs only", [&] {
+    work::Step gang = small;
+    gang.size.memoryMb = 50;
+    gang.count = 4;
+    pass.RecordGangMiss(gang);
+    EXPECT_THAT(trace, pass.IsGangUnplaceable(gang));
+    EXPECT_THAT(trace, !pass.IsUnplaceable(gang));
+    gang.count = 3;
+    EXPECT_THAT(trace, !pass.IsGangUnplaceable(gang));
+  });
 }
 
 Test(QueueIndex, FollowsTheVersionOfTheSetup)
