Keep room that becomes free for the tasks ranked first

A pass is cut short again after 40 tasks that wait for room, but only tasks count that would start if tasks that end by themselves left it: an empty upstream would take them, their workspace is below its limit, and they are not long-running. A pass that was cut short is completed once its service has not been planned for 500 ms, when nothing becomes free.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -46,6 +46,7 @@
   this->proposedStarts.clear();
   this->dirtyServices.clear();
   this->plannedAt.clear();
+  this->cutShort.clear();
   this->tickets.Clear();
   this->owner = {};
   this->forecast = {};
@@ -456,6 +457,7 @@
     this->RemoveIfSilent(id, session);
     this->PlanAgainIfUsable(session);
   }
+  this->CompleteSettledPlans();
   std::erase_if(this->owner.takenDown, [this](const auto& aItem) {
     return this->now >= aItem.second.until;
   });
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -198,6 +198,12 @@
   void PlaceTasks(PlanPass& aPass,
                   JobView& aView,
                   std::span<const work::TaskRef> aTasks);
+  // The waiting tasks of a job that would start if tasks that end by themselves
+  // left them room. Others can wait for any time, so they hold back no job.
+  [[nodiscard]] std::size_t CountWaitingForRoom(const PlanPass& aPass,
+                                                const JobView& aView) const;
+  // Marks the services whose last pass was cut short some time ago.
+  void CompleteSettledPlans();
   [[nodiscard]] bool NeedsTicket(const JobView& aView) const;
   // False when the limit of the workspace leaves no room for aSize. The service
   // is then planned again when a run of the workspace ends.
@@ -281,7 +287,7 @@
   void AddRun(const InstanceId& aUpstream, const RunKey& aKey, LiveRun aRun);
   // Removes a run and marks the services that its room is for.
   void DropRun(const InstanceId& aUpstream, const RunKey& aKey);
-  // Removes a run that was proposed in the present pass. Marks no service.
+  // Removes a run without marks, for starts that a pass withdraws.
   void WithdrawRun(const InstanceId& aUpstream, const RunKey& aKey);
   [[nodiscard]] UpstreamSession* FindSession(const InstanceId& aId);
   [[nodiscard]] Destination DestinationOf(
@@ -344,6 +350,7 @@
   std::set<work::TaskRef> proposedStarts;
   std::set<ServiceId> dirtyServices;   // services that must be planned again
   std::map<ServiceId, Time> plannedAt; // last plan
+  std::set<ServiceId> cutShort;        // services whose last pass was cut short
   QueueIndex queues;
   TicketCache tickets;
   InstanceOwner owner;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -10,6 +10,16 @@
 
 namespace {
 
+// Number of tasks that may wait for room before a pass is cut short. The room
+// that is left, and what becomes free beside it, is then kept for the tasks
+// ranked first: smaller tasks behind them would take it piece by piece, and
+// large ones would wait for as long as smaller ones come.
+constexpr std::size_t kMaxWaitingForRoom = 40;
+// A pass that was cut short is completed once the service has not been planned
+// for this time. No room becomes free then, and what is left is of no use to
+// the tasks ranked first.
+constexpr Duration kSettleTime = milliseconds(500);
+
 // What keeps a task waiting is the same for all tasks of its step.
 bool
 IsSameStep(const work::TaskRef& aLeft, const work::TaskRef& aRight)
@@ -37,7 +47,10 @@
 void
 Dispatcher::PlanService(const ServiceId& aService)
 {
-  this->plannedAt[aService] = this->now;
+  Time& last = this->plannedAt[aService];
+  const bool isSettled = this->now - last >= kSettleTime;
+  last = this->now;
+  this->cutShort.erase(aService);
   std::vector<std::pair<WorkRank, JobView*>> waiting;
   std::map<WorkspaceId, double> shares;
   for (auto& [id, view] : this->views) {
@@ -60,7 +73,12 @@
       return aLeft.second->id < aRight.second->id;
     });
   PlanPass pass(this->TakeCandidates(aService));
+  std::size_t waitingForRoom = 0;
   for (std::size_t i = 0; i < waiting.size(); ++i) {
+    if (waitingForRoom > kMaxWaitingForRoom && !isSettled) {
+      this->cutShort.insert(aService);
+      return;
+    }
     auto& [rank, view] = waiting[i];
     const std::vector<work::TaskRef> tasks = this->TasksToPlace(pass, *view);
     const std::size_t before = view->pending.size();
@@ -69,6 +87,7 @@
     if (placed > 0) {
       this->LogPlacement(*view, tasks.front(), placed, rank, i);
     }
+    waitingForRoom += this->CountWaitingForRoom(pass, *view);
   }
 }
 
@@ -128,6 +147,39 @@
   return candidates;
 }
 
+std::size_t
+Dispatcher::CountWaitingForRoom(const PlanPass& aPass,
+                                const JobView& aView) const
+{
+  if (this->NeedsTicket(aView) || !aView.hasQueue) {
+    return 0;
+  }
+  const work::Job& job = *this->FindJob(aView.id);
+  std::size_t count = 0;
+  const work::TaskRef* last = nullptr;
+  bool waits = false;
+  for (const work::TaskRef& task : aView.pending) {
+    if (last == nullptr || !IsSameStep(*last, task)) {
+      const work::Step& step = job.spec.steps[task.step];
+      waits = !step.longRunning && aPass.FitsIntoEmpty(step) &&
+              this->IsWithinLimit(aView.workspace, step.size);
+    }
+    count += waits ? 1 : 0;
+    last = &task;
+  }
+  return count;
+}
+
+void
+Dispatcher::CompleteSettledPlans()
+{
+  for (const ServiceId& service : this->cutShort) {
+    if (this->now - this->plannedAt[service] >= kSettleTime) {
+      this->dirtyServices.insert(service);
+    }
+  }
+}
+
 void
 Dispatcher::PlanAgainIfUsable(UpstreamSession& aSession)
 {
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -12,13 +12,6 @@
 // answers again.
 constexpr std::uint32_t kUnansweredLimit = 1;
 
-bool
-HasLabel(const work::Upstream& aRecord, const std::string& aLabel)
-{
-  const auto& labels = aRecord.labels;
-  return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
-}
-
 // Best-effort tasks disturb serving tasks, so upstreams with fewer long-running
 // tasks of the other kind are preferred.
 std::int64_t
@@ -63,6 +56,13 @@
 
 } // namespace
 
+bool
+HasLabel(const work::Upstream& aRecord, const std::string& aLabel)
+{
+  const auto& labels = aRecord.labels;
+  return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
 bool
 IsUsable(const UpstreamSession& aSession, Time aNow)
 {
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -60,6 +60,9 @@
 std::vector<Candidate>
 FindCandidates(Sessions& aSessions, const ServiceId& aService, Time aNow);
 
+bool
+HasLabel(const work::Upstream& aRecord, const std::string& aLabel);
+
 // Number of tasks of the step of aTask that run on the upstream.
 std::uint32_t
 CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask);
--- a/src/dispatch/PlanPass.cpp
+++ b/src/dispatch/PlanPass.cpp
@@ -64,6 +64,20 @@
                      });
 }
 
+bool
+PlanPass::FitsIntoEmpty(const work::Step& aStep) const
+{
+  return std::any_of(this->candidates.begin(),
+                     this->candidates.end(),
+                     [&](const Candidate& aCandidate) {
+                       const work::Upstream& record =
+                         aCandidate.session->record;
+                       return SizeInRoom(aStep).FitsInto(record.capacity) &&
+                              (aStep.requiredLabel.empty() ||
+                               HasLabel(record, aStep.requiredLabel));
+                     });
+}
+
 void
 PlanPass::RecordMiss(const work::Step& aStep)
 {
--- a/src/dispatch/PlanPass.h
+++ b/src/dispatch/PlanPass.h
@@ -1,9 +1,8 @@
 // State of one pass over the waiting tasks of a service.
 //
-// Load pattern: at a peak hundreds of tasks wait for a full pool. A pass looks
-// at all of them, because one that finds no room tells nothing about a smaller
-// one behind it. It searches the upstreams only for tasks that may fit, so that
-// a full pool costs a comparison for each of the others.
+// Load pattern: at a peak hundreds of tasks wait for a full pool. A pass
+// searches the upstreams only for tasks that may fit, so that each of the
+// others costs a comparison.
 #ifndef hyssoppaddle_dispatch_PlanPass_h
 #define hyssoppaddle_dispatch_PlanPass_h
 
@@ -44,6 +43,8 @@
   [[nodiscard]] bool IsUnplaceable(const work::Step& aStep) const;
   // The same for all members of a gang together.
   [[nodiscard]] bool IsGangUnplaceable(const work::Step& aStep) const;
+  // True when a candidate would take a task of the step if it were empty.
+  [[nodiscard]] bool FitsIntoEmpty(const work::Step& aStep) const;
   // Records that the step found no upstream.
   void RecordMiss(const work::Step& aStep);
   void RecordGangMiss(const work::Step& aStep);
--- a/test/dispatch/WaitingWorkTest.cpp
+++ b/test/dispatch/WaitingWorkTest.cpp
@@ -163,6 +163,79 @@
   });
 }
 
+namespace {
+
+// Long-running tasks leave 3 cores on each of four upstreams. Sixty jobs wait
+// for more.
+void
+FillWithLongRunning(FakeDeployment& aDeployment, const work::Step& aWaiting)
+{
+  MakeReady(aDeployment);
+  work::Step step = MakeStep(4, 5000, seconds(600));
+  step.longRunning = true;
+  step.maxPerUpstream = 1;
+  aDeployment.Submit("occupant", "print", { step });
+  aDeployment.Run(seconds(1));
+  for (int i = 0; i < 60; ++i) {
+    aDeployment.Submit("a" + std::to_string(i), "print", { aWaiting });
+  }
+  aDeployment.Run(milliseconds(200));
+}
+
+} // namespace
+
+// Guards against tasks that hold back the jobs behind them for room that does
+// not become free. A gang waits in the same way.
+Test(WaitingWork, TasksHoldBackSmallerOnesOnlyWhileRoomBecomesFree)
+{
+  TestTrace trace;
+  for (const bool isGang : { false, true }) {
+    FakeDeployment deployment;
+    work::Step step = MakeStep(2, 4000, milliseconds(300));
+    step.gang = isGang;
+    FillWithLongRunning(deployment, step);
+    EXPECT_EQUAL(trace, deployment.RunningOn("print"), 4U);
+    trace.Section("a job that fits starts once nothing has changed", [&] {
+      deployment.Submit("small", "print", { MakeStep(1, 2000, seconds(5)) });
+      EXPECT_THAT(trace, deployment.RunUntil(seconds(1), [&] {
+        return deployment.RunningOn("print") == 5;
+      }));
+    });
+  }
+}
+
+// Guards against large tasks that wait while smaller ones that rank after them
+// take all room that becomes free.
+Test(WaitingWork, LargeTasksAreNotStarvedBySmallerOnesBehindThem)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment);
+  trace.Section("small tasks that end one by one fill the pool", [&] {
+    for (int i = 0; i < 16; ++i) {
+      deployment.Submit("first" + std::to_string(i),
+                        "print",
+                        { MakeStep(1, 2000, milliseconds(300 + i * 20)) });
+    }
+    deployment.Run(milliseconds(50));
+    EXPECT_EQUAL(trace, deployment.RunningOn("print"), 16U);
+  });
+  trace.Section("large ones wait, and more small ones behind them", [&] {
+    deployment.Submit(
+      "large", "print", { MakeStep(100, 4000, milliseconds(200)) });
+    for (int i = 0; i < 10; ++i) {
+      deployment.Submit("small" + std::to_string(i),
+                        "print",
+                        { MakeStep(120, 2000, milliseconds(400)) });
+    }
+  });
+  trace.Section("the large ones take twice as long as alone at most", [&] {
+    EXPECT_THAT(trace, deployment.RunUntil(seconds(5), [&] {
+      return deployment.StateOf("large") == work::JobState::Completed;
+    }));
+  });
+}
+
 // Guards against a gang that is kept out by what another gang missed while it
 // held room that it has given back.
 Test(WaitingWork, AWithdrawnGangLeavesNoTrace)
