Review: a case of a lasting subtask that is not restarted beside large jobs

Cause: a pass of the planner is cut short behind 40 waiting tasks, and each pass postpones the complete one.

--- a/review/standin-2/Callers.cpp
+++ b/review/standin-2/Callers.cpp
@@ -36,11 +36,11 @@
                        { "path_prefix", "/" + route.name + "/" },
                        { "kind", "non_idempotent" },
                        { "timeout_ms", 3000 },
-                       { "target_completion_ms", 600 },
-                       { "priority", 0 },
+                       { "target_completion_ms", route.targetMs },
+                       { "priority", route.priority },
                        { "service", route.service },
                        { "max_attempts", route.maxAttempts },
-                       { "stretch", 1.6 },
+                       { "stretch", route.stretch },
                        { "allow_anonymous", false } });
   }
   for (const char* name : { "huvo11a", "kafi81c" }) {
--- a/review/standin-2/Callers.h
+++ b/review/standin-2/Callers.h
@@ -14,6 +14,9 @@
   std::string name;
   std::string service;
   int maxAttempts = 2;
+  int priority = 0;
+  int targetMs = 600;
+  double stretch = 1.6;
 };
 
 // A configuration with one tenant, whose key is kApiKey. The prefix of a route
--- a/review/standin-2/Cases.h
+++ b/review/standin-2/Cases.h
@@ -20,6 +20,8 @@
 DrainMemberOfGang(Record& aRecord, bool aTrouble);
 int
 CountPendingBesideRefusals(Record& aRecord, bool aTrouble);
+int
+RestartLastingBesideLargeJobs(Record& aRecord, bool aTrouble);
 
 } // namespace review
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -14,11 +14,12 @@
 main(int aCount, char** aArguments)
 {
   using Case = int (*)(review::Record&, bool);
-  constexpr std::array<std::pair<std::string_view, Case>, 4> kCases{ {
+  constexpr std::array<std::pair<std::string_view, Case>, 5> kCases{ {
     { "lose-first-disk", review::LoseFirstDisk },
     { "drop-route", review::DropRouteDuringLastAttempt },
     { "drain-gang", review::DrainMemberOfGang },
     { "count-pending", review::CountPendingBesideRefusals },
+    { "restart-lasting", review::RestartLastingBesideLargeJobs },
   } };
   if (aCount != 3) {
     return review::kNotRun;
