--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# A route is dropped while a subtask runs its last attempt, and added again.
+# A version of the configuration renames the route of a running job; host, prefix and service stay.
 # Needs the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves out the disruption.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
 [ -x target/hyssoppaddle ] && [ -x build-review-2/case_runner ] || exit 2
-timeout -k 2 115 build-review-2/case_runner drop-route "$here/record.txt"
+timeout -k 2 115 build-review-2/case_runner rename-route "$here/record.txt"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin-2/Cases.h
+++ b/review/standin-2/Cases.h
@@ -21,7 +21,7 @@
 int
 CountPendingBesideRefusals(Record& aRecord, bool aTrouble);
 int
-RestartLastingBesideLargeJobs(Record& aRecord, bool aTrouble);
+RenameRoute(Record& aRecord, bool aTrouble);
 
 } // namespace review
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -19,7 +19,7 @@
     { "drop-route", review::DropRouteDuringLastAttempt },
     { "drain-gang", review::DrainMemberOfGang },
     { "count-pending", review::CountPendingBesideRefusals },
-    { "restart-lasting", review::RestartLastingBesideLargeJobs },
+    { "rename-route", review::RenameRoute },
   } };
   if (aCount != 3) {
     return review::kNotRun;
