--- a/review/standin-2/Callers.cpp
+++ b/review/standin-2/Callers.cpp
@@ -15,7 +15,6 @@
 constexpr const char* kHost = "pule25.example";
 constexpr const char* kApiKey = "sjnbanfqasnmgkcuyj8p";
 constexpr int kOperatorLimitMs = 1000;
-constexpr int kClientLimitMs = 3000;
 
 void
 Sleep(int aMs)
@@ -38,11 +37,11 @@
           "/" + (route.prefix.empty() ? route.name : route.prefix) + "/" },
         { "kind", "non_idempotent" },
         { "timeout_ms", 3000 },
-        { "target_completion_ms", 600 },
-        { "priority", 0 },
+        { "target_completion_ms", route.targetMs },
+        { "priority", route.priority },
         { "service", route.service },
         { "max_attempts", route.maxAttempts },
-        { "stretch", 1.6 },
+        { "stretch", route.stretch },
         { "allow_anonymous", false } });
   }
   for (const char* name : { "huvo11a", "kafi81c" }) {
@@ -134,7 +133,8 @@
 Client::Call(std::size_t aNode,
              const std::string& aMethod,
              const std::string& aPath,
-             const std::string& aBody) const
+             const std::string& aBody,
+             int aLimitMs) const
 {
   return Send(this->fleet.Front(aNode),
               { aMethod,
@@ -143,7 +143,7 @@
                   { "x-api-key", kApiKey },
                   { "x-deadline-ms", std::to_string(kClientLimitMs) } },
                 aBody },
-              kClientLimitMs);
+              aLimitMs);
 }
 
 int
@@ -166,6 +166,34 @@
   return status;
 }
 
+int
+Client::SubmitOnce(const std::string& aRoute,
+                   const std::string& aId,
+                   const std::string& aBody,
+                   std::size_t aNode,
+                   int aLeavesAfterMs)
+{
+  const int status =
+    this->Call(aNode, "POST", "/" + aRoute + "/" + aId, aBody, aLeavesAfterMs)
+      .status;
+  this->record.Add(
+    "client hands in " + aId + " at node " + std::to_string(aNode + 1) + ": " +
+    (status == 0 ? "leaves without an answer" : std::to_string(status)));
+  return status;
+}
+
+int
+Client::Cancel(const std::string& aRoute,
+               const std::string& aId,
+               std::size_t aNode)
+{
+  const int status =
+    this->Call(aNode, "DELETE", "/" + aRoute + "/" + aId, {}).status;
+  this->record.Add("client cancels " + aId + " at node " +
+                   std::to_string(aNode + 1) + ": " + std::to_string(status));
+  return status;
+}
+
 std::string
 Client::StateOf(const std::string& aRoute, const std::string& aId)
 {
@@ -180,18 +208,4 @@
   return state;
 }
 
-std::optional<std::int64_t>
-Client::Pending(const std::string& aRoute, std::size_t aNode)
-{
-  const Reply reply = this->Call(aNode, "GET", "/" + aRoute + "/", {});
-  const Json json = Json::parse(reply.body, nullptr, false);
-  this->record.Add("client asks for /" + aRoute + "/ at node " +
-                   std::to_string(aNode + 1) + ": " +
-                   std::to_string(reply.status) + " " + reply.body);
-  if (reply.status != 200 || !json.is_object()) {
-    return std::nullopt;
-  }
-  return json.value("pending", std::int64_t{ 0 });
-}
-
 } // namespace review
--- a/review/standin-2/Callers.h
+++ b/review/standin-2/Callers.h
@@ -9,12 +9,18 @@
 
 namespace review {
 
+// Time limit of all kinds of request.
+inline constexpr int kClientLimitMs = 3000;
+
 struct Route
 {
   std::string name;
   std::string service;
   int maxAttempts = 2;
   std::string prefix = {}; // empty: the name
+  int priority = 0;
+  int targetMs = 600;
+  double stretch = 1.6;
 };
 
 // A configuration with one tenant, whose key is kApiKey. The prefix of a route
@@ -62,17 +68,25 @@
   int Submit(const std::string& aRoute,
              const std::string& aId,
              const std::string& aBody);
+  // Hands a job in once and leaves after a time. Returns the status, 0 if none
+  // came until then.
+  int SubmitOnce(const std::string& aRoute,
+                 const std::string& aId,
+                 const std::string& aBody,
+                 std::size_t aNode,
+                 int aLeavesAfterMs);
+  int Cancel(const std::string& aRoute,
+             const std::string& aId,
+             std::size_t aNode);
   // The state of a job, or the status if it is not 200.
   std::string StateOf(const std::string& aRoute, const std::string& aId);
-  // `pending` of a route at one node, no value if it does not answer.
-  std::optional<std::int64_t> Pending(const std::string& aRoute,
-                                      std::size_t aNode);
 
 private:
   [[nodiscard]] Reply Call(std::size_t aNode,
                            const std::string& aMethod,
                            const std::string& aPath,
-                           const std::string& aBody) const;
+                           const std::string& aBody,
+                           int aLimitMs = kClientLimitMs) const;
 
   Record& record;
   const Fleet& fleet;
--- a/review/standin-2/Cases.cpp
+++ b/review/standin-2/Cases.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <set>
+#include <csignal>
 #include <thread>
 
 namespace review {
@@ -18,7 +18,6 @@
 // Bounds of the installation (SYSTEM.md, NCU-Sched).
 constexpr int kContactMs = 3000;
 constexpr int kConfigApplyMs = 2000;
-constexpr int kVisibleMs = 3000;
 constexpr int kRecoveryMs = 12000;
 
 void
@@ -27,6 +26,14 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(aMs));
 }
 
+std::int64_t
+WallMs()
+{
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+    .count();
+}
+
 std::string
 JobId(int aNumber)
 {
@@ -49,15 +56,6 @@
   return aOperator.Put(1, aRoutes, kPutLimitMs) == 200;
 }
 
-std::size_t
-CountRuns(const std::vector<SeenRun>& aRuns, const std::string& aHow)
-{
-  return static_cast<std::size_t>(
-    std::count_if(aRuns.begin(), aRuns.end(), [&](const SeenRun& aRun) {
-      return aRun.how == aHow;
-    }));
-}
-
 std::vector<SeenRun>
 RunsOf(Workers& aWorkers, const std::string& aJob)
 {
@@ -209,149 +207,6 @@
   return isBroken ? kBroken : kHeld;
 }
 
-// A gang that saves checkpoints. The worker of one member drains and leaves.
-int
-DrainMemberOfGang(Record& aRecord, bool aTrouble)
-{
-  constexpr int kWorkMs = 8000;
-  constexpr int kBeforeDrainMs = 2500;
-  constexpr std::size_t kMembers = 3;
-  constexpr std::size_t kWorkers = 16; // one of them is less than 0.065
-  const Route route{ "puxa400", "huvo11a", 3 };
-  Fleet fleet(aRecord, {});
-  Operator theOperator(aRecord, fleet);
-  if (!Begin(fleet, theOperator, { route })) {
-    return kNotRun;
-  }
-  Workers workers(
-    aRecord, fleet, std::vector<WorkerOptions>(kWorkers, { "huvo11a" }));
-  Client client(aRecord, fleet);
-  Sleep(kContactMs);
-  const std::string body =
-    R"({"spec":"{\"cpu\":4000,\"gang\":3,\"save_ms\":1000,\"work_ms\":)" +
-    std::to_string(kWorkMs) +
-    R"(}","steps":[{"count":3,"cpu":4000,"mem_mb":1024,"estimated_ms":8000,)"
-    R"("gang":true,"checkpointing":true,"anti_affinity":1}]})";
-  if (client.Submit(route.name, JobId(2), body) != 200) {
-    return kNotRun;
-  }
-  const std::int64_t until = SteadyMs() + kContactMs;
-  while (workers.Seen().size() < kMembers && SteadyMs() < until) {
-    Sleep(20);
-  }
-  if (workers.Seen().size() < kMembers) {
-    return kNotRun;
-  }
-  Sleep(kBeforeDrainMs);
-  std::int64_t calmFrom = 0;
-  if (aTrouble) {
-    const std::string worker = workers.Seen().front().worker;
-    workers.Drain(std::stoul(worker.substr(2)) - 1);
-    Sleep(2 * kContactMs);
-    calmFrom = aRecord.Now() + kContactMs;
-    aRecord.Add("the worker has left; calm from " + std::to_string(calmFrom));
-  }
-  const std::string state = AwaitEnd(client, route.name, JobId(2), 4 * kWorkMs);
-  const std::vector<SeenRun> seen = workers.Seen();
-  std::map<std::uint64_t, std::set<std::string>> values;
-  std::size_t alone = 0;
-  for (const SeenRun& run : seen) {
-    values[run.run].insert(run.checkpoint);
-    alone += run.how == "alone" && run.startedAt > calmFrom ? 1 : 0;
-  }
-  const auto mixed =
-    std::count_if(values.begin(), values.end(), [](const auto& aItem) {
-      return aItem.second.size() > 1;
-    });
-  aRecord.Add("last state " + state + ", gang runs " +
-              std::to_string(values.size()) +
-              ", of these with different checkpoints " + std::to_string(mixed) +
-              ", ends `alone` " + std::to_string(CountRuns(seen, "alone")) +
-              ", of runs that started in calm " + std::to_string(alone));
-  return alone > 0 ? kBroken : kHeld;
-}
-
-// All workers of a service but one are full, and that one refuses starts for
-// some seconds. Meanwhile jobs wait.
-int
-CountPendingBesideRefusals(Record& aRecord, bool aTrouble)
-{
-  constexpr std::size_t kWorkers = 10; // one of them is a tenth
-  constexpr int kWaiting = 10;
-  constexpr int kUnhealthyMs = 5500;
-  constexpr int kMarginMs = 150;
-  const Route route{ "puxa400", "huvo11a", 3 };
-  Fleet fleet(aRecord, {});
-  Operator theOperator(aRecord, fleet);
-  if (!Begin(fleet, theOperator, { route })) {
-    return kNotRun;
-  }
-  Workers workers(
-    aRecord, fleet, std::vector<WorkerOptions>(kWorkers, { "huvo11a" }));
-  Client client(aRecord, fleet);
-  Sleep(kContactMs);
-  // Fills all workers but one for the whole case.
-  const std::string filling =
-    R"({"spec":"{\"cpu\":30000,\"work_ms\":25000}","steps":[{"count":9,)"
-    R"("cpu":30000,"mem_mb":1024,"estimated_ms":25000}]})";
-  if (client.Submit(route.name, JobId(1), filling) != 200) {
-    return kNotRun;
-  }
-  Sleep(kContactMs);
-  std::set<std::string> busy;
-  for (const SeenRun& run : workers.Seen()) {
-    busy.insert(run.worker);
-  }
-  if (busy.size() != kWorkers - 1) {
-    return kNotRun;
-  }
-  std::size_t idle = kWorkers;
-  for (std::size_t i = 0; i < kWorkers; ++i) {
-    if (!busy.contains("i-" + std::to_string(i + 1))) {
-      idle = i;
-    }
-  }
-  if (aTrouble) {
-    workers.SetUnhealthy(idle, true);
-  }
-  const std::string small =
-    R"({"spec":"{\"cpu\":3000,\"work_ms\":1000}","steps":[{"count":1,)"
-    R"("cpu":3000,"mem_mb":256,"estimated_ms":9000}]})";
-  int accepted = 0;
-  const std::int64_t begunAt = SteadyMs();
-  for (int i = 0; i < kWaiting; ++i) {
-    accepted += client.Submit(route.name, JobId(10 + i), small) == 200 ? 1 : 0;
-  }
-  const std::int64_t acceptedAt = SteadyMs();
-  Sleep(kVisibleMs + 2000 + kMarginMs);
-  std::size_t tooFew = 0;
-  for (std::size_t i = 0; i < fleet.Size(); ++i) {
-    const auto pending = client.Pending(route.name, i);
-    std::set<std::string> begun;
-    for (const SeenRun& run : workers.Seen()) {
-      begun.insert(run.task.substr(0, run.task.find('.')));
-    }
-    int waiting = 0;
-    for (int j = 0; j < kWaiting; ++j) {
-      waiting += begun.contains(JobId(10 + j)) ? 0 : 1;
-    }
-    aRecord.Add("accepted " + std::to_string(accepted) + " jobs, the last " +
-                std::to_string(SteadyMs() - acceptedAt) + " ms ago; " +
-                std::to_string(waiting) + " haven't begun");
-    if (accepted == kWaiting && pending && *pending * 2 < waiting) {
-      ++tooFew;
-    }
-  }
-  Sleep(
-    std::max<int>(0, static_cast<int>(begunAt + kUnhealthyMs - SteadyMs())));
-  if (aTrouble) {
-    workers.SetUnhealthy(idle, false);
-  }
-  aRecord.Add(std::to_string(workers.Refused()) + " starts were refused; " +
-              std::to_string(tooFew) + " nodes gave less than half");
-  return tooFew > 0 ? kBroken : kHeld;
-}
-
 // While the first step of a job runs, a version renames its route: host, prefix
 // and service stay.
 int
@@ -405,4 +260,178 @@
            : kHeld;
 }
 
+// Two large jobs wait for room that does not become free. Then a small subtask
+// that lasts ends, while a scheduled job runs as before.
+int
+RestartLastingBesideLargeJobs(Record& aRecord, bool aTrouble)
+{
+  constexpr std::size_t kWorkers = 4;
+  constexpr int kLastingMs = 10000; // until the small subtask ends
+  // Large jobs come this long before it.
+  constexpr int kLargeBeforeMs = 1500;
+  // A subtask that lasts has to be restarted within 6 s, or for 3 s more there
+  // must be no room for it.
+  constexpr int kRestartMs = 6000 + 3000;
+  constexpr int kWatchMs = kRestartMs + 6000;
+  const Route preview{ "puxa400", "huvo11a", 3, {}, 0, 2500, 2.2 };
+  const Route printRun{ "tije37", "huvo11a", 3, {}, 0, 2500, 2.2 };
+  const Route archive{ "cufi501", "huvo11a", 3, {}, 1, 2500, 2.2 };
+  Fleet fleet(aRecord, {});
+  Operator theOperator(aRecord, fleet);
+  if (!Begin(fleet, theOperator, { preview, printRun, archive })) {
+    return kNotRun;
+  }
+  Workers workers(
+    aRecord, fleet, std::vector<WorkerOptions>(kWorkers, { "huvo11a" }));
+  Client client(aRecord, fleet);
+  Sleep(kContactMs);
+  // 22 of the 32 cores of each worker, for the whole case.
+  const std::string wide =
+    R"({"spec":"{\"cpu\":22000,\"work_ms\":600000}","steps":[{"count":4,)"
+    R"("cpu":22000,"mem_mb":4096,"estimated_ms":1000,"long_running":true,)"
+    R"("anti_affinity":1}]})";
+  const std::string lasting =
+    R"({"spec":"{\"cpu\":3000,\"fails\":true,\"work_ms\":)" +
+    std::to_string(kLastingMs) +
+    R"(}","steps":[{"count":1,"cpu":3000,"mem_mb":1024,"estimated_ms":1000,)"
+    R"("long_running":true}]})";
+  const std::string large =
+    R"({"spec":"{\"cpu\":11000,\"work_ms\":7000}","steps":[{"count":24,)"
+    R"("cpu":11000,"mem_mb":1024,"estimated_ms":7000}]})";
+  // Every 300 ms a subtask of a tenth of a core.
+  const std::string scheduled =
+    R"({"spec":"{\"cpu\":100,\"work_ms\":100}","steps":[{"count":1,)"
+    R"("cpu":100,"mem_mb":16,"estimated_ms":100}],"repeat_count":200,)"
+    R"("interval_ms":300,"start_at_ms":)" +
+    std::to_string(WallMs()) + "}";
+  if (client.Submit(archive.name, JobId(1), wide) != 200 ||
+      client.Submit(archive.name, JobId(2), lasting) != 200 ||
+      client.Submit(preview.name, JobId(5), scheduled) != 200) {
+    return kNotRun;
+  }
+  Sleep(kLastingMs - kLargeBeforeMs);
+  if (RunsOf(workers, JobId(1)).size() != kWorkers ||
+      RunsOf(workers, JobId(2)).size() != 1) {
+    return kNotRun;
+  }
+  if (aTrouble && (client.Submit(printRun.name, JobId(3), large) != 200 ||
+                   client.Submit(printRun.name, JobId(4), large) != 200)) {
+    return kNotRun;
+  }
+  Sleep(kLargeBeforeMs + kWatchMs);
+  const std::vector<SeenRun> runs = RunsOf(workers, JobId(2));
+  const std::int64_t endedAt = runs.front().endedAt;
+  if (endedAt < 0) {
+    return kNotRun;
+  }
+  std::size_t served = 0;
+  for (const SeenRun& run : RunsOf(workers, JobId(5))) {
+    served += run.how == "done" && run.startedAt > endedAt ? 1 : 0;
+  }
+  const std::int64_t restartedAt = runs.size() > 1 ? runs[1].startedAt : -1;
+  aRecord.Add("the subtask that lasts ended at " + std::to_string(endedAt) +
+              " and was started again at " + std::to_string(restartedAt) +
+              " (-1: not within " + std::to_string(kWatchMs) + " ms); " +
+              std::to_string(served) +
+              " subtasks of the scheduled job were done meanwhile");
+  const bool isBroken = restartedAt < 0 || restartedAt > endedAt + kRestartMs;
+  return isBroken ? kBroken : kHeld;
+}
+
+// The leader stands still. A third of the clients leave before their job has an
+// answer and cancel it at another machine, which acknowledges.
+int
+CancelAfterLeaving(Record& aRecord, bool aTrouble)
+{
+  constexpr int kFreezeMs = 3000;
+  constexpr int kLeavesAfterMs = 500;
+  constexpr int kCancelMs = 3000;
+  constexpr int kStepMs = 8000; // the second step starts in calm
+  constexpr int kLeaving = 8;   // at two machines in turn
+  constexpr int kStaying = 16;
+  const Route route{ "puxa400", "huvo11a" };
+  Fleet fleet(aRecord, {});
+  Operator theOperator(aRecord, fleet);
+  if (!Begin(fleet, theOperator, { route })) {
+    return kNotRun;
+  }
+  Workers workers(aRecord, fleet, { { "huvo11a" }, { "huvo11a" } });
+  Sleep(kContactMs);
+  const std::string body =
+    R"({"spec":"{\"cpu\":1000,\"work_ms\":)" + std::to_string(kStepMs) +
+    R"(}","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimated_ms":8000},)"
+    R"({"count":1,"cpu":1000,"mem_mb":256,"estimated_ms":8000,"after":[0]}]})";
+  // The founder of the cluster leads until it stands still.
+  constexpr std::size_t kLeader = 0;
+  if (aTrouble) {
+    aRecord.Add("node 1 stands still");
+    fleet.Signal(kLeader, SIGSTOP);
+  }
+  struct Outcome
+  {
+    std::string job;
+    int submitted = 0;
+    int cancelled = 0;
+    std::int64_t cancelledAt = 0;
+  };
+  std::vector<Outcome> outcomes(kLeaving);
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kLeaving; ++i) {
+    clients.emplace_back([&, i] {
+      const std::size_t first = 1 + i % 2;
+      Client client(aRecord, fleet);
+      Outcome& outcome = outcomes[i];
+      outcome.job = JobId(1 + i);
+      outcome.submitted =
+        client.SubmitOnce(route.name, outcome.job, body, first, kLeavesAfterMs);
+      outcome.cancelled = client.Cancel(route.name, outcome.job, 3 - first);
+      outcome.cancelledAt = aRecord.Now();
+    });
+  }
+  const std::string small =
+    R"({"spec":"{\"cpu\":100,\"work_ms\":200}","steps":[{"count":1,)"
+    R"("cpu":100,"mem_mb":16,"estimated_ms":200}]})";
+  for (int i = 0; i < kStaying; ++i) {
+    clients.emplace_back([&, i] {
+      Client(aRecord, fleet).Submit(route.name, JobId(100 + i), small);
+    });
+  }
+  std::thread thaw([&] {
+    Sleep(kFreezeMs);
+    if (aTrouble) {
+      fleet.Signal(kLeader, SIGCONT);
+      aRecord.Add("node 1 goes on");
+    }
+  });
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  thaw.join();
+  const std::int64_t calmFrom = aRecord.Now() + kContactMs;
+  Sleep(2 * kStepMs);
+  int acknowledged = 0;
+  int broken = 0;
+  for (const Outcome& outcome : outcomes) {
+    const bool isAcknowledged =
+      outcome.cancelled / 100 == 2 || outcome.cancelled == 410;
+    acknowledged += isAcknowledged ? 1 : 0;
+    for (const SeenRun& run : RunsOf(workers, outcome.job)) {
+      if (isAcknowledged && run.startedAt > calmFrom &&
+          run.startedAt > outcome.cancelledAt + kCancelMs) {
+        ++broken;
+        aRecord.Add("rule UNASKED broken: " + run.task + " started at " +
+                    std::to_string(run.startedAt) +
+                    ", its cancelling was acknowledged with " +
+                    std::to_string(outcome.cancelled) + " at " +
+                    std::to_string(outcome.cancelledAt));
+      }
+    }
+  }
+  aRecord.Add(
+    std::to_string(acknowledged) + " of " + std::to_string(outcomes.size()) +
+    " cancels were acknowledged; calm from " + std::to_string(calmFrom) +
+    "; starts after that: " + std::to_string(broken));
+  return acknowledged == 0 ? kNotRun : broken > 0 ? kBroken : kHeld;
+}
+
 } // namespace review
--- a/review/standin-2/Cases.h
+++ b/review/standin-2/Cases.h
@@ -17,9 +17,9 @@
 int
 DropRouteDuringLastAttempt(Record& aRecord, bool aTrouble);
 int
-DrainMemberOfGang(Record& aRecord, bool aTrouble);
+RestartLastingBesideLargeJobs(Record& aRecord, bool aTrouble);
 int
-CountPendingBesideRefusals(Record& aRecord, bool aTrouble);
+CancelAfterLeaving(Record& aRecord, bool aTrouble);
 int
 RenameRoute(Record& aRecord, bool aTrouble);
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -17,8 +17,8 @@
   constexpr std::array<std::pair<std::string_view, Case>, 5> kCases{ {
     { "lose-first-disk", review::LoseFirstDisk },
     { "drop-route", review::DropRouteDuringLastAttempt },
-    { "drain-gang", review::DrainMemberOfGang },
-    { "count-pending", review::CountPendingBesideRefusals },
+    { "restart-lasting", review::RestartLastingBesideLargeJobs },
+    { "cancel-after-leaving", review::CancelAfterLeaving },
     { "rename-route", review::RenameRoute },
   } };
   if (aCount != 3) {
