Review: cases 6 and 7 look the leader up

Cause: both took the first node for the leader, which a slow start could make wrong. Change: the node that answers a read of the configuration itself is the leader; the claims and the report are worded anew.

--- a/review/standin-2/Callers.cpp
+++ b/review/standin-2/Callers.cpp
@@ -118,6 +118,18 @@
   return 0;
 }
 
+std::size_t
+Operator::Leader() const
+{
+  const Request request{ "GET", "/config", {}, {} };
+  for (std::size_t i = 0; i < this->fleet.Size(); ++i) {
+    if (Send(this->fleet.Control(i), request, kOperatorLimitMs).status == 200) {
+      return i;
+    }
+  }
+  return 0;
+}
+
 std::optional<std::uint64_t>
 Operator::Read(std::size_t aNode)
 {
--- a/review/standin-2/Callers.h
+++ b/review/standin-2/Callers.h
@@ -42,6 +42,9 @@
   int Put(std::uint64_t aVersion,
           const std::vector<Route>& aRoutes,
           int aLimitMs);
+  // The node that answers a read of the configuration itself instead of naming
+  // another one; the first node if none does.
+  [[nodiscard]] std::size_t Leader() const;
   // The version that a node reads back, no value if it gives none.
   [[nodiscard]] std::optional<std::uint64_t> Read(std::size_t aNode);
 
--- a/review/standin-2/Cases.cpp
+++ b/review/standin-2/Cases.cpp
@@ -103,10 +103,11 @@
     return kNotRun;
   }
   if (aTrouble) {
-    fleet.Kill(0);
-    fleet.LoseDisk(0);
+    const std::size_t acknowledger = theOperator.Leader();
+    fleet.Kill(acknowledger);
+    fleet.LoseDisk(acknowledger);
     Sleep(kDownMs);
-    fleet.Start(0, false);
+    fleet.Start(acknowledger, false);
   }
   // Read back for contact_ms at the end, after the time for the recovery.
   Sleep(kRecoveryMs + kContactMs);
@@ -361,11 +362,11 @@
     R"({"spec":"{\"cpu\":1000,\"work_ms\":)" + std::to_string(kStepMs) +
     R"(}","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimated_ms":8000},)"
     R"({"count":1,"cpu":1000,"mem_mb":256,"estimated_ms":8000,"after":[0]}]})";
-  // The founder of the cluster leads until it stands still.
-  constexpr std::size_t kLeader = 0;
+  const std::size_t leader = theOperator.Leader();
+  const std::string leaderName = "node " + std::to_string(leader + 1);
   if (aTrouble) {
-    aRecord.Add("node 1 stands still");
-    fleet.Signal(kLeader, SIGSTOP);
+    aRecord.Add(leaderName + " stands still");
+    fleet.Signal(leader, SIGSTOP);
   }
   struct Outcome
   {
@@ -378,13 +379,14 @@
   std::vector<std::thread> clients;
   for (int i = 0; i < kLeaving; ++i) {
     clients.emplace_back([&, i] {
-      const std::size_t first = 1 + i % 2;
+      const std::size_t first = (leader + 1 + i % 2) % fleet.Size();
+      const std::size_t second = (leader + 2 - i % 2) % fleet.Size();
       Client client(aRecord, fleet);
       Outcome& outcome = outcomes[i];
       outcome.job = JobId(1 + i);
       outcome.submitted =
         client.SubmitOnce(route.name, outcome.job, body, first, kLeavesAfterMs);
-      outcome.cancelled = client.Cancel(route.name, outcome.job, 3 - first);
+      outcome.cancelled = client.Cancel(route.name, outcome.job, second);
       outcome.cancelledAt = aRecord.Now();
     });
   }
@@ -399,8 +401,8 @@
   std::thread thaw([&] {
     Sleep(kFreezeMs);
     if (aTrouble) {
-      fleet.Signal(kLeader, SIGCONT);
-      aRecord.Add("node 1 goes on");
+      fleet.Signal(leader, SIGCONT);
+      aRecord.Add(leaderName + " goes on");
     }
   });
   for (std::thread& client : clients) {
