Record the cancel of a job that is not known yet

Submission and cancel of a job can wait at two nodes for a new leader and reach it in any order. Cause: the handler answered the cancel of an unknown ID from a confirmed read and recorded nothing, so that the submission after it was a new job. Before the change WorkState.ACancelThatOvertakesItsSubmissionHolds failed (job queued instead of cancelled), and CallHandler.ACancelOfAnUnknownJobIsRecordedBeforeItIsAnswered (0 proposals instead of 1). Change: the cancel is committed before it is answered, known job or not. The ID is kept for 150 s, at most 65,536 of them; a further cancel is refused with 503. ReadsTablesWithoutInstanceOrders became ReadsTablesOfEarlierVersions: it cuts the encoded tables, which now end with one more field, and it also checks that too few fields are refused.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -282,12 +282,17 @@
 void
 Dispatcher::On(const work::SubmitJob& aCommand, work::Verdict /*aVerdict*/)
 {
-  this->LogDecision("job_accepted",
-                    aCommand.id.value,
-                    { { "queue", aCommand.queue.value },
-                      { "workspace", aCommand.workspace.value },
-                      { "steps", Text(aCommand.spec.steps.size()) },
-                      { "setup", Text(this->state.CurrentSetup().version) } });
+  // A job that was known already may have expired with this batch.
+  const work::Job* job = this->FindJob(aCommand.id);
+  this->LogDecision(
+    "job_accepted",
+    aCommand.id.value,
+    { { "queue", aCommand.queue.value },
+      { "workspace", aCommand.workspace.value },
+      { "steps", Text(aCommand.spec.steps.size()) },
+      // Cancelled if its cancel was committed first.
+      { "state", job == nullptr ? "unknown" : std::string(Text(job->state)) },
+      { "setup", Text(this->state.CurrentSetup().version) } });
 }
 
 void
--- a/src/node/CallHandler.cpp
+++ b/src/node/CallHandler.cpp
@@ -12,6 +12,10 @@
 // The first setup is loaded before callers arrive, so a caller that retries
 // after this time finds it.
 constexpr Duration kNoSetupRetryAfter = std::chrono::seconds(1);
+// Recorded cancels of unknown jobs expire one by one, so there is soon room.
+constexpr Duration kCancelRetryAfter = std::chrono::seconds(1);
+// Bounds the memory of the job IDs that are recorded without a job.
+constexpr std::size_t kMaxJobIdBytes = 256;
 // Approver recorded for setups: the members of this deployment have agreed,
 // outside the system, that their operator approves on their behalf.
 constexpr const char* kStandingApproval = "standing-approval";
@@ -24,6 +28,20 @@
   return reply;
 }
 
+bool
+IsValid(const JobId& aId)
+{
+  return !aId.empty() && aId.value.size() <= kMaxJobIdBytes;
+}
+
+// The reply to a caller whose proposal was not committed.
+Reply
+MakeUncommittedReply(ProposalResult aResult)
+{
+  return MakeReply(aResult == ProposalResult::Rejected ? Outcome::NotLeading
+                                                       : Outcome::Undecided);
+}
+
 std::string_view
 OutcomeName(Outcome aOutcome)
 {
@@ -117,16 +135,35 @@
         done(success);
         return;
       }
-      done(MakeReply(aProposalResult == ProposalResult::Rejected
-                       ? Outcome::NotLeading
-                       : Outcome::Undecided));
+      done(MakeUncommittedReply(aProposalResult));
     });
 }
 
 void
-CallHandler::Refuse(const std::string& aJob,
-                    Reply aReply,
-                    const ReplyCallback& aDone)
+CallHandler::Propose(work::Command aCommand,
+                     std::function<Reply(work::Verdict)> aBuildReply,
+                     ReplyCallback aDone)
+{
+  std::vector<work::Command> commands;
+  commands.push_back(std::move(aCommand));
+  this->callbacks.propose(
+    std::move(commands),
+    [buildReply = std::move(aBuildReply),
+     done = std::move(aDone)](ProposalResult aProposalResult,
+                              std::span<const work::Verdict> aVerdicts) {
+      if (aProposalResult != ProposalResult::Committed) {
+        done(MakeUncommittedReply(aProposalResult));
+        return;
+      }
+      // There is no verdict when the leadership was lost before the command was
+      // applied.
+      done(aVerdicts.empty() ? MakeReply(Outcome::Undecided)
+                             : buildReply(aVerdicts.front()));
+    });
+}
+
+void
+CallHandler::LogRefusal(const std::string& aJob, const Reply& aReply)
 {
   this->callbacks.logDecision(
     { "call_refused",
@@ -135,6 +172,14 @@
         { "detail", aReply.reason },
         { "setup", dispatch::Text(this->state.CurrentSetup().version) },
         { "retry_after_ms", dispatch::Text(aReply.retryAfter) } } });
+}
+
+void
+CallHandler::Refuse(const std::string& aJob,
+                    Reply aReply,
+                    const ReplyCallback& aDone)
+{
+  this->LogRefusal(aJob, aReply);
   aDone(std::move(aReply));
 }
 
@@ -161,10 +206,10 @@
       });
     return;
   }
-  if (!aCall.spec || access.job.empty()) {
+  if (!aCall.spec || !IsValid(access.job)) {
     Reply reply = MakeReply(Outcome::Malformed);
     reply.reason =
-      access.job.empty() ? "no job ID in the path" : "the job cannot be read";
+      IsValid(access.job) ? "the job cannot be read" : "no job ID in the path";
     this->Refuse(access.job.value, std::move(reply), aDone);
     return;
   }
@@ -225,10 +270,7 @@
 CallHandler::On(const CancelCall& aCall, ReplyCallback aDone)
 {
   const Access access = this->CheckAccess(aCall.queueTarget);
-  const bool known = access.refusal == Outcome::Done &&
-                     (this->state.FindJob(access.job) != nullptr ||
-                      this->submitting.contains(access.job));
-  if (!known) {
+  if (access.refusal != Outcome::Done || !IsValid(access.job)) {
     this->ReplyAfterConfirmation(
       [this, call = aCall.queueTarget] {
         const Access recheck = this->CheckAccess(call);
@@ -238,10 +280,20 @@
       std::move(aDone));
     return;
   }
-  std::vector<work::Command> commands;
-  commands.emplace_back(work::CancelJob{ access.job });
+  // Also for an unknown job, whose submission may still be on its way.
   this->Propose(
-    std::move(commands), MakeReply(Outcome::Done), std::move(aDone));
+    work::CancelJob{ access.job },
+    [this, job = access.job](work::Verdict aVerdict) {
+      if (aVerdict == work::Verdict::Full) {
+        Reply reply = MakeReply(Outcome::Unavailable);
+        reply.retryAfter = kCancelRetryAfter;
+        this->LogRefusal(job.value, reply);
+        return reply;
+      }
+      return MakeReply(aVerdict == work::Verdict::NotFound ? Outcome::NoSuchJob
+                                                           : Outcome::Done);
+    },
+    std::move(aDone));
 }
 
 void
--- a/src/node/CallHandler.h
+++ b/src/node/CallHandler.h
@@ -71,6 +71,11 @@
   void Propose(std::vector<work::Command> aCommands,
                Reply aSuccess,
                ReplyCallback aDone);
+  // aBuildReply receives the verdict of the command once it is committed.
+  void Propose(work::Command aCommand,
+               std::function<Reply(work::Verdict)> aBuildReply,
+               ReplyCallback aDone);
+  void LogRefusal(const std::string& aJob, const Reply& aReply);
   void Refuse(const std::string& aJob,
               Reply aReply,
               const ReplyCallback& aDone);
--- a/src/wire/Schema.h
+++ b/src/wire/Schema.h
@@ -14,6 +14,11 @@
 template<typename T>
 struct Schema; // with: static auto Of(auto& aValue)
 
+// How many of the last fields may be missing, because data that is still read
+// was written before they existed. They keep their default values.
+template<typename T>
+inline constexpr std::size_t kAddedFields = 0;
+
 // The highest enumerator; decoders refuse higher values.
 template<typename Enum>
 struct LastValue; // with: static constexpr Enum kValue
@@ -48,6 +53,10 @@
     static auto Of(auto& aIt) { return std::tie(__VA_ARGS__); }                \
   }
 
+#define HYSSOPPADDLE_ADDED_FIELDS(Type, Count)                                 \
+  template<>                                                                   \
+  inline constexpr std::size_t kAddedFields<Type> = Count
+
 #define HYSSOPPADDLE_LAST_VALUE(Enum, Last)                                    \
   template<>                                                                   \
   struct LastValue<Enum>                                                       \
--- a/src/wire/Unpack.h
+++ b/src/wire/Unpack.h
@@ -152,13 +152,16 @@
 bool
 ReadFields(Objects aItems, T& aValue)
 {
-  if (aItems.size() != kFieldCount<T>) {
+  if (aItems.size() > kFieldCount<T> ||
+      aItems.size() + kAddedFields<T> < kFieldCount<T>) {
     return false;
   }
   std::size_t next = 0;
-  return std::apply(
-    [&](auto&... aField) { return (Read(aItems[next++], aField) && ...); },
-    Schema<T>::Of(aValue));
+  const auto readNext = [&](auto& aField) {
+    return next == aItems.size() || Read(aItems[next++], aField);
+  };
+  return std::apply([&](auto&... aField) { return (readNext(aField) && ...); },
+                    Schema<T>::Of(aValue));
 }
 
 template<HasSchema T>
--- a/src/work/Commands.h
+++ b/src/work/Commands.h
@@ -26,6 +26,8 @@
   bool operator==(const SubmitJob&) const = default;
 };
 
+// An unknown job stays cancelled when its submission arrives later: calls of
+// one caller can reach the leader through several nodes and in any order.
 struct CancelJob
 {
   JobId id;
@@ -129,6 +131,7 @@
   Done,     // applied, or already in effect
   Conflict, // contradicts the recorded state
   NotFound, // refers to an unknown object
+  Full,     // no room to record it; nothing has changed
   Outdated, // a newer version or boot is already recorded
 };
 
--- a/src/work/ExpiryQueue.h
+++ b/src/work/ExpiryQueue.h
@@ -20,6 +20,11 @@
     this->items.emplace(aAt, std::move(aKey));
   }
 
+  void Remove(WallTime aAt, const Key& aKey)
+  {
+    this->items.erase({ aAt, aKey });
+  }
+
   // Removes and returns the keys that were added with a time before aLimit.
   std::vector<Key> TakeBefore(WallTime aLimit)
   {
--- a/src/work/WorkSchema.h
+++ b/src/work/WorkSchema.h
@@ -139,6 +139,7 @@
 };
 
 HYSSOPPADDLE_SCHEMA(work::InstanceOrder, aIt.holder, aIt.at);
+HYSSOPPADDLE_SCHEMA(work::Withdrawal, aIt.at);
 HYSSOPPADDLE_SCHEMA(work::Batch, aIt.stamp, aIt.commands);
 HYSSOPPADDLE_SCHEMA(work::WorkTables,
                     aIt.now,
@@ -147,7 +148,9 @@
                     aIt.upstreams,
                     aIt.endedBoots,
                     aIt.waves,
-                    aIt.instanceOrders);
+                    aIt.instanceOrders,
+                    aIt.withdrawals);
+HYSSOPPADDLE_ADDED_FIELDS(work::WorkTables, 2);
 
 } // namespace hyssoppaddle::wire
 
--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -94,8 +94,16 @@
   Job job;
   job.queue = aCommand.queue;
   job.workspace = aCommand.workspace;
-  job.spec = aCommand.spec;
   job.acceptedAt = this->tables.now;
+  if (const auto withdrawal = this->tables.withdrawals.extract(aCommand.id)) {
+    this->withdrawalTimes.Remove(withdrawal.mapped().at, aCommand.id);
+    this->FinishJob(
+      aCommand.id,
+      this->tables.jobs.emplace(aCommand.id, std::move(job)).first->second,
+      JobState::Cancelled);
+    return Verdict::Done;
+  }
+  job.spec = aCommand.spec;
   for (std::uint32_t k = 0; k < job.spec.occurrences; ++k) {
     auto& steps = job.tasks.emplace_back();
     for (const Step& step : job.spec.steps) {
@@ -111,7 +119,7 @@
 {
   const auto found = this->tables.jobs.find(aCommand.id);
   if (found == this->tables.jobs.end()) {
-    return Verdict::NotFound;
+    return this->Withdraw(aCommand.id);
   }
   if (!found->second.IsFinal()) {
     this->FinishJob(aCommand.id, found->second, JobState::Cancelled);
@@ -119,6 +127,22 @@
   return Verdict::Done;
 }
 
+// Records the cancel of an unknown job, or renews it.
+Verdict
+WorkState::Withdraw(const JobId& aId)
+{
+  auto& withdrawals = this->tables.withdrawals;
+  const auto found = withdrawals.find(aId);
+  if (found != withdrawals.end()) {
+    this->withdrawalTimes.Remove(found->second.at, aId);
+  } else if (withdrawals.size() >= kMaxWithdrawals) {
+    return Verdict::Full;
+  }
+  withdrawals[aId].at = this->tables.now;
+  this->withdrawalTimes.Add(this->tables.now, aId);
+  return Verdict::NotFound;
+}
+
 void
 WorkState::FinishJob(const JobId& aId, Job& aJob, JobState aState)
 {
@@ -296,6 +320,7 @@
   this->endedJobs = {};
   this->endedBootTimes = {};
   this->instanceOrderTimes = {};
+  this->withdrawalTimes = {};
   for (const auto& [id, job] : this->tables.jobs) {
     if (job.IsFinal() && job.tasks.empty()) {
       this->endedJobs.Add(job.endedAt, id);
@@ -307,6 +332,9 @@
   for (const auto& [instance, order] : this->tables.instanceOrders) {
     this->instanceOrderTimes.Add(order.at, instance);
   }
+  for (const auto& [id, withdrawal] : this->tables.withdrawals) {
+    this->withdrawalTimes.Add(withdrawal.at, id);
+  }
 }
 
 void
@@ -321,6 +349,8 @@
   EraseOlder(this->tables.instanceOrders,
              this->instanceOrderTimes,
              now - kInstanceOrderRetention);
+  EraseOlder(
+    this->tables.withdrawals, this->withdrawalTimes, now - kEndedJobRetention);
 }
 
 } // namespace hyssoppaddle::work
--- a/src/work/WorkState.h
+++ b/src/work/WorkState.h
@@ -31,6 +31,13 @@
   bool operator==(const InstanceOrder&) const = default;
 };
 
+// A job ID that was cancelled while no job had it.
+struct Withdrawal
+{
+  WallTime at{}; // of the last cancel
+  bool operator==(const Withdrawal&) const = default;
+};
+
 struct WorkTables
 {
   WallTime now{}; // stamp of the last batch; never decreases
@@ -41,6 +48,9 @@
   std::map<std::uint64_t, Wave> waves;
   // Keyed by instance; kept for kInstanceOrderRetention.
   std::map<std::string, InstanceOrder> instanceOrders;
+  // Kept for kEndedJobRetention. Invariant: no key is in `jobs`, and there are
+  // at most kMaxWithdrawals.
+  std::map<JobId, Withdrawal> withdrawals;
   bool operator==(const WorkTables&) const = default;
 };
 
@@ -71,6 +81,7 @@
   Verdict ApplyCommand(const AdvanceWave& aCommand);
   Verdict ApplyCommand(const OrderInstance& aCommand);
 
+  Verdict Withdraw(const JobId& aId);
   void FinishJob(const JobId& aId, Job& aJob, JobState aState);
   void CompleteGang(Job& aJob, const TaskRef& aTask, std::uint32_t aRun);
   void ReleaseTasksIfEnded(const JobId& aId, Job& aJob);
@@ -82,11 +93,17 @@
   ExpiryQueue<JobId> endedJobs; // without tasks, by the time of their end
   ExpiryQueue<InstanceId> endedBootTimes;
   ExpiryQueue<std::string> instanceOrderTimes;
+  ExpiryQueue<JobId> withdrawalTimes; // one item for each withdrawal
 };
 
-// How long the state of an ended job can be queried.
+// How long the state of an ended job can be queried, and how long the cancel of
+// an unknown job holds for a submission that arrives after it.
 inline constexpr Duration kEndedJobRetention = std::chrono::seconds(150);
 
+// Limits the memory that cancels of unknown jobs take. Further ones are
+// refused, because forgetting an earlier one would let its job run.
+inline constexpr std::size_t kMaxWithdrawals = 65536;
+
 // How long a delayed announcement of an ended boot is recognised. This is far
 // longer than a process can be suspended or partitioned while it holds an
 // announcement.
@@ -102,7 +119,7 @@
 DecodeBatch(std::string_view aBytes);
 std::string
 EncodeTables(const WorkTables& aTables);
-// Also reads tables that were written before the field instanceOrders existed.
+// Also reads tables that were written before the last fields existed.
 Result<WorkTables>
 DecodeTables(std::string_view aBytes);
 
--- a/test/node/CallHandlerTest.cpp
+++ b/test/node/CallHandlerTest.cpp
@@ -60,6 +60,14 @@
     batch.commands.push_back(std::move(aCommand));
     this->state.Apply(batch);
   }
+  // Applies the proposal as the replica does, and reports its verdicts.
+  void Commit(std::size_t aProposal)
+  {
+    work::Batch batch;
+    batch.commands = this->proposals.at(aProposal);
+    this->proposalCallbacks.at(aProposal)(ProposalResult::Committed,
+                                          this->state.Apply(batch));
+  }
 };
 
 } // namespace
@@ -110,3 +118,55 @@
     EXPECT_THAT(trace, fixture.replies.at(0).outcome == Outcome::Undecided);
   });
 }
+
+// Guards against a job that runs although its cancel was answered with "no such
+// job": the cancel was not recorded, and the submission arrived after it.
+Test(CallHandler, ACancelOfAnUnknownJobIsRecordedBeforeItIsAnswered)
+{
+  TestTrace trace;
+  HandlerFixture fixture;
+  work::Setup setup = MakeSetup(1);
+  work::Queue queue;
+  queue.name = work::QueueId("queue");
+  queue.host = "host";
+  queue.pathPrefix = "/queue/";
+  queue.allowAnonymous = true;
+  setup.queues.push_back(queue);
+  fixture.Apply(work::SetSetup{ setup });
+  const QueueTarget target{ "host", "/queue/job", "" };
+  fixture.Handle(CancelCall{ target });
+  EXPECT_EQUAL(trace, fixture.proposals.size(), 1U);
+  EXPECT_EQUAL(trace, fixture.replies.size(), 0U);
+  trace.Section("it is answered once it is committed", [&] {
+    fixture.Commit(0);
+    EXPECT_THAT(trace, fixture.replies.at(0).outcome == Outcome::NoSuchJob);
+  });
+  trace.Section("the submission that arrives later does not run", [&] {
+    work::JobSpec spec;
+    spec.steps.emplace_back();
+    fixture.Handle(SubmitCall{ target, spec });
+    fixture.Commit(1);
+    EXPECT_THAT(trace, fixture.replies.at(1).outcome == Outcome::Done);
+    EXPECT_EQUAL(trace,
+                 fixture.state.FindJob(JobId("job"))->state,
+                 work::JobState::Cancelled);
+  });
+  trace.Section("a cancel that is not committed is not confirmed", [&] {
+    fixture.Handle(CancelCall{ { "host", "/queue/other", "" } });
+    fixture.proposalCallbacks.at(2)(ProposalResult::Undecided, {});
+    EXPECT_THAT(trace, fixture.replies.at(2).outcome == Outcome::Undecided);
+  });
+  trace.Section("without room for it, the caller is told to retry", [&] {
+    fixture.Handle(CancelCall{ { "host", "/queue/third", "" } });
+    const work::Verdict full[] = { work::Verdict::Full };
+    fixture.proposalCallbacks.at(3)(ProposalResult::Committed, full);
+    EXPECT_THAT(trace, fixture.replies.at(3).outcome == Outcome::Unavailable);
+    EXPECT_THAT(trace, fixture.replies.at(3).retryAfter > Duration(0));
+  });
+  trace.Section("a cancel of the whole queue is not recorded", [&] {
+    fixture.Handle(CancelCall{ { "host", "/queue/", "" } });
+    fixture.confirmations.back()(true);
+    EXPECT_EQUAL(trace, fixture.proposals.size(), 4U);
+    EXPECT_THAT(trace, fixture.replies.at(4).outcome == Outcome::NoSuchJob);
+  });
+}
--- a/test/work/WorkStateTest.cpp
+++ b/test/work/WorkStateTest.cpp
@@ -203,6 +203,96 @@
   EXPECT_THAT(trace, recorder.state.FindJob(JobId("job"))->tasks.empty());
 }
 
+// Guards against a job that runs although its cancel was answered: a cancel
+// that overtook the submission left no trace, so the submission was accepted
+// later.
+Test(WorkState, ACancelThatOvertakesItsSubmissionHolds)
+{
+  TestTrace trace;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  EXPECT_EQUAL(
+    trace, recorder.Do(CancelJob{ JobId("job") }), Verdict::NotFound);
+  trace.Section("nothing is shown before the submission arrives", [&] {
+    EXPECT_THAT(trace, recorder.state.FindJob(JobId("job")) == nullptr);
+  });
+  trace.Section("a restart from a snapshot keeps it", [&] {
+    const auto read = DecodeTables(EncodeTables(recorder.state.Tables()));
+    EXPECT_THAT(trace, read.has_value());
+    recorder.state = WorkState();
+    recorder.state.Restore(*read);
+  });
+  trace.Section("the late submission is recorded as a cancelled job", [&] {
+    recorder.Submit({ Step{} });
+    EXPECT_EQUAL(trace, recorder.Job(), JobState::Cancelled);
+    EXPECT_EQUAL(trace, recorder.Start(0, 0, 1), Verdict::NotFound);
+  });
+  trace.Section("so is a repetition of it", [&] {
+    recorder.Submit({ Step{} });
+    EXPECT_EQUAL(trace, recorder.Job(), JobState::Cancelled);
+    EXPECT_EQUAL(trace, recorder.Do(CancelJob{ JobId("job") }), Verdict::Done);
+  });
+  trace.Section("other jobs are accepted", [&] {
+    SubmitJob other;
+    other.id = JobId("other");
+    other.queue = QueueId("queue");
+    other.spec.steps = { Step{} };
+    recorder.Do(other);
+    EXPECT_EQUAL(
+      trace, recorder.state.FindJob(JobId("other"))->state, JobState::Queued);
+  });
+}
+
+// The bound of the memory that cancels of unknown jobs take.
+Test(WorkState, KeepsCancelsOfUnknownJobsForTheirRetention)
+{
+  TestTrace trace;
+  Recorder recorder;
+  recorder.AddQueue(2);
+  const auto retention =
+    std::chrono::duration_cast<std::chrono::seconds>(kEndedJobRetention)
+      .count();
+  const auto& withdrawals = recorder.state.Tables().withdrawals;
+  recorder.Do(CancelJob{ JobId("job") });
+  trace.Section("a repetition renews it", [&] {
+    recorder.second += retention - 1;
+    recorder.Do(CancelJob{ JobId("job") });
+    recorder.second += retention - 1;
+    recorder.Do(CancelJob{ JobId("other") });
+    EXPECT_THAT(trace, withdrawals.contains(JobId("job")));
+  });
+  trace.Section("also after a restart from a snapshot", [&] {
+    WorkState restored;
+    restored.Restore(recorder.state.Tables());
+    recorder.state = restored;
+    EXPECT_EQUAL(trace, withdrawals.size(), 2U);
+  });
+  trace.Section("and it is forgotten afterwards", [&] {
+    recorder.second += 1;
+    recorder.AddQueue(2);
+    EXPECT_THAT(trace, !withdrawals.contains(JobId("job")));
+    EXPECT_THAT(trace, withdrawals.contains(JobId("other")));
+  });
+  trace.Section("when there is no room, a further cancel is refused", [&] {
+    Batch batch;
+    batch.stamp = WallTime(std::chrono::seconds(recorder.second));
+    while (batch.commands.size() + withdrawals.size() < kMaxWithdrawals) {
+      batch.commands.emplace_back(
+        CancelJob{ JobId("job-" + std::to_string(batch.commands.size())) });
+    }
+    recorder.state.Apply(batch);
+    EXPECT_EQUAL(trace, recorder.Do(CancelJob{ JobId("last") }), Verdict::Full);
+    EXPECT_EQUAL(trace, withdrawals.size(), kMaxWithdrawals);
+    EXPECT_EQUAL(
+      trace, recorder.Do(CancelJob{ JobId("job-1") }), Verdict::NotFound);
+  });
+  trace.Section("a known job can still be cancelled", [&] {
+    recorder.Submit({ Step{} });
+    EXPECT_EQUAL(trace, recorder.Do(CancelJob{ JobId("job") }), Verdict::Done);
+    EXPECT_EQUAL(trace, recorder.Job(), JobState::Cancelled);
+  });
+}
+
 Test(WorkState, SurvivesEncodingAndDecoding)
 {
   TestTrace trace;
@@ -247,19 +337,33 @@
   });
 }
 
-// Reads a snapshot written before orders were recorded, which has one field
-// less.
-Test(WorkState, ReadsTablesWithoutInstanceOrders)
+// Reads snapshots written before the last fields existed.
+Test(WorkState, ReadsTablesOfEarlierVersions)
 {
   TestTrace trace;
   Recorder recorder;
   recorder.AddQueue(2);
   const std::string bytes = EncodeTables(recorder.state.Tables());
-  constexpr char kArrayOfSix = '\x96';
-  const std::string first = kArrayOfSix + bytes.substr(1, bytes.size() - 2);
-  const auto read = DecodeTables(first);
-  EXPECT_THAT(trace, read.has_value());
-  EXPECT_THAT(trace, *read == recorder.state.Tables());
+  // Each missing field is an empty table, which takes one byte.
+  const auto readWithFields = [&](std::size_t aFields) {
+    constexpr std::size_t kFields = 8;
+    constexpr unsigned kArray = 0x90;
+    std::string earlier = bytes.substr(0, bytes.size() - (kFields - aFields));
+    earlier.front() = static_cast<char>(kArray + aFields);
+    return DecodeTables(earlier);
+  };
+  trace.Section("without cancels of unknown jobs", [&] {
+    const auto read = readWithFields(7);
+    EXPECT_THAT(trace, read.has_value());
+    EXPECT_THAT(trace, *read == recorder.state.Tables());
+  });
+  trace.Section("also without orders for instances", [&] {
+    const auto read = readWithFields(6);
+    EXPECT_THAT(trace, read.has_value());
+    EXPECT_THAT(trace, *read == recorder.state.Tables());
+  });
+  trace.Section("fewer fields are refused",
+                [&] { EXPECT_THAT(trace, !readWithFields(5).has_value()); });
 }
 
 // Guards against delayed announcements that a suspended process delivered
