Keep jobs in the queue at their address when it is renamed

A job submitted at the same address afterwards is completed. Cause: a job recorded the name of its queue only, and plan, priority, attempts, advice and the count of waiting jobs looked it up by that name in the current setup. Callers know a queue by host and path prefix. Change: submissions and jobs record the address too. QueueIndex moves to src/work and finds queues by address as well; its test moves with it and checks both. The log line setup_in_force gives the number of jobs without a queue.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -270,13 +270,19 @@
 void
 Dispatcher::On(const work::SetSetup& aCommand, work::Verdict aVerdict)
 {
-  if (aVerdict == work::Verdict::Done) {
-    this->LogDecision("setup_in_force",
-                      {},
-                      { { "version", Text(aCommand.setup.version) },
-                        { "queues", Text(aCommand.setup.queues.size()) } });
-    this->RefreshAllViews();
+  if (aVerdict != work::Verdict::Done) {
+    return;
   }
+  this->RefreshAllViews();
+  const auto withoutQueue =
+    std::count_if(this->views.begin(),
+                  this->views.end(),
+                  [](const auto& aItem) { return !aItem.second.hasQueue; });
+  this->LogDecision("setup_in_force",
+                    {},
+                    { { "version", Text(aCommand.setup.version) },
+                      { "queues", Text(aCommand.setup.queues.size()) },
+                      { "jobs_without_queue", Text(withoutQueue) } });
 }
 
 void
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -20,7 +20,6 @@
 #include "dispatch/Options.h"
 #include "dispatch/OrderHistory.h"
 #include "dispatch/PlanPass.h"
-#include "dispatch/QueueIndex.h"
 #include "dispatch/TicketCache.h"
 #include "dispatch/TurnForecast.h"
 #include "work/WorkState.h"
@@ -351,7 +350,7 @@
   std::set<ServiceId> dirtyServices;   // services that must be planned again
   std::map<ServiceId, Time> plannedAt; // last plan
   std::set<ServiceId> cutShort;        // services whose last pass was cut short
-  QueueIndex queues;
+  work::QueueIndex queues;
   TicketCache tickets;
   InstanceOwner owner;
   DemandForecast forecast;
--- a/src/node/CallHandler.cpp
+++ b/src/node/CallHandler.cpp
@@ -230,8 +230,11 @@
   }
   this->submitting.insert(access.job);
   std::vector<work::Command> commands;
-  commands.emplace_back(work::SubmitJob{
-    access.job, access.queue->name, access.workspace, *aCall.spec });
+  commands.emplace_back(work::SubmitJob{ access.job,
+                                         access.queue->name,
+                                         access.workspace,
+                                         *aCall.spec,
+                                         access.queue->Address() });
   this->Propose(
     std::move(commands),
     MakeReply(Outcome::Done),
--- a/src/work/Commands.h
+++ b/src/work/Commands.h
@@ -23,6 +23,8 @@
   QueueId queue;
   WorkspaceId workspace;
   JobSpec spec;
+  // Empty when it was written by a version that did not record it.
+  QueueAddress queueAddress;
   bool operator==(const SubmitJob&) const = default;
 };
 
--- a/src/work/Job.h
+++ b/src/work/Job.h
@@ -88,7 +88,11 @@
 
 struct Job
 {
+  // Name and address of its queue in the last setup that had the queue. A later
+  // setup can change either: a job belongs to the queue at its address, or else
+  // to the one with its name.
   QueueId queue;
+  QueueAddress queueAddress;
   WorkspaceId workspace; // empty: submitted without an API key
   JobSpec spec;
   WallTime acceptedAt{};
--- a/src/work/Setup.h
+++ b/src/work/Setup.h
@@ -8,6 +8,7 @@
 #include "base/Time.h"
 #include "state/Resources.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -26,6 +27,14 @@
   bool operator==(const AdviceTimes&) const = default;
 };
 
+// Where callers find a queue, which is all that they know of it.
+struct QueueAddress
+{
+  std::string host;
+  std::string pathPrefix;
+  auto operator<=>(const QueueAddress&) const = default;
+};
+
 struct Queue
 {
   QueueId name;
@@ -41,6 +50,11 @@
   bool needsAdvice = false;
   AdviceTimes advice;
   bool operator==(const Queue&) const = default;
+
+  [[nodiscard]] QueueAddress Address() const
+  {
+    return { this->host, this->pathPrefix };
+  }
 };
 
 struct Service
--- a/src/work/WorkSchema.h
+++ b/src/work/WorkSchema.h
@@ -28,6 +28,7 @@
                     aIt.allowAnonymous,
                     aIt.needsAdvice,
                     aIt.advice);
+HYSSOPPADDLE_SCHEMA(work::QueueAddress, aIt.host, aIt.pathPrefix);
 HYSSOPPADDLE_SCHEMA(work::Service, aIt.name, aIt.enforcesCapacity, aIt.standby);
 HYSSOPPADDLE_SCHEMA(work::Workspace, aIt.name, aIt.keys, aIt.weight, aIt.limit);
 HYSSOPPADDLE_SCHEMA(work::Setup,
@@ -83,7 +84,9 @@
                     aIt.acceptedAt,
                     aIt.state,
                     aIt.endedAt,
-                    aIt.tasks);
+                    aIt.tasks,
+                    aIt.queueAddress);
+HYSSOPPADDLE_ADDED_FIELDS(work::Job, 1);
 HYSSOPPADDLE_SCHEMA(work::Upstream,
                     aIt.service,
                     aIt.address,
@@ -105,7 +108,9 @@
                     aIt.id,
                     aIt.queue,
                     aIt.workspace,
-                    aIt.spec);
+                    aIt.spec,
+                    aIt.queueAddress);
+HYSSOPPADDLE_ADDED_FIELDS(work::SubmitJob, 1);
 HYSSOPPADDLE_SCHEMA(work::CancelJob, aIt.id);
 HYSSOPPADDLE_SCHEMA(work::StartRun, aIt.task, aIt.run);
 HYSSOPPADDLE_SCHEMA(work::EndRun,
--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -80,11 +80,36 @@
   const Setup& next = aCommand.setup;
   if (next.version > this->tables.setup.version) {
     this->tables.setup = next;
+    this->BindUnfinishedJobs();
     return Verdict::Done;
   }
   return Verdict::Outdated;
 }
 
+void
+WorkState::BindToQueue(Job& aJob)
+{
+  const Setup& setup = this->tables.setup;
+  const Queue* queue = this->queues.Find(setup, aJob.queueAddress);
+  if (queue == nullptr) {
+    queue = this->queues.Find(setup, aJob.queue);
+  }
+  if (queue != nullptr) {
+    aJob.queue = queue->name;
+    aJob.queueAddress = queue->Address();
+  }
+}
+
+void
+WorkState::BindUnfinishedJobs()
+{
+  for (auto& [id, job] : this->tables.jobs) {
+    if (!job.IsFinal()) {
+      this->BindToQueue(job);
+    }
+  }
+}
+
 Verdict
 WorkState::ApplyCommand(const SubmitJob& aCommand)
 {
@@ -93,6 +118,9 @@
   }
   Job job;
   job.queue = aCommand.queue;
+  job.queueAddress = aCommand.queueAddress;
+  // The setup may have changed since the submission was proposed.
+  this->BindToQueue(job);
   job.workspace = aCommand.workspace;
   job.acceptedAt = this->tables.now;
   if (const auto withdrawal = this->tables.withdrawals.extract(aCommand.id)) {
@@ -317,6 +345,8 @@
 WorkState::Restore(WorkTables aTables)
 {
   this->tables = std::move(aTables);
+  this->queues = {};
+  this->BindUnfinishedJobs(); // earlier versions recorded no address
   this->endedJobs = {};
   this->endedBootTimes = {};
   this->instanceOrderTimes = {};
--- a/src/work/WorkState.h
+++ b/src/work/WorkState.h
@@ -6,6 +6,7 @@
 #include "base/Result.h"
 #include "work/Commands.h"
 #include "work/ExpiryQueue.h"
+#include "work/QueueIndex.h"
 
 #include <map>
 #include <span>
@@ -81,6 +82,10 @@
   Verdict ApplyCommand(const AdvanceWave& aCommand);
   Verdict ApplyCommand(const OrderInstance& aCommand);
 
+  // Updates the name and the address of the job's queue from the current setup.
+  // They stay as they are when it has no such queue.
+  void BindToQueue(Job& aJob);
+  void BindUnfinishedJobs();
   Verdict Withdraw(const JobId& aId);
   void FinishJob(const JobId& aId, Job& aJob, JobState aState);
   void CompleteGang(Job& aJob, const TaskRef& aTask, std::uint32_t aRun);
@@ -88,6 +93,7 @@
   void EraseExpired();
 
   WorkTables tables;
+  QueueIndex queues; // of the current setup
   // Derived from the tables. An entry that was replaced later has two items
   // here; the older one is ignored when it is taken.
   ExpiryQueue<JobId> endedJobs; // without tasks, by the time of their end
--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -203,6 +203,13 @@
   return this->dispatcher->RetryAfter(*queue, spec);
 }
 
+std::uint64_t
+FakeDeployment::CountQueuedJobs(const std::string& aQueue) const
+{
+  return this->dispatcher->CountQueuedJobs(
+    *this->state.CurrentSetup().FindQueue(work::QueueId(aQueue)));
+}
+
 void
 FakeDeployment::Cancel(const std::string& aJob)
 {
@@ -210,6 +217,15 @@
   this->Commit();
 }
 
+void
+FakeDeployment::ChangeSetup(const std::function<void(work::Setup&)>& aChange)
+{
+  ++this->setup.version;
+  aChange(this->setup);
+  this->proposed.push_back({ work::SetSetup{ this->setup } });
+  this->Commit();
+}
+
 void
 FakeDeployment::StartWave(std::uint64_t aNumber,
                           std::vector<std::string> aInstances,
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -101,12 +101,15 @@
   // caller should retry if it is rejected.
   std::optional<Duration> Offer(const std::string& aQueue,
                                 std::vector<work::Step> aSteps);
+  [[nodiscard]] std::uint64_t CountQueuedJobs(const std::string& aQueue) const;
   // How often the leader has measured a load for admission.
   [[nodiscard]] std::uint64_t LoadMeasurements() const
   {
     return this->dispatcher->LoadMeasurements();
   }
   void Cancel(const std::string& aJob);
+  // Brings the next version of the setup into force.
+  void ChangeSetup(const std::function<void(work::Setup&)>& aChange);
   void StartWave(std::uint64_t aNumber,
                  std::vector<std::string> aInstances,
                  Duration aLength,
--- a/test/dispatch/StrategyTest.cpp
+++ b/test/dispatch/StrategyTest.cpp
@@ -2,7 +2,6 @@
 #include "dispatch/Admission.h"
 #include "dispatch/LeaseClock.h"
 #include "dispatch/PlanPass.h"
-#include "dispatch/QueueIndex.h"
 #include "dispatch/TicketCache.h"
 #include "dispatch/WorkRank.h"
 #include "support/TestTrace.h"
@@ -196,22 +195,6 @@
   });
 }
 
-Test(QueueIndex, FollowsTheVersionOfTheSetup)
-{
-  TestTrace trace;
-  dispatch::QueueIndex index;
-  work::Setup setup;
-  setup.version = 1;
-  setup.queues.resize(2);
-  setup.queues[1].name = work::QueueId("q");
-  EXPECT_THAT(trace, index.Find(setup, work::QueueId("q")) == &setup.queues[1]);
-  trace.Section("a later version without the queue", [&] {
-    work::Setup next;
-    next.version = 2;
-    EXPECT_THAT(trace, index.Find(next, work::QueueId("q")) == nullptr);
-  });
-}
-
 Test(LeaseClock, ComputesWhenALeaseIsCertainToHaveExpired)
 {
   TestTrace trace;
--- a/test/dispatch/WaitingWorkTest.cpp
+++ b/test/dispatch/WaitingWorkTest.cpp
@@ -320,3 +320,40 @@
     }));
   });
 }
+
+// Guards against jobs that stop for good: a setup renamed their queue, and the
+// leader looked it up by the earlier name. Host, prefix and service stayed.
+Test(WaitingWork, GoesOnWhenItsQueueIsRenamed)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment);
+  work::Step second = MakeStep(1, 1000, milliseconds(500));
+  second.after = { 0 };
+  deployment.Submit(
+    "job", "print", { MakeStep(2, 1000, milliseconds(500)), second });
+  deployment.Submit("waiting", "print", { MakeStep(2, 64000, seconds(1)) });
+  deployment.Run(milliseconds(200));
+  deployment.ChangeSetup([](work::Setup& aSetup) {
+    aSetup.queues.front().name = work::QueueId("renamed");
+    aSetup.queues.front().maxAttempts = 1;
+  });
+  trace.Section("the second step runs", [&] {
+    EXPECT_THAT(trace, deployment.RunUntil(seconds(5), [&] {
+      return deployment.StateOf("job") == work::JobState::Completed;
+    }));
+  });
+  trace.Section("a job that waits is counted in the queue", [&] {
+    EXPECT_EQUAL(trace, deployment.CountQueuedJobs("renamed"), 1U);
+  });
+  trace.Section("the number of attempts is the one of the new setup", [&] {
+    deployment.Submit(
+      "failing", "renamed", { MakeStep(1, 1000, milliseconds(100)) }, "print");
+    for (auto& [id, up] : deployment.upstreams) {
+      up.failsAllTasks = true;
+    }
+    EXPECT_THAT(trace, deployment.RunUntil(seconds(5), [&] {
+      return deployment.StateOf("failing") == work::JobState::Failed;
+    }));
+  });
+}
--- a/test/node/CallHandlerTest.cpp
+++ b/test/node/CallHandlerTest.cpp
@@ -19,6 +19,20 @@
   return setup;
 }
 
+// With one queue, at the path prefix "/queue/".
+work::Setup
+MakeSetupWithQueue(std::uint64_t aVersion, const std::string& aName)
+{
+  work::Setup setup = MakeSetup(aVersion);
+  work::Queue queue;
+  queue.name = work::QueueId(aName);
+  queue.host = "host";
+  queue.pathPrefix = "/queue/";
+  queue.allowAnonymous = true;
+  setup.queues.push_back(queue);
+  return setup;
+}
+
 struct HandlerFixture
 {
   work::WorkState state;
@@ -119,20 +133,30 @@
   });
 }
 
+// Guards against a job that is never run: the setup that renames its queue is
+// committed between the proposal and the commit of its submission.
+Test(CallHandler, AJobIsAcceptedIntoTheQueueAtItsAddress)
+{
+  TestTrace trace;
+  HandlerFixture fixture;
+  fixture.Apply(work::SetSetup{ MakeSetupWithQueue(1, "first") });
+  work::JobSpec spec;
+  spec.steps.emplace_back();
+  fixture.Handle(SubmitCall{ { "host", "/queue/job", "" }, spec });
+  fixture.Apply(work::SetSetup{ MakeSetupWithQueue(2, "second") });
+  fixture.Commit(0);
+  EXPECT_THAT(trace, fixture.replies.at(0).outcome == Outcome::Done);
+  EXPECT_EQUAL(
+    trace, fixture.state.FindJob(JobId("job"))->queue, work::QueueId("second"));
+}
+
 // Guards against a job that runs although its cancel was answered with "no such
 // job": the cancel was not recorded, and the submission arrived after it.
 Test(CallHandler, ACancelOfAnUnknownJobIsRecordedBeforeItIsAnswered)
 {
   TestTrace trace;
   HandlerFixture fixture;
-  work::Setup setup = MakeSetup(1);
-  work::Queue queue;
-  queue.name = work::QueueId("queue");
-  queue.host = "host";
-  queue.pathPrefix = "/queue/";
-  queue.allowAnonymous = true;
-  setup.queues.push_back(queue);
-  fixture.Apply(work::SetSetup{ setup });
+  fixture.Apply(work::SetSetup{ MakeSetupWithQueue(1, "queue") });
   const QueueTarget target{ "host", "/queue/job", "" };
   fixture.Handle(CancelCall{ target });
   EXPECT_EQUAL(trace, fixture.proposals.size(), 1U);
