Check the announcement of a restarted upstream over a new connection

Seen: after upstreams restart under their IDs, most checks of their announcements get no answer within 20 ms, and the new boots stay unknown for 1.5 s, until they announce themselves again. In this time the leader sends their orders to the boots before. Cause: the check goes over a connection that was kept open to the boot before, and the host of the upstream resets it. A request that failed after its first byte was not sent again, because an order may have been carried out. Change: a request that changes nothing is marked as repeatable and is sent once more over a new connection when one that was kept open fails. A renewal is such a request if it carries no lease end and acknowledges no ends. HttpClient.RepeatsARequestThatChangesNothingAfterARestart resets a connection between two requests; without the repetition the second one is not answered, as its second section shows.

--- a/src/node/HttpClient.cpp
+++ b/src/node/HttpClient.cpp
@@ -70,6 +70,14 @@
     this->socket.close(ignored);
   }
 
+  // Closes it, so that the next request opens another one.
+  void Discard()
+  {
+    this->Close();
+    this->open = false;
+    this->buffer = beast::flat_buffer();
+  }
+
   std::string address;
   Socket socket;
   Signal signal; // a request was assigned, or the connection must close
@@ -236,27 +244,16 @@
       aConnection->pendingRequest->expiresAt - SteadyClock::now());
     aConnection->expired = false;
     aConnection->deadline.Set(std::max(left, Duration(1)));
-    if (aConnection->open && IsClosedByPeer(aConnection->socket)) {
-      aConnection->Close();
-      aConnection->open = false;
-    }
     OutboundResult result{ Delivery::NotSent, 0, {} };
-    const bool open = aConnection->open || co_await this->Open(*aConnection);
-    // The request may have waited until its time limit, or the connection may
-    // just have expired.
-    const bool inTime = left > Duration(0) && !aConnection->expired;
-    if (open && inTime && aConnection->pendingRequest->maySend()) {
-      result = co_await this->Exchange(*aConnection,
-                                       aConnection->pendingRequest->request);
+    if (left > Duration(0)) {
+      result = co_await this->Transfer(*aConnection);
     }
     aConnection->deadline.Clear();
     const Callback done = std::move(aConnection->pendingRequest->done);
     aConnection->pendingRequest.reset();
     const bool failed = result.delivery == Delivery::Unknown;
     if (failed || aConnection->expired || !aConnection->open) {
-      aConnection->Close();
-      aConnection->open = false;
-      aConnection->buffer = beast::flat_buffer();
+      aConnection->Discard();
     }
     Host& host = this->hosts[aConnection->address];
     if (!host.waiting.empty() && !this->stopping) {
@@ -291,6 +288,36 @@
   this->RemoveConnection(*aConnection);
 }
 
+Awaitable<OutboundResult>
+HttpClient::Transfer(Connection& aConnection)
+{
+  if (aConnection.open && IsClosedByPeer(aConnection.socket)) {
+    aConnection.Discard();
+  }
+  const bool wasKeptOpen = aConnection.open;
+  OutboundResult result{ Delivery::NotSent, 0, {} };
+  const bool open = wasKeptOpen || co_await this->Open(aConnection);
+  // The connection may just have expired.
+  if (!open || aConnection.expired || !aConnection.pendingRequest->maySend()) {
+    co_return result;
+  }
+  const OutboundRequest& request = aConnection.pendingRequest->request;
+  result = co_await this->Exchange(aConnection, request);
+  const bool mayRepeat = request.repeatable && wasKeptOpen &&
+                         result.delivery == Delivery::Unknown &&
+                         !aConnection.expired;
+  if (!mayRepeat) {
+    co_return result;
+  }
+  aConnection.Discard();
+  const bool reopened = co_await this->Open(aConnection);
+  if (reopened && !aConnection.expired &&
+      aConnection.pendingRequest->maySend()) {
+    result = co_await this->Exchange(aConnection, request);
+  }
+  co_return result;
+}
+
 Awaitable<bool>
 HttpClient::Open(Connection& aConnection)
 {
--- a/src/node/HttpClient.h
+++ b/src/node/HttpClient.h
@@ -72,6 +72,8 @@
   void StartConnection(const std::string& aAddress);
   shell::Awaitable<void> Run(std::shared_ptr<Connection> aConnection);
   shell::Awaitable<bool> Open(Connection& aConnection);
+  // Sends the pending request of the connection, over a new one if need be.
+  shell::Awaitable<OutboundResult> Transfer(Connection& aConnection);
   shell::Awaitable<OutboundResult> Exchange(Connection& aConnection,
                                             const OutboundRequest& aRequest);
   void RemoveConnection(Connection& aConnection);
--- a/src/node/Protocol.h
+++ b/src/node/Protocol.h
@@ -24,6 +24,9 @@
   // From Send until the complete answer is received, including the wait for a
   // connection.
   Duration timeLimit{ 0 };
+  // It changes nothing, so it is sent once more on a new connection when one
+  // that was kept open fails. The process at the other end may have restarted.
+  bool repeatable = false;
 };
 
 enum class Delivery : std::uint8_t
--- a/test/node/HttpClientTest.cpp
+++ b/test/node/HttpClientTest.cpp
@@ -122,6 +122,120 @@
   std::size_t received = 0;
 };
 
+// An upstream that answers the first request on its first connection and
+// resets that connection on the second, as a host does whose process has
+// restarted meanwhile. It answers every request on later connections.
+class RestartedUpstream
+{
+public:
+  explicit RestartedUpstream(asio::io_context& aIo)
+    : io(aIo)
+    , acceptor(aIo, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+  {
+    this->Accept();
+  }
+  [[nodiscard]] std::string Address() const
+  {
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+  }
+  [[nodiscard]] std::size_t Received() const { return this->received; }
+
+private:
+  struct Peer
+  {
+    explicit Peer(asio::io_context& aIo)
+      : socket(aIo)
+    {
+    }
+    Socket socket;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    http::response<http::empty_body> answer;
+    bool isFirst = false;
+    bool hasAnswered = false;
+  };
+
+  void Accept()
+  {
+    auto peer = std::make_shared<Peer>(this->io);
+    this->acceptor.async_accept(peer->socket, [=, this](ErrorValue aError) {
+      if (aError) {
+        return;
+      }
+      peer->isFirst = this->connections++ == 0;
+      this->ReadFrom(peer);
+      this->Accept();
+    });
+  }
+  void ReadFrom(const std::shared_ptr<Peer>& aPeer)
+  {
+    aPeer->request = {};
+    http::async_read(aPeer->socket,
+                     aPeer->buffer,
+                     aPeer->request,
+                     [this, aPeer](const ErrorValue& aError, std::size_t) {
+                       if (!aError) {
+                         ++this->received;
+                         this->AnswerTo(aPeer);
+                       }
+                     });
+  }
+  void AnswerTo(const std::shared_ptr<Peer>& aPeer)
+  {
+    if (aPeer->isFirst && std::exchange(aPeer->hasAnswered, true)) {
+      aPeer->socket.set_option(asio::socket_base::linger(true, 0));
+      aPeer->socket.close();
+      return;
+    }
+    aPeer->answer = { http::status::ok, 11 };
+    aPeer->answer.prepare_payload();
+    http::async_write(aPeer->socket,
+                      aPeer->answer,
+                      [this, aPeer](const ErrorValue& aError, std::size_t) {
+                        if (!aError) {
+                          this->ReadFrom(aPeer);
+                        }
+                      });
+  }
+
+  asio::io_context& io;
+  asio::ip::tcp::acceptor acceptor;
+  std::size_t connections = 0;
+  std::size_t received = 0;
+};
+
+// The deliveries of two requests in turn to an upstream that restarts between
+// them, and the number of requests that it has received.
+std::pair<std::vector<Delivery>, std::size_t>
+SendAcrossARestart(bool aRepeatable)
+{
+  asio::io_context io{ 1 };
+  auto deadlines = std::make_shared<DeadlineQueue>(io);
+  auto client = std::make_shared<HttpClient>(
+    io, deadlines, std::make_shared<DescriptorBudget>(kDescriptors));
+  RestartedUpstream upstream(io);
+  std::vector<Delivery> deliveries;
+  for (std::size_t i = 0; i < 2; ++i) {
+    OutboundRequest request;
+    request.address = upstream.Address();
+    request.method = "POST";
+    request.target = "/";
+    request.timeLimit = std::chrono::seconds(30);
+    request.repeatable = aRepeatable;
+    client->Send(
+      std::move(request),
+      [] { return true; },
+      [&](const OutboundResult& aResult) {
+        deliveries.push_back(aResult.delivery);
+      });
+    while (deliveries.size() == i) {
+      io.run_one();
+    }
+  }
+  return { deliveries, upstream.Received() };
+}
+
 constexpr Duration kLongLimit = std::chrono::seconds(30);
 constexpr Duration kShortLimit = std::chrono::milliseconds(200);
 
@@ -188,3 +302,20 @@
     });
   });
 }
+
+// Guards against a new boot that stays unknown: the call that checked its
+// announcement went over a connection to the boot before, which was reset.
+Test(HttpClient, RepeatsARequestThatChangesNothingAfterARestart)
+{
+  TestTrace trace;
+  trace.Section("it is sent again on a new connection", [&] {
+    const auto [deliveries, received] = SendAcrossARestart(true);
+    EXPECT_THAT(trace, deliveries.at(1) == Delivery::Answered);
+    EXPECT_EQUAL(trace, received, 3U);
+  });
+  trace.Section("any other request may have been carried out", [&] {
+    const auto [deliveries, received] = SendAcrossARestart(false);
+    EXPECT_THAT(trace, deliveries.at(1) == Delivery::Unknown);
+    EXPECT_EQUAL(trace, received, 2U);
+  });
+}
--- a/test/platform/DecodeTest.cpp
+++ b/test/platform/DecodeTest.cpp
@@ -328,6 +328,17 @@
     EXPECT_EQUAL(trace, lists.running[0].load.value_or(0), 7);
     EXPECT_EQUAL(trace, lists.ended.size(), 1U);
   });
+  trace.Section("only a renewal that changes nothing may be repeated", [&] {
+    dispatch::RenewLease renew;
+    renew.to = start.to;
+    EXPECT_THAT(trace, protocol.EncodeInstruction(renew).repeatable);
+    renew.lastSeen = 3;
+    EXPECT_THAT(trace, !protocol.EncodeInstruction(renew).repeatable);
+    renew.lastSeen = 0;
+    renew.leaseUntil = 5000;
+    EXPECT_THAT(trace, !protocol.EncodeInstruction(renew).repeatable);
+    EXPECT_THAT(trace, !protocol.EncodeInstruction(start).repeatable);
+  });
   trace.Section("an answer without lists counts as unanswered", [&] {
     dispatch::RenewLease renew;
     const auto lists = std::get<dispatch::LeaseAnswer>(protocol.DecodeAnswer(
