Count the longest lease for runs that their upstream has not listed

Cause: an order names the upstream by its ID. The next boot under the ID carries it out, its clock has begun anew, so it caps the lease at the longest one, while the leader counted four fifths of it by the clock of the recorded boot. The answers of the next boot counted as those of the recorded one, and a reading of its clock that did not fit was dropped. Orders of the earlier session that were carried out after the next boot was recorded outlived the bound in the same way. Change: a run that the recorded boot has not listed is given up only when the longest lease has passed since the last order with a lease, with 1 s for its delivery, or 3 s after a sign of another boot. Listed runs are given up as before. After such a sign (an announcement, a clock reading that the recorded boot cannot have shown, the record of a new boot) the upstream is asked at once, and gets no starts, leases or acknowledgements before an answer tells which boot lives.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -62,7 +62,10 @@
   const Time floor =
     this->electedAt + this->options.LongestLease() + kDeposedLeaderWindow;
   for (const auto& [id, record] : this->state.Tables().upstreams) {
-    this->sessions.emplace(id, UpstreamSession(record, floor, this->now));
+    this->sessions.emplace(
+      id,
+      UpstreamSession(
+        record, LeaseClock(floor, this->options.LongestLease()), this->now));
     this->CountBoot(id, record.boot);
   }
   for (const auto& [id, job] : this->state.Tables().jobs) {
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -162,10 +162,18 @@
                      UpstreamSession& aSession,
                      const std::set<RunKey>& aListed,
                      Time aAsked);
+  // Something tells of another boot under the ID, which no answer has confirmed
+  // yet. Asks the upstream at once.
+  void SuspectOtherBoot(const InstanceId& aId,
+                        UpstreamSession& aSession,
+                        std::string_view aSign);
   void OnNewBoot(const InstanceId& aId,
                  UpstreamSession& aSession,
                  std::uint64_t aBoot);
   void Renew(const InstanceId& aId, UpstreamSession& aSession);
+  // When a run is certain to have ended if its upstream stays silent.
+  [[nodiscard]] static Time CertainEndOf(const UpstreamSession& aSession,
+                                         const LiveRun& aRun);
   void EndLostRuns(const InstanceId& aId, UpstreamSession& aSession);
   void SendDueStops(UpstreamSession& aSession);
   void RemoveIfSilent(const InstanceId& aId, const UpstreamSession& aSession);
@@ -310,6 +318,7 @@
     RunKey key;
     bool isStop = false;
     bool isPace = false;
+    Time sentAt{};
   };
 
   // Boots of one ID that this leader has recorded.
--- a/src/dispatch/DispatcherAnnouncements.cpp
+++ b/src/dispatch/DispatcherAnnouncements.cpp
@@ -61,6 +61,9 @@
   }
   if (this->ContradictsRecord(aAnnouncement)) {
     this->CheckAnnouncement(aAnnouncement);
+    if (session != nullptr && session->record.boot != next.boot) {
+      this->SuspectOtherBoot(aAnnouncement.id, *session, "announcement");
+    }
     return {};
   }
   if (session != nullptr) {
@@ -157,7 +160,10 @@
   const work::Upstream& next = aAnnouncement.record;
   for (auto& [id, other] : this->sessions) {
     if (id == aAnnouncement.id) {
-      other.replacing = other.record.boot != next.boot;
+      if (other.record.boot != next.boot) {
+        other.replacing = true;
+        other.otherBootSeenAt = this->now;
+      }
       continue;
     }
     if (other.record.address == next.address) {
--- a/src/dispatch/DispatcherDrainAndPace.cpp
+++ b/src/dispatch/DispatcherDrainAndPace.cpp
@@ -112,7 +112,9 @@
     pace.run = key.second;
     pace.percent = wanted;
     live.paceAsked = wanted;
-    this->orders[pace.token] = { aId, aSession.record.boot, key, false, true };
+    this->orders[pace.token] = { aId,  aSession.record.boot,
+                                 key,  false,
+                                 true, this->now };
     this->output.instructions.emplace_back(std::move(pace));
   }
 }
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -23,7 +23,7 @@
   const work::Task* task = job == nullptr ? nullptr : job->Find(aKey.first);
   const auto until =
     aSession.clock.LeaseEndAfter(this->options.Lease(), this->now);
-  if (task == nullptr || job->IsFinal() || !until) {
+  if (task == nullptr || job->IsFinal() || !until || aSession.otherBootSeenAt) {
     this->ProposeEnd(
       live.run.upstream, aKey, work::EndKind::NotStarted, EndEvidence::NotSent);
     return;
@@ -38,12 +38,12 @@
   start.checkpoint = task->checkpoint;
   start.ticket =
     this->tickets.Find(StepOf(aKey.first), live.run.upstream, this->now);
-  aSession.clock.RecordGrant(*until);
+  aSession.clock.RecordGrant(*until, this->now);
   live.phase = RunPhase::Ordered;
   live.phaseSince = this->now;
   live.progressAt = this->now;
   this->orders[start.token] = {
-    live.run.upstream, aSession.record.boot, aKey, false, false
+    live.run.upstream, aSession.record.boot, aKey, false, false, this->now
   };
   this->output.instructions.emplace_back(std::move(start));
 }
@@ -99,7 +99,7 @@
   live.stopInFlight = true;
   live.stopSentAt = this->now;
   this->orders[stop.token] = {
-    live.run.upstream, aSession.record.boot, aKey, true, false
+    live.run.upstream, aSession.record.boot, aKey, true, false, this->now
   };
   this->output.instructions.emplace_back(std::move(stop));
 }
@@ -157,8 +157,13 @@
     return;
   }
   if (aAnswer.clock && order.boot == session->record.boot) {
-    session->clock.AddReading(*aAnswer.clock, this->now);
-    session->lastHeard = this->now;
+    // The answer does not say which boot it is from.
+    if (session->clock.CanHaveShown(*aAnswer.clock, order.sentAt, this->now)) {
+      session->clock.AddReading(*aAnswer.clock, order.sentAt, this->now);
+      session->lastHeard = this->now;
+    } else {
+      this->SuspectOtherBoot(order.upstream, *session, "clock");
+    }
   }
   if (aAnswer.result == OrderResult::NoAnswer ||
       aAnswer.result == OrderResult::NotSent) {
--- a/src/dispatch/DispatcherSessions.cpp
+++ b/src/dispatch/DispatcherSessions.cpp
@@ -23,6 +23,13 @@
 constexpr Duration kRemoveAfterSilence = seconds(20);
 // The same for one that has never answered this leader.
 constexpr Duration kRemoveUnconfirmedAfter = seconds(5);
+// An order reaches an upstream within this time, in which it waits for a
+// connection, or its sender gives it up.
+constexpr Duration kOrderDelivery = seconds(1);
+// The same for an order that its receiver leaves unanswered for a while and
+// then carries out. On the boot that it was meant for the lease end in it
+// bounds this.
+constexpr Duration kLateOrderDelivery = seconds(3);
 // Limit of an upstream on the number of ends in one answer.
 constexpr std::size_t kMaxEndsPerList = 500;
 
@@ -47,8 +54,9 @@
                   live.stopConfirmed.has_value();
   }
   const bool owesAck = aSession.lastRecordedEnd > aSession.lastAcknowledgedEnd;
-  if (aSession.fenceConfirmed && !executing && !owesAck &&
-      aSession.unanswered == 0) {
+  const bool isInDoubt =
+    aSession.unanswered > 0 || aSession.otherBootSeenAt.has_value();
+  if (aSession.fenceConfirmed && !executing && !owesAck && !isInDoubt) {
     return; // nothing runs there, so its announcements are sufficient
   }
   RenewLease renew;
@@ -56,25 +64,28 @@
   renew.to = this->DestinationOf(aId, aSession);
   // Only right after this boot has listed ends. A later boot under the same ID
   // numbers its ends anew and would forget some that are not recorded.
-  renew.lastSeen =
-    owesAck && !aSession.replacing ? aSession.lastRecordedEnd : 0;
-  const bool waits = aSession.fenceConfirmed && executing && !unconfirmed &&
-                     aSession.unanswered == 0;
+  const bool mayAcknowledge =
+    !aSession.replacing && !aSession.otherBootSeenAt.has_value();
+  renew.lastSeen = owesAck && mayAcknowledge ? aSession.lastRecordedEnd : 0;
+  const bool waits =
+    aSession.fenceConfirmed && executing && !unconfirmed && !isInDoubt;
   const Duration poll =
     aSession.hasMixedLoad ? kMixedLoadPoll : this->options.LongPoll();
   renew.wait = waits ? poll : Duration(0);
   // The lease of a silent upstream is not extended, because otherwise its runs
   // could never be declared lost.
-  if (aSession.unanswered == 0) {
+  if (!isInDoubt) {
     renew.leaseUntil =
       aSession.clock.LeaseEndAfter(this->options.Lease(), this->now);
   }
   if (renew.leaseUntil) {
-    aSession.clock.RecordGrant(*renew.leaseUntil);
+    aSession.clock.RecordGrant(*renew.leaseUntil, this->now);
   }
   aSession.renewToken = renew.token;
   aSession.renewSentAt = this->now;
-  aSession.lastAcknowledgedEnd = aSession.lastRecordedEnd;
+  if (mayAcknowledge) {
+    aSession.lastAcknowledgedEnd = aSession.lastRecordedEnd;
+  }
   this->output.instructions.emplace_back(std::move(renew));
 }
 
@@ -129,8 +140,12 @@
     this->OnNewBoot(aAnswer.upstream, *session, aAnswer.boot);
     return;
   }
+  if (session->otherBootSeenAt && asked >= *session->otherBootSeenAt) {
+    session->otherBootSeenAt.reset();
+    this->dirtyServices.insert(session->record.service);
+  }
   if (aAnswer.clock) {
-    session->clock.AddReading(*aAnswer.clock, this->now);
+    session->clock.AddReading(*aAnswer.clock, asked, this->now);
   }
   session->nextRenewAt = this->now + kMinRenewInterval;
   this->ClearDepartureIfAlive(*session, asked);
@@ -147,6 +162,26 @@
   }
 }
 
+void
+Dispatcher::SuspectOtherBoot(const InstanceId& aId,
+                             UpstreamSession& aSession,
+                             std::string_view aSign)
+{
+  if (aSession.otherBootSeenAt) {
+    return;
+  }
+  aSession.otherBootSeenAt = this->now;
+  this->LogDecision("other_boot_suspected",
+                    {},
+                    { { "upstream", aId.value },
+                      { "boot", Text(aSession.record.boot) },
+                      { "sign", std::string(aSign) },
+                      { "runs", Text(aSession.runs.size()) } });
+  // A long poll to the recorded boot may get no answer for seconds.
+  aSession.renewToken = 0;
+  aSession.nextRenewAt = this->now;
+}
+
 // Another boot under the same ID, later by its start time unless the clock of
 // its instance went back. It may have carried out starts, so its own lists
 // decide which runs have ended.
@@ -160,6 +195,7 @@
     return;
   }
   aSession.replacing = true;
+  aSession.otherBootSeenAt = this->now;
   this->LogDecision("upstream_reborn",
                     {},
                     { { "upstream", aId.value },
@@ -233,6 +269,9 @@
     }
     aListed.insert(key);
     LiveRun& live = found->second;
+    const bool isRecordedBoot =
+      aAnswer.boot != 0 && aAnswer.boot == aSession.record.boot;
+    live.listed = live.listed || isRecordedBoot;
     if (live.phase == RunPhase::Ordered || live.phase == RunPhase::Unanswered) {
       live.phase = RunPhase::Confirmed;
       live.phaseSince = this->now;
@@ -299,6 +338,18 @@
   }
 }
 
+Time
+Dispatcher::CertainEndOf(const UpstreamSession& aSession, const LiveRun& aRun)
+{
+  const Time here = aSession.clock.AllEndedBy();
+  if (aRun.listed) {
+    return here;
+  }
+  const Duration delivery =
+    aSession.otherBootSeenAt ? kLateOrderDelivery : kOrderDelivery;
+  return std::max(here, aSession.clock.AllEndedOnAnotherBootBy(delivery));
+}
+
 // Once the lease is certain to have expired, none of its runs executes any
 // more.
 void
@@ -310,7 +361,8 @@
   }
   std::size_t lost = 0;
   for (auto& [key, live] : aSession.runs) {
-    if (live.phase == RunPhase::Proposed || live.lossProposed) {
+    if (live.phase == RunPhase::Proposed || live.lossProposed ||
+        this->now < CertainEndOf(aSession, live)) {
       continue;
     }
     live.lossProposed = true;
--- a/src/dispatch/DispatcherUpstreams.cpp
+++ b/src/dispatch/DispatcherUpstreams.cpp
@@ -17,8 +17,10 @@
   this->CountBoot(aCommand.id, next.boot);
   UpstreamSession* session = this->FindSession(aCommand.id);
   if (session == nullptr) {
-    this->sessions.emplace(aCommand.id,
-                           UpstreamSession(next, this->now, this->now));
+    this->sessions.emplace(
+      aCommand.id,
+      UpstreamSession(
+        next, LeaseClock(this->now, this->options.LongestLease()), this->now));
   } else if (session->record.boot != next.boot) {
     this->ReplaceBoot(aCommand.id, *session, next);
   } else {
@@ -47,8 +49,11 @@
                         UpstreamSession& aSession,
                         const work::Upstream& aNext)
 {
+  const Duration longest = this->options.LongestLease();
   UpstreamSession next(
-    aNext, this->now + this->options.LongestLease(), this->now);
+    aNext, LeaseClock(this->now + longest, longest), this->now);
+  // It may still carry out orders to the earlier boot.
+  next.otherBootSeenAt = this->now;
   next.runs = std::move(aSession.runs);
   next.used = aSession.used;
   for (auto& [key, live] : next.runs) {
@@ -56,6 +61,7 @@
     live.stopInFlight = false;
     live.stopConfirmed.reset();
     live.lossProposed = false;
+    live.listed = false;
   }
   std::erase_if(this->orders, [&](const auto& aItem) {
     const Order& order = aItem.second;
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -68,7 +68,8 @@
 {
   return aSession.fenceConfirmed && !aSession.record.draining &&
          !aSession.evacuating && !aSession.departedAt &&
-         aSession.unanswered < kUnansweredLimit && aNow >= aSession.avoidUntil;
+         !aSession.otherBootSeenAt && aSession.unanswered < kUnansweredLimit &&
+         aNow >= aSession.avoidUntil;
 }
 
 std::vector<Candidate>
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -37,6 +37,9 @@
   bool stopping = false; // a stop was decided
   bool stopInFlight = false;
   bool lossProposed = false;
+  // The recorded boot has listed it. Until then another boot may have carried
+  // out the start.
+  bool listed = false;
   std::optional<Time> stopConfirmed; // when the upstream accepted the stop
   Time stopSentAt{};
   std::uint32_t percent = 0;     // progress, as last reported
@@ -52,9 +55,9 @@
 
 struct UpstreamSession
 {
-  UpstreamSession(const work::Upstream& aRecord, Time aLeaseFloor, Time aNow)
+  UpstreamSession(const work::Upstream& aRecord, LeaseClock aClock, Time aNow)
     : record(aRecord)
-    , clock(aLeaseFloor)
+    , clock(std::move(aClock))
     , lastHeard(aNow)
     , lastAnnounced(aNow)
   {
@@ -67,6 +70,10 @@
   std::uint64_t sequence = 0;  // of the last announcement of this boot
   bool fenceConfirmed = false; // has answered a renewal of this leader's term
   bool replacing = false;      // another boot is being recorded
+  // First sign of another boot under its ID since the recorded one has
+  // answered. It gets no new starts and no lease before an answer tells which
+  // boot lives.
+  std::optional<Time> otherBootSeenAt;
 
   std::uint64_t lastRecordedEnd = 0;  // ends up to here are recorded
   std::uint64_t lastListedEnd = 0;    // highest end number in a list
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -37,6 +37,8 @@
   bool dropsAnswers = false;
   // Starts get no answer and are carried out by ReleaseHeldStarts.
   bool holdsStarts = false;
+  // Renewals do not reach it.
+  bool losesRenewals = false;
   // Rejects all starts and does nothing for them.
   bool refusesStarts = false;
   // Every task started here ends as failed.
--- a/test/dispatch/FakeDeploymentUpstreams.cpp
+++ b/test/dispatch/FakeDeploymentUpstreams.cpp
@@ -59,7 +59,7 @@
 FakeDeployment::Answer(const dispatch::RenewLease& aOrder)
 {
   FakeUpstream* up = this->FindReachable(aOrder.to);
-  if (up == nullptr) {
+  if (up == nullptr || up->losesRenewals) {
     dispatch::LeaseAnswer none;
     none.token = aOrder.token;
     none.upstream = aOrder.to.upstream;
--- a/test/dispatch/StrategyTest.cpp
+++ b/test/dispatch/StrategyTest.cpp
@@ -113,7 +113,8 @@
     record.service = ServiceId("s");
     record.capacity = { 8000, 1000, 0 };
     record.labels = { "kind", std::string("rack-") + name };
-    dispatch::UpstreamSession session(record, now, now);
+    dispatch::UpstreamSession session(
+      record, dispatch::LeaseClock(now, milliseconds(6120)), now);
     session.fenceConfirmed = true;
     sessions.emplace(InstanceId(name), session);
   }
@@ -153,7 +154,8 @@
   const Time now{ seconds(10) };
   work::Upstream record;
   record.capacity = { 8000, 1000, 0 };
-  dispatch::UpstreamSession session(record, now, now);
+  dispatch::UpstreamSession session(
+    record, dispatch::LeaseClock(now, milliseconds(6120)), now);
   dispatch::PlanPass pass({ { &id, &session } });
   work::Step small;
   small.size = { 2000, 100, 0 };
@@ -199,27 +201,78 @@
 {
   TestTrace trace;
   const Time start{ seconds(100) };
-  dispatch::LeaseClock clock(start);
+  dispatch::LeaseClock clock(start, milliseconds(6120));
   trace.Section("no lease end is known before a reading", [&] {
     EXPECT_THAT(trace, !clock.LeaseEndAfter(seconds(5), start));
   });
-  clock.AddReading(40000, start);
+  clock.AddReading(40000, start, start);
   const auto until = clock.LeaseEndAfter(seconds(5), start + seconds(1));
   EXPECT_EQUAL(trace, until.value_or(0), 46000);
-  clock.RecordGrant(*until);
+  clock.RecordGrant(*until, start + seconds(1));
   trace.Section("the upstream's clock may be 2% slow", [&] {
     EXPECT_THAT(trace, clock.AllEndedBy() > start + milliseconds(6100));
     EXPECT_THAT(trace, clock.AllEndedBy() < start + milliseconds(6200));
   });
   trace.Section(
     "a later reading narrows the bound, an earlier one does not", [&] {
-      clock.AddReading(45000, start + seconds(5));
+      clock.AddReading(45000, start + seconds(5), start + seconds(5));
       EXPECT_THAT(trace, clock.AllEndedBy() < start + milliseconds(6050));
-      clock.AddReading(41000, start + seconds(6));
+      clock.AddReading(41000, start + seconds(1), start + seconds(6));
       EXPECT_THAT(trace, clock.AllEndedBy() < start + milliseconds(6050));
     });
 }
 
+// Guards against two runs of a task: answers of a boot that had restarted under
+// the ID counted as those of the boot before.
+Test(LeaseClock, TellsWhenAnotherBootHasAnswered)
+{
+  TestTrace trace;
+  const Time start{ seconds(100) };
+  dispatch::LeaseClock clock(start, milliseconds(6120));
+  EXPECT_THAT(trace, clock.CanHaveShown(7, start, start));
+  clock.AddReading(40000, start, start + milliseconds(10));
+  const Time asked = start + seconds(2);
+  const Time received = asked + milliseconds(20);
+  const auto canShow = [&](dispatch::UpstreamClock aClock) {
+    return clock.CanHaveShown(aClock, asked, received);
+  };
+  trace.Section("the same boot, also with a clock that is 2% slow", [&] {
+    EXPECT_THAT(trace, canShow(42000));
+    EXPECT_THAT(trace, canShow(41960));
+  });
+  trace.Section("a clock that began again, or runs ahead", [&] {
+    EXPECT_THAT(trace, !canShow(80));
+    EXPECT_THAT(trace, !canShow(41900));
+    EXPECT_THAT(trace, !canShow(42200));
+  });
+  trace.Section("an answer that was overtaken is from the same boot", [&] {
+    clock.AddReading(42000, asked, received);
+    EXPECT_THAT(trace,
+                clock.CanHaveShown(
+                  40500, start + milliseconds(100), received + seconds(1)));
+  });
+  trace.Section("a reading that does not fit replaces the one before", [&] {
+    clock.AddReading(80, received, received);
+    EXPECT_EQUAL(
+      trace, clock.LeaseEndAfter(seconds(5), received).value_or(0), 5080);
+  });
+}
+
+// The lease that another boot under the ID has granted.
+Test(LeaseClock, BoundsTheLeaseOnAnotherBootByTheLongestOne)
+{
+  TestTrace trace;
+  const Time start{ seconds(100) };
+  dispatch::LeaseClock clock(start, milliseconds(6120));
+  EXPECT_THAT(trace,
+              clock.AllEndedOnAnotherBootBy(milliseconds(500)) ==
+                start + milliseconds(500));
+  clock.RecordGrant(4800, start + seconds(1));
+  EXPECT_THAT(trace,
+              clock.AllEndedOnAnotherBootBy(milliseconds(500)) ==
+                start + milliseconds(7620));
+}
+
 Test(TicketCache, KeepsTicketsWhileTheyAreValid)
 {
   TestTrace trace;
