Do not confirm a cancel that was not recorded

Cause: a cancel that the setup of the leader did not allow is answered after the leadership is confirmed. Change: the caller is told to retry, as a submission in the same place already is. Result: CallHandler.ACancelThatIsNotRecordedIsNotConfirmed failed before the change and passes with it.

--- a/src/node/CallHandler.cpp
+++ b/src/node/CallHandler.cpp
@@ -209,7 +209,7 @@
   if (!aCall.spec || !IsValid(access.job)) {
     Reply reply = MakeReply(Outcome::Malformed);
     reply.reason =
-      IsValid(access.job) ? "the job cannot be read" : "no job ID in the path";
+      IsValid(access.job) ? "the job cannot be read" : "no valid job ID";
     this->Refuse(access.job.value, std::move(reply), aDone);
     return;
   }
@@ -277,8 +277,16 @@
     this->ReplyAfterConfirmation(
       [this, call = aCall.queueTarget] {
         const Access recheck = this->CheckAccess(call);
-        return MakeReply(recheck.refusal == Outcome::Done ? Outcome::NoSuchJob
-                                                          : recheck.refusal);
+        if (recheck.refusal != Outcome::Done) {
+          return MakeReply(recheck.refusal);
+        }
+        if (!IsValid(recheck.job)) {
+          return MakeReply(Outcome::NoSuchJob);
+        }
+        // Now allowed, and not recorded: a submission may still be on its way.
+        Reply reply = MakeReply(Outcome::Unavailable);
+        reply.retryAfter = kNoSetupRetryAfter;
+        return reply;
       },
       std::move(aDone));
     return;
--- a/test/node/CallHandlerTest.cpp
+++ b/test/node/CallHandlerTest.cpp
@@ -194,3 +194,17 @@
     EXPECT_THAT(trace, fixture.replies.at(4).outcome == Outcome::NoSuchJob);
   });
 }
+
+// The same when the setup that makes the call possible is applied while the
+// node confirms that it leads.
+Test(CallHandler, ACancelThatIsNotRecordedIsNotConfirmed)
+{
+  TestTrace trace;
+  HandlerFixture fixture;
+  fixture.Handle(CancelCall{ { "host", "/queue/job", "" } });
+  fixture.Apply(work::SetSetup{ MakeSetupWithQueue(1, "queue") });
+  fixture.confirmations.at(0)(true);
+  EXPECT_EQUAL(trace, fixture.proposals.size(), 0U);
+  EXPECT_THAT(trace, fixture.replies.at(0).outcome == Outcome::Unavailable);
+  EXPECT_THAT(trace, fixture.replies.at(0).retryAfter > Duration(0));
+}
