Look at the attempts of a task when its queue returns

Cause: the attempts were looked at only when a run ends as failed, and only if the queue was in the setup at that moment. A setup that allows fewer attempts had the same effect on a task whose next run is lost. Change: each setup, and the end of each run, fails the jobs with a waiting task that has used its attempts. The leader stops the remaining runs of jobs that a setup has ended.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -277,6 +277,12 @@
     return;
   }
   this->RefreshAllViews();
+  // The setup can end jobs that have runs.
+  for (const auto& [id, job] : this->state.Tables().jobs) {
+    if (job.IsFinal() && !job.tasks.empty()) {
+      this->StopAllRuns(id, "job ended");
+    }
+  }
   const auto withoutQueue =
     std::count_if(this->views.begin(),
                   this->views.end(),
--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -81,6 +81,7 @@
   if (next.version > this->tables.setup.version) {
     this->tables.setup = next;
     this->BindUnfinishedJobs();
+    this->FailJobsWithoutAttempts();
     return Verdict::Done;
   }
   return Verdict::Outdated;
@@ -110,6 +111,38 @@
   }
 }
 
+bool
+WorkState::HasUsedItsAttempts(const Job& aJob,
+                              const Step& aStep,
+                              const Task& aTask)
+{
+  if (aTask.failures == 0 || aStep.longRunning) {
+    return false;
+  }
+  const Queue* queue = this->queues.Find(this->tables.setup, aJob.queue);
+  return queue != nullptr && aTask.failures >= queue->maxAttempts;
+}
+
+void
+WorkState::FailJobsWithoutAttempts()
+{
+  for (auto& [id, job] : this->tables.jobs) {
+    bool hasNone = false;
+    for (const auto& occurrence : job.tasks) {
+      for (std::size_t s = 0; s < occurrence.size(); ++s) {
+        for (const Task& task : occurrence[s]) {
+          hasNone =
+            hasNone || (!task.done && task.runs.empty() &&
+                        this->HasUsedItsAttempts(job, job.spec.steps[s], task));
+        }
+      }
+    }
+    if (hasNone && !job.IsFinal()) {
+      this->FinishJob(id, job, JobState::Failed);
+    }
+  }
+}
+
 Verdict
 WorkState::ApplyCommand(const SubmitJob& aCommand)
 {
@@ -246,15 +279,13 @@
       this->CompleteGang(job, aCommand.task, aCommand.run);
     }
   }
-  if (aCommand.kind == EndKind::Failed) {
-    ++task->failures;
-    const Queue* queue = this->tables.setup.FindQueue(job.queue);
-    const bool attemptsExhausted =
-      queue != nullptr && task->failures >= queue->maxAttempts;
-    if (attemptsExhausted && !step.longRunning && !job.IsFinal()) {
-      this->FinishJob(aCommand.task.job, job, JobState::Failed);
-      return Verdict::Done;
-    }
+  const bool hasFailed = aCommand.kind == EndKind::Failed;
+  task->failures += hasFailed ? 1 : 0;
+  // A run that did not fail counts too: the setup may allow fewer attempts now.
+  const bool isLast = hasFailed || (!task->done && task->runs.empty());
+  if (isLast && !job.IsFinal() && this->HasUsedItsAttempts(job, step, *task)) {
+    this->FinishJob(aCommand.task.job, job, JobState::Failed);
+    return Verdict::Done;
   }
   if (!job.IsFinal() && AllTasksDone(job)) {
     this->FinishJob(aCommand.task.job, job, JobState::Completed);
--- a/src/work/WorkState.h
+++ b/src/work/WorkState.h
@@ -86,6 +86,14 @@
   // They stay as they are when it has no such queue.
   void BindToQueue(Job& aJob);
   void BindUnfinishedJobs();
+  // True when the task may not be started again. Unknown, and therefore false,
+  // while the current setup does not have the job's queue.
+  [[nodiscard]] bool HasUsedItsAttempts(const Job& aJob,
+                                        const Step& aStep,
+                                        const Task& aTask);
+  // Fails the jobs whose waiting tasks have used their attempts: the setup now
+  // has their queue again, or allows fewer attempts.
+  void FailJobsWithoutAttempts();
   Verdict Withdraw(const JobId& aId);
   void FinishJob(const JobId& aId, Job& aJob, JobState aState);
   void CompleteGang(Job& aJob, const TaskRef& aTask, std::uint32_t aRun);
--- a/test/dispatch/WaitingWorkTest.cpp
+++ b/test/dispatch/WaitingWorkTest.cpp
@@ -357,3 +357,71 @@
     }));
   });
 }
+
+// Guards against a task that is started again after its last attempt: it failed
+// while the setup did not have its queue, and the attempts were not looked at
+// again.
+Test(WaitingWork, AnAttemptThatFailsWhileItsQueueIsMissingCounts)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment);
+  deployment.Submit(
+    "job",
+    "print",
+    { MakeStep(1, 1000, milliseconds(500)), MakeStep(1, 1000, seconds(20)) });
+  deployment.Run(milliseconds(200));
+  std::vector<work::Queue> queues;
+  deployment.ChangeSetup([&](work::Setup& aSetup) {
+    aSetup.queues.front().maxAttempts = 1;
+    std::swap(queues, aSetup.queues);
+  });
+  for (auto& [id, up] : deployment.upstreams) {
+    up.failsAllTasks = true;
+  }
+  deployment.Run(seconds(1));
+  EXPECT_EQUAL(trace, deployment.StateOf("job"), work::JobState::Running);
+  EXPECT_EQUAL(trace, deployment.RunningOn("print"), 1U);
+  deployment.ChangeSetup(
+    [&](work::Setup& aSetup) { std::swap(queues, aSetup.queues); });
+  trace.Section("the job fails once the queue is back", [&] {
+    EXPECT_EQUAL(trace, deployment.StateOf("job"), work::JobState::Failed);
+  });
+  trace.Section("its other task is stopped and none is started", [&] {
+    deployment.Run(seconds(1));
+    EXPECT_EQUAL(trace, deployment.RunningOn("print"), 0U);
+  });
+}
+
+// The same for a setup that allows fewer attempts than have failed.
+Test(WaitingWork, FewerAttemptsHoldForTasksThatHaveFailedBefore)
+{
+  TestTrace trace;
+  FakeDeployment deployment;
+  MakeReady(deployment);
+  for (auto& [id, up] : deployment.upstreams) {
+    up.failsAllTasks = true;
+  }
+  deployment.Submit("job", "print", { MakeStep(1, 1000, milliseconds(300)) });
+  deployment.Run(milliseconds(500));
+  EXPECT_EQUAL(trace, deployment.RunningOn("print"), 1U);
+  deployment.ChangeSetup(
+    [](work::Setup& aSetup) { aSetup.queues.front().maxAttempts = 1; });
+  trace.Section("the run that has begun goes on", [&] {
+    deployment.Run(milliseconds(20));
+    EXPECT_EQUAL(trace, deployment.RunningOn("print"), 1U);
+  });
+  trace.Section("no other follows when it is lost", [&] {
+    for (auto& [id, up] : deployment.upstreams) {
+      deployment.Crash(id.value, true);
+    }
+    EXPECT_THAT(trace, deployment.RunUntil(seconds(10), [&] {
+      return deployment.StateOf("job") == work::JobState::Failed;
+    }));
+    std::uint32_t starts = 0;
+    for (const auto& [id, up] : deployment.upstreams) {
+      starts += up.startsSeen;
+    }
+    EXPECT_EQUAL(trace, starts, 2U);
+  });
+}
