Split the search for tasks without attempts

Cause: four nested levels in FailJobsWithoutAttempts. Change: WaitsWithoutAttempts looks at one job. Behaviour stays as it is.

--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -123,21 +123,30 @@
   return queue != nullptr && aTask.failures >= queue->maxAttempts;
 }
 
+bool
+WorkState::WaitsWithoutAttempts(const Job& aJob)
+{
+  for (const auto& occurrence : aJob.tasks) {
+    for (std::size_t s = 0; s < occurrence.size(); ++s) {
+      const Step& step = aJob.spec.steps[s];
+      const auto waitsInVain = [&](const Task& aTask) {
+        return !aTask.done && aTask.runs.empty() &&
+               this->HasUsedItsAttempts(aJob, step, aTask);
+      };
+      if (std::any_of(
+            occurrence[s].begin(), occurrence[s].end(), waitsInVain)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void
 WorkState::FailJobsWithoutAttempts()
 {
   for (auto& [id, job] : this->tables.jobs) {
-    bool hasNone = false;
-    for (const auto& occurrence : job.tasks) {
-      for (std::size_t s = 0; s < occurrence.size(); ++s) {
-        for (const Task& task : occurrence[s]) {
-          hasNone =
-            hasNone || (!task.done && task.runs.empty() &&
-                        this->HasUsedItsAttempts(job, job.spec.steps[s], task));
-        }
-      }
-    }
-    if (hasNone && !job.IsFinal()) {
+    if (!job.IsFinal() && this->WaitsWithoutAttempts(job)) {
       this->FinishJob(id, job, JobState::Failed);
     }
   }
--- a/src/work/WorkState.h
+++ b/src/work/WorkState.h
@@ -91,6 +91,8 @@
   [[nodiscard]] bool HasUsedItsAttempts(const Job& aJob,
                                         const Step& aStep,
                                         const Task& aTask);
+  // True when a task that waits has used its attempts.
+  [[nodiscard]] bool WaitsWithoutAttempts(const Job& aJob);
   // Fails the jobs whose waiting tasks have used their attempts: the setup now
   // has their queue again, or allows fewer attempts.
   void FailJobsWithoutAttempts();
