Pass the lease clock by reference

Cause: clang-tidy finds a move of a trivially copyable type. Change: the constructor of UpstreamSession takes a reference. Behaviour stays as it is.

--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -55,9 +55,11 @@
 
 struct UpstreamSession
 {
-  UpstreamSession(const work::Upstream& aRecord, LeaseClock aClock, Time aNow)
+  UpstreamSession(const work::Upstream& aRecord,
+                  const LeaseClock& aClock,
+                  Time aNow)
     : record(aRecord)
-    , clock(std::move(aClock))
+    , clock(aClock)
     , lastHeard(aNow)
     , lastAnnounced(aNow)
   {
