--- a/src/dispatch/DispatcherAnnouncements.cpp
+++ b/src/dispatch/DispatcherAnnouncements.cpp
@@ -160,8 +160,8 @@
   const work::Upstream& next = aAnnouncement.record;
   for (auto& [id, other] : this->sessions) {
     if (id == aAnnouncement.id) {
-      if (other.record.boot != next.boot) {
-        other.replacing = true;
+      other.replacing = other.record.boot != next.boot;
+      if (other.replacing) {
         other.otherBootSeenAt = this->now;
       }
       continue;
