--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -118,8 +118,6 @@
   void RefreshAllViews();
   void AdoptRuns();
   void HandleRunEnd(const work::EndRun& aCommand, const LiveRun& aRun);
-  void StopGang(const work::TaskRef& aTask);
-  void QuarantineIfFailing(const InstanceId& aId, UpstreamSession& aSession);
   void ReplaceBoot(const InstanceId& aId,
                    UpstreamSession& aSession,
                    const work::Upstream& aNext);
@@ -143,6 +141,8 @@
   void OnStopAnswer(UpstreamSession& aSession,
                     const RunKey& aKey,
                     const OrderAnswer& aAnswer);
+  void StopGang(const work::TaskRef& aTask);
+  void QuarantineIfFailing(const InstanceId& aId, UpstreamSession& aSession);
 
   // DispatcherSessions.cpp: leases and the task lists of upstreams.
   void On(const LeaseAnswer& aAnswer);
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -251,4 +251,52 @@
   }
 }
 
+// Avoids an upstream for some time when tasks fail there repeatedly while its
+// peers complete theirs.
+void
+Dispatcher::QuarantineIfFailing(const InstanceId& aId,
+                                UpstreamSession& aSession)
+{
+  constexpr std::uint32_t kQuarantineFailures = 3;
+  constexpr Duration kQuarantineTime = seconds(5);
+  if (aSession.consecutiveFailures < kQuarantineFailures) {
+    return;
+  }
+  std::size_t peers = 0;
+  std::size_t failing = 0;
+  for (const auto& [id, other] : this->sessions) {
+    if (other.record.service == aSession.record.service) {
+      ++peers;
+      failing += other.consecutiveFailures > 0 ? 1 : 0;
+    }
+  }
+  if (failing * 3 > peers) {
+    return; // many peers fail too, so the jobs are the likely cause
+  }
+  aSession.avoidUntil = this->now + kQuarantineTime;
+  this->LogDecision("upstream_quarantined",
+                    {},
+                    { { "upstream", aId.value },
+                      { "failures", Text(aSession.consecutiveFailures) },
+                      { "failing_peers", Text(failing) } });
+}
+
+// The members of a gang only work together, so when one of them ends the others
+// are stopped.
+void
+Dispatcher::StopGang(const work::TaskRef& aTask)
+{
+  for (auto& [id, session] : this->sessions) {
+    std::vector<RunKey> members;
+    for (const auto& [key, run] : session.runs) {
+      if (StepOf(key.first) == StepOf(aTask)) {
+        members.push_back(key);
+      }
+    }
+    for (const RunKey& key : members) {
+      this->RequestStop(session, key, "gang broken");
+    }
+  }
+}
+
 } // namespace hyssoppaddle::dispatch
