--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -265,14 +265,21 @@
   up.record.boot += 1000;
 }
 
-void
-FakeDeployment::Announce(const InstanceId& aId)
+dispatch::Announcement
+FakeDeployment::NextReport(const InstanceId& aUpstream)
 {
-  FakeUpstream& up = this->upstreams.at(aId);
+  FakeUpstream& up = this->upstreams.at(aUpstream);
   dispatch::Announcement announcement;
-  announcement.id = aId;
+  announcement.id = aUpstream;
   announcement.record = up.record;
   announcement.sequence = ++up.sequence;
+  return announcement;
+}
+
+void
+FakeDeployment::Announce(const InstanceId& aId)
+{
+  dispatch::Announcement announcement = this->NextReport(aId);
   if (const auto leaves = this->leaving.find(aId);
       leaves != this->leaving.end()) {
     announcement.leavesIn = leaves->second;
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -120,6 +120,8 @@
   // The upstream ends without a notice. With aRestarts its instance starts a
   // new boot.
   void Crash(const std::string& aUpstream, bool aRestarts);
+  // The next announcement of an upstream.
+  dispatch::Announcement NextReport(const InstanceId& aUpstream);
   // Delivers an announcement or a departure, whoever has sent it.
   void Report(const dispatch::Announcement& aAnnouncement);
   void Depart(const std::string& aUpstream);
--- a/test/dispatch/RestartedUpstreamTest.cpp
+++ b/test/dispatch/RestartedUpstreamTest.cpp
@@ -66,17 +66,6 @@
                std::string());
 }
 
-dispatch::Announcement
-NextReport(FakeDeployment& aDeployment)
-{
-  FakeUpstream& up = aDeployment.upstreams.at(kFirst);
-  dispatch::Announcement report;
-  report.id = kFirst;
-  report.record = up.record;
-  report.sequence = ++up.sequence;
-  return report;
-}
-
 } // namespace
 
 // Guards against two runs of a task: the lease end in an order is on the clock
@@ -123,7 +112,7 @@
   SubmitLongJob(deployment);
   trace.Section("the next boot is recorded", [&] {
     deployment.holdCommits = true;
-    deployment.Report(NextReport(deployment));
+    deployment.Report(deployment.NextReport(kFirst));
     deployment.Run(milliseconds(20));
     deployment.upstreams.at(kFirst).losesRenewals = true;
     deployment.holdCommits = false;
@@ -162,7 +151,7 @@
   FakeDeployment deployment;
   MakeReady(deployment);
   RestartUnnoticed(deployment);
-  deployment.Report(NextReport(deployment));
+  deployment.Report(deployment.NextReport(kFirst));
   deployment.Run(milliseconds(20));
   SubmitLongJob(deployment);
   deployment.Run(milliseconds(200));
@@ -183,7 +172,7 @@
   TestTrace trace;
   FakeDeployment deployment;
   MakeReady(deployment);
-  dispatch::Announcement foreign = NextReport(deployment);
+  dispatch::Announcement foreign = deployment.NextReport(kFirst);
   foreign.record.boot += 500;
   deployment.Report(foreign);
   deployment.Run(milliseconds(20));
--- a/test/dispatch/RunEvidenceTest.cpp
+++ b/test/dispatch/RunEvidenceTest.cpp
@@ -57,18 +57,6 @@
   EXPECT_EQUAL(aTrace, aDeployment.StateOf("later"), JobState::Completed);
 }
 
-// The next report of a living upstream.
-dispatch::Announcement
-NextReport(FakeDeployment& aDeployment, const InstanceId& aId)
-{
-  FakeUpstream& up = aDeployment.upstreams.at(aId);
-  dispatch::Announcement report;
-  report.id = aId;
-  report.record = up.record;
-  report.sequence = ++up.sequence;
-  return report;
-}
-
 void
 ExpectNoViolation(TestTrace& aTrace, const FakeDeployment& aDeployment)
 {
@@ -166,7 +154,7 @@
   FakeDeployment deployment;
   MakeReady(deployment);
   StartJob(deployment);
-  dispatch::Announcement report = NextReport(deployment, kFirst);
+  dispatch::Announcement report = deployment.NextReport(kFirst);
   report.record.boot = kImpossibleBoot;
   deployment.Report(report);
   ExpectUndisturbed(trace, deployment);
@@ -178,7 +166,7 @@
   FakeDeployment deployment;
   MakeReady(deployment);
   StartJob(deployment);
-  dispatch::Announcement report = NextReport(deployment, kFirst);
+  dispatch::Announcement report = deployment.NextReport(kFirst);
   report.id = InstanceId("other");
   report.record.boot += 5;
   trace.Section("at an address where nothing answers", [&] {
@@ -199,7 +187,7 @@
   FakeDeployment deployment;
   MakeReady(deployment);
   StartJob(deployment);
-  dispatch::Announcement report = NextReport(deployment, kFirst);
+  dispatch::Announcement report = deployment.NextReport(kFirst);
   report.record.address = "10.0.9.9:81";
   report.sequence = kImpossibleBoot;
   deployment.Report(report);
@@ -214,7 +202,7 @@
   FakeDeployment deployment;
   MakeReady(deployment);
   deployment.AddUpstream("print");
-  dispatch::Announcement report = NextReport(deployment, InstanceId("up-3"));
+  dispatch::Announcement report = deployment.NextReport(InstanceId("up-3"));
   report.record.boot = kImpossibleBoot;
   report.record.address = "10.0.9.9:81";
   FakeUpstream& living = deployment.upstreams.at(InstanceId("up-3"));
@@ -324,7 +312,7 @@
   MakeReady(deployment);
   StartJob(deployment);
   deployment.Crash("up-1", true);
-  deployment.Report(NextReport(deployment, kFirst));
+  deployment.Report(deployment.NextReport(kFirst));
   EXPECT_THAT(trace, deployment.RunUntil(milliseconds(100), [&] {
     return deployment.RunningOn("print") == 8;
   }));
@@ -346,7 +334,7 @@
   next.leaseUntil = 0;
   deployment.upstreams.erase(kFirst);
   deployment.upstreams[InstanceId("up-9")] = next;
-  deployment.Report(NextReport(deployment, InstanceId("up-9")));
+  deployment.Report(deployment.NextReport(InstanceId("up-9")));
   EXPECT_THAT(trace, deployment.RunUntil(milliseconds(100), [&] {
     return deployment.RunningOn("print") == 8;
   }));
@@ -363,7 +351,7 @@
   FakeDeployment deployment;
   MakeReady(deployment);
   deployment.Run(seconds(2));
-  const dispatch::Announcement late = NextReport(deployment, kFirst);
+  const dispatch::Announcement late = deployment.NextReport(kFirst);
   deployment.Drain("up-1", seconds(1));
   deployment.Run(milliseconds(100));
   deployment.Depart("up-1");
--- a/test/dispatch/StaleEvidenceTest.cpp
+++ b/test/dispatch/StaleEvidenceTest.cpp
@@ -25,18 +25,6 @@
   aDeployment.ElectLeader();
 }
 
-// The next report of a living upstream.
-dispatch::Announcement
-NextReport(FakeDeployment& aDeployment, const InstanceId& aId)
-{
-  FakeUpstream& up = aDeployment.upstreams.at(aId);
-  dispatch::Announcement report;
-  report.id = aId;
-  report.record = up.record;
-  report.sequence = ++up.sequence;
-  return report;
-}
-
 void
 ExpectNoViolation(TestTrace& aTrace, const FakeDeployment& aDeployment)
 {
@@ -93,7 +81,7 @@
   deployment.holdCommits = true;
   deployment.Run(milliseconds(300));
   deployment.Crash("up-1", true);
-  deployment.Report(NextReport(deployment, kFirst));
+  deployment.Report(deployment.NextReport(kFirst));
   deployment.Run(milliseconds(100));
   deployment.holdCommits = false;
   deployment.Run(seconds(10));
@@ -110,7 +98,7 @@
   FakeDeployment deployment;
   MakeReady(deployment, 2);
   deployment.Run(milliseconds(100));
-  const dispatch::Announcement late = NextReport(deployment, kFirst);
+  const dispatch::Announcement late = deployment.NextReport(kFirst);
   deployment.Drain("up-1", seconds(10));
   deployment.Run(milliseconds(100));
   EXPECT_THAT(trace, deployment.state.Tables().upstreams.at(kFirst).draining);
@@ -133,8 +121,8 @@
   MakeReady(deployment, 2);
   deployment.Run(milliseconds(100));
   deployment.Crash("up-1", true);
-  deployment.Report(NextReport(deployment, kFirst));
-  dispatch::Announcement drain = NextReport(deployment, kFirst);
+  deployment.Report(deployment.NextReport(kFirst));
+  dispatch::Announcement drain = deployment.NextReport(kFirst);
   drain.record.draining = true;
   deployment.Report(drain);
   deployment.Run(milliseconds(100));
@@ -156,8 +144,8 @@
   deployment.Crash("up-2", true);
   std::swap(deployment.upstreams.at(kFirst).record.address,
             deployment.upstreams.at(kSecond).record.address);
-  deployment.Report(NextReport(deployment, kFirst));
-  deployment.Report(NextReport(deployment, kSecond));
+  deployment.Report(deployment.NextReport(kFirst));
+  deployment.Report(deployment.NextReport(kSecond));
   deployment.Run(seconds(8));
   EXPECT_EQUAL(trace, deployment.state.Tables().upstreams.size(), 2U);
   deployment.Submit("job", "print", { MakeStep(8, 2000, milliseconds(100)) });
@@ -211,7 +199,7 @@
   deployment.Submit("first", "print", { MakeStep(8, 2000, milliseconds(100)) });
   deployment.Run(milliseconds(10));
   deployment.Crash("up-1", true);
-  deployment.Report(NextReport(deployment, kFirst));
+  deployment.Report(deployment.NextReport(kFirst));
   deployment.Run(seconds(3));
   EXPECT_EQUAL(trace, deployment.StateOf("first"), JobState::Completed);
   deployment.upstreams.at(kFirst).startAnswerDelay = milliseconds(3);
@@ -251,7 +239,7 @@
   deployment.SetMaintenanceTime(seconds(8));
   MakeReady(deployment, 3);
   deployment.Run(seconds(4));
-  const dispatch::Announcement late = NextReport(deployment, kFirst);
+  const dispatch::Announcement late = deployment.NextReport(kFirst);
   deployment.StartWave(1, { "machine-1", "machine-2" }, seconds(40), 1);
   trace.Section("the maintenance begins", [&] {
     EXPECT_THAT(trace, deployment.RunUntil(seconds(2), [&] {
@@ -278,7 +266,7 @@
   deployment.StartWave(1, { "machine-1" }, seconds(20), 1);
   deployment.Run(milliseconds(600));
   deployment.Crash("up-1", true);
-  deployment.Report(NextReport(deployment, kFirst));
+  deployment.Report(deployment.NextReport(kFirst));
   deployment.Run(milliseconds(100));
   deployment.Submit("job", "print", { MakeStep(12, 2000, seconds(2)) });
   deployment.Run(milliseconds(100));
