Evacuate data centres on the operator's order

An operator could not order that nothing more is started in a data centre: no call was decoded, and no state kept such an order. The new command SetEvacuation (number 11) is recorded on a majority before the confirmation. WorkState refuses the start of a run in the data centre, the dispatcher plans and sends none, stops a gang that lost a member this way, moves long-running tasks as in a wave, and gives idle instances to the standby pool. A status report without a data centre is now rejected, since its upstream could not be evacuated.

--- a/src/cli/Subcommands.cpp
+++ b/src/cli/Subcommands.cpp
@@ -41,6 +41,15 @@
   Subcommand{ "instance move",
               "Ask for a move to another pool",
               &MoveInstance },
+  Subcommand{ "data-centre empty",
+              "Start nothing in a data centre",
+              &EmptyDataCentre },
+  Subcommand{ "data-centre restore",
+              "Start tasks there again",
+              &RestoreDataCentre },
+  Subcommand{ "data-centre show",
+              "Show what is left in emptied data centres",
+              &ShowDataCentres },
   Subcommand{ "status", "Show the state of the system", &ShowStatus },
   Subcommand{ "explain", "Explain decisions", &Explain },
   Subcommand{ "replica change",
@@ -50,7 +59,7 @@
   Subcommand{ "state export", "Export a data folder as JSON", &ExportState },
 };
 
-constexpr int kNameWidth = 18;
+constexpr int kNameWidth = 21;
 
 void
 PrintHelp(std::ostream& aStream)
--- a/src/cli/Subcommands.h
+++ b/src/cli/Subcommands.h
@@ -69,6 +69,12 @@
 int
 MoveInstance(Arguments aArguments);
 int
+EmptyDataCentre(Arguments aArguments);
+int
+RestoreDataCentre(Arguments aArguments);
+int
+ShowDataCentres(Arguments aArguments);
+int
 ShowStatus(Arguments aArguments);
 int
 Explain(Arguments aArguments);
--- a/src/dispatch/Announcement.h
+++ b/src/dispatch/Announcement.h
@@ -14,6 +14,8 @@
   work::Upstream record;
   std::uint64_t sequence = 0; // increases with each announcement of one boot
   std::optional<Duration> leavesIn; // earliest departure while it drains
+  // How much longer it runs tasks slowly after its start.
+  Duration coldFor{ 0 };
 };
 
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -62,10 +62,10 @@
   const Time floor =
     this->electedAt + this->options.LongestLease() + kDeposedLeaderWindow;
   for (const auto& [id, record] : this->state.Tables().upstreams) {
-    this->sessions.emplace(
-      id,
-      UpstreamSession(
-        record, LeaseClock(floor, this->options.LongestLease()), this->now));
+    UpstreamSession session(
+      record, LeaseClock(floor, this->options.LongestLease()), this->now);
+    session.dataCentreEvacuating = this->state.IsEvacuating(record.dataCentre);
+    this->sessions.emplace(id, std::move(session));
     this->CountBoot(id, record.boot);
   }
   for (const auto& [id, job] : this->state.Tables().jobs) {
@@ -328,6 +328,11 @@
   const bool known = session != nullptr && session->runs.contains(key);
   if (aVerdict != work::Verdict::Done) {
     this->DropRun(aCommand.run.upstream, key);
+    const work::Job* job = this->FindJob(aCommand.task.job);
+    if (job != nullptr && !job->IsFinal() &&
+        job->spec.steps[aCommand.task.step].gang) {
+      this->StopGang(aCommand.task); // the others would wait for it in vain
+    }
     return;
   }
   if (!known) {
@@ -435,6 +440,7 @@
   });
   this->BalancePools();
   this->RunWaves();
+  this->EvacuateDataCentres();
   this->LogServiceLoads();
   std::vector<JobId> due;
   for (const auto& [id, view] : this->views) {
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -13,6 +13,7 @@
 
 #include "dispatch/Admission.h"
 #include "dispatch/Announcement.h"
+#include "dispatch/DataCentreEvacuation.h"
 #include "dispatch/Decision.h"
 #include "dispatch/DemandForecast.h"
 #include "dispatch/InstanceOwner.h"
@@ -85,6 +86,12 @@
     return this->loadMeasurements;
   }
 
+  // What is left of the evacuations of data centres.
+  [[nodiscard]] std::vector<EvacuationProgress> Evacuations(Time aNow) const
+  {
+    return MeasureEvacuations(this->state, this->sessions, aNow);
+  }
+
   // Number of accepted jobs of the queue that have not started any task.
   [[nodiscard]] std::uint64_t CountQueuedJobs(const work::Queue& aQueue) const;
 
@@ -114,6 +121,7 @@
   void On(const work::StartWave& aCommand, work::Verdict aVerdict);
   void On(const work::AdvanceWave& aCommand, work::Verdict aVerdict);
   void On(const work::OrderInstance& aCommand, work::Verdict aVerdict);
+  void On(const work::SetEvacuation& aCommand, work::Verdict aVerdict);
   void RefreshView(const JobId& aJob);
   void RefreshAllViews();
   void AdoptRuns();
@@ -183,6 +191,8 @@
 
   // DispatcherAnnouncements.cpp: announcements and departures of upstreams.
   [[nodiscard]] bool ContradictsRecord(const Announcement& aAnnouncement) const;
+  // Notes until when the upstream runs tasks slowly.
+  void RecordCold(const Announcement& aAnnouncement, UpstreamSession& aSession);
   void CheckAnnouncement(const Announcement& aAnnouncement);
   void OnAnnouncementChecked(const LeaseAnswer& aAnswer);
   void RecordConfirmed(const Announcement& aAnnouncement);
@@ -236,6 +246,14 @@
                                    const work::Job& aJob,
                                    const work::TaskRef& aTask) const;
 
+  // DispatcherUpstreams.cpp: evacuation of data centres.
+  void EvacuateDataCentres();
+  void LogEvacuations();
+  // Moves empty instances of these data centres to the standby pool.
+  void ReleaseIdleInstances();
+  [[nodiscard]] bool IsInEvacuation(const std::string& aInstance) const;
+  [[nodiscard]] const work::Service* StandbyPool() const;
+
   // DispatcherLoads.cpp: loads of the services, and rejection of jobs.
   [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
   [[nodiscard]] RecentLoad& RecentLoadOf(const ServiceId& aService);
@@ -367,6 +385,9 @@
   std::map<ServiceId, RecentLoad> recentLoads;
   std::uint64_t loadMeasurements = 0;
   OrderHistory history; // kept when leadership is lost
+
+  Time nextEvacuationCheckAt{};
+  Time evacuationsLoggedAt{};
 };
 
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/DispatcherAnnouncements.cpp
+++ b/src/dispatch/DispatcherAnnouncements.cpp
@@ -72,6 +72,7 @@
     if (aAnnouncement.leavesIn) {
       session->leavesBy = aNow + *aAnnouncement.leavesIn;
     }
+    this->RecordCold(aAnnouncement, *session);
     if (next == session->record) {
       return {};
     }
@@ -79,6 +80,24 @@
   return { work::SetUpstream{ aAnnouncement.id, next } };
 }
 
+void
+Dispatcher::RecordCold(const Announcement& aAnnouncement,
+                       UpstreamSession& aSession)
+{
+  if (aAnnouncement.coldFor.count() == 0) {
+    return;
+  }
+  const bool wasCold = this->now < aSession.coldUntil;
+  aSession.coldUntil = this->now + aAnnouncement.coldFor;
+  if (!wasCold) {
+    this->LogDecision("upstream_cold",
+                      {},
+                      { { "upstream", aAnnouncement.id.value },
+                        { "data_centre", aSession.record.dataCentre.value },
+                        { "cold_ms", Text(aAnnouncement.coldFor) } });
+  }
+}
+
 bool
 Dispatcher::ContradictsRecord(const Announcement& aAnnouncement) const
 {
--- a/src/dispatch/DispatcherPools.cpp
+++ b/src/dispatch/DispatcherPools.cpp
@@ -24,7 +24,8 @@
 IsAvailable(const UpstreamSession& aSession)
 {
   return !aSession.record.draining && !aSession.evacuating &&
-         !aSession.departedAt && aSession.unanswered == 0;
+         !aSession.dataCentreEvacuating && !aSession.departedAt &&
+         aSession.unanswered == 0;
 }
 
 } // namespace
@@ -60,13 +61,14 @@
   }
   for (const auto& [instance, arrival] : this->owner.arrivals) {
     const auto pool = find(arrival.pool);
-    if (pool != pools.end()) {
+    if (pool != pools.end() && !this->IsInEvacuation(instance)) {
       ++pool->arriving;
     }
   }
   for (const auto& [instance, row] : this->owner.instances) {
     const auto pool = find(row.pool);
-    if (pool == pools.end() || withUpstream.contains(instance)) {
+    if (pool == pools.end() || withUpstream.contains(instance) ||
+        this->IsInEvacuation(instance)) {
       continue;
     }
     // A move that an earlier leader ordered.
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -23,7 +23,10 @@
   const work::Task* task = job == nullptr ? nullptr : job->Find(aKey.first);
   const auto until =
     aSession.clock.LeaseEndAfter(this->options.Lease(), this->now);
-  if (task == nullptr || job->IsFinal() || !until || aSession.otherBootSeenAt) {
+  // The order to evacuate may have been committed right after the start.
+  const bool isForbidden = this->state.IsEvacuating(aSession.record.dataCentre);
+  if (task == nullptr || job->IsFinal() || !until || isForbidden ||
+      aSession.otherBootSeenAt) {
     this->ProposeEnd(
       live.run.upstream, aKey, work::EndKind::NotStarted, EndEvidence::NotSent);
     return;
--- a/src/dispatch/DispatcherUpstreams.cpp
+++ b/src/dispatch/DispatcherUpstreams.cpp
@@ -1,4 +1,5 @@
-// The recorded upstreams: their boots, and the fencing tokens of these.
+// The recorded upstreams: their boots, the fencing tokens of these, and the
+// evacuation of their data centres.
 #include "dispatch/Dispatcher.h"
 
 #include "dispatch/Text.h"
@@ -7,6 +8,16 @@
 
 namespace hyssoppaddle::dispatch {
 
+namespace {
+
+constexpr Duration kEvacuationInterval = milliseconds(100);
+constexpr Duration kEvacuationLogInterval = seconds(1);
+// Moves of idle instances for each check. The owner of the instances limits the
+// rate of all orders.
+constexpr std::size_t kMaxReleased = 4;
+
+} // namespace
+
 void
 Dispatcher::On(const work::SetUpstream& aCommand, work::Verdict aVerdict)
 {
@@ -26,6 +37,8 @@
   } else {
     session->record = next;
   }
+  this->FindSession(aCommand.id)->dataCentreEvacuating =
+    this->state.IsEvacuating(next.dataCentre);
   this->owner.arrivals.erase(next.instance);
   if (this->IsOrdered(next.instance) ||
       this->owner.unconfirmed.contains(next.instance)) {
@@ -85,6 +98,117 @@
     "upstream_removed", {}, { { "upstream", aCommand.id.value } });
 }
 
+void
+Dispatcher::On(const work::SetEvacuation& aCommand, work::Verdict aVerdict)
+{
+  if (aVerdict != work::Verdict::Done) {
+    return;
+  }
+  const bool evacuating = this->state.IsEvacuating(aCommand.dataCentre);
+  std::size_t upstreams = 0;
+  std::size_t runs = 0;
+  for (auto& [id, session] : this->sessions) {
+    if (session.record.dataCentre != aCommand.dataCentre) {
+      continue;
+    }
+    session.dataCentreEvacuating = evacuating;
+    this->dirtyServices.insert(session.record.service);
+    ++upstreams;
+    runs += session.runs.size();
+  }
+  this->recentLoads.clear(); // measured with other upstreams
+  this->LogDecision(aCommand.requested ? "evacuation_ordered"
+                                       : "evacuation_withdrawn",
+                    {},
+                    { { "data_centre", aCommand.dataCentre.value },
+                      { "by", aCommand.by },
+                      { "upstreams", Text(upstreams) },
+                      { "runs", Text(runs) },
+                      { "services_without_upstreams",
+                        Text(ServicesWithoutUpstreams(this->sessions)) } });
+}
+
+void
+Dispatcher::EvacuateDataCentres()
+{
+  if (this->state.Tables().evacuations.empty() ||
+      this->now < this->nextEvacuationCheckAt) {
+    return;
+  }
+  this->nextEvacuationCheckAt = this->now + kEvacuationInterval;
+  this->MoveLongRunningAhead();
+  this->ReleaseIdleInstances();
+  this->LogEvacuations();
+}
+
+void
+Dispatcher::LogEvacuations()
+{
+  if (this->now - this->evacuationsLoggedAt < kEvacuationLogInterval) {
+    return;
+  }
+  this->evacuationsLoggedAt = this->now;
+  const std::string without = Text(ServicesWithoutUpstreams(this->sessions));
+  for (const EvacuationProgress& progress : this->Evacuations(this->now)) {
+    this->LogDecision("evacuation_progress",
+                      {},
+                      { { "data_centre", progress.dataCentre.value },
+                        { "by", progress.order.by },
+                        { "since_ms", Text(this->wall - progress.order.since) },
+                        { "upstreams", Text(progress.upstreams) },
+                        { "tasks", Text(progress.tasks) },
+                        { "long_running", Text(progress.longRunning) },
+                        { "expected_end_ms", Text(progress.expectedEnd) },
+                        { "services_without_upstreams", without } });
+  }
+}
+
+const work::Service*
+Dispatcher::StandbyPool() const
+{
+  const auto& services = this->state.CurrentSetup().services;
+  const auto found = std::find_if(
+    services.begin(), services.end(), [](const work::Service& aService) {
+      return aService.standby;
+    });
+  return found == services.end() ? nullptr : &*found;
+}
+
+bool
+Dispatcher::IsInEvacuation(const std::string& aInstance) const
+{
+  const auto row = this->owner.instances.find(aInstance);
+  return row != this->owner.instances.end() &&
+         this->state.IsEvacuating(row->second.dataCentre);
+}
+
+void
+Dispatcher::ReleaseIdleInstances()
+{
+  const work::Service* standby = this->StandbyPool();
+  if (standby == nullptr || !this->owner.hasList) {
+    return;
+  }
+  std::vector<std::string> idle;
+  for (const auto& [id, session] : this->sessions) {
+    const std::string& instance = session.record.instance;
+    const bool isIdle = session.dataCentreEvacuating && session.runs.empty() &&
+                        session.fenceConfirmed && session.unanswered == 0 &&
+                        !session.record.draining && !session.evacuating &&
+                        !session.departedAt;
+    if (isIdle && !instance.empty() && this->IsFree(instance) &&
+        session.record.service != standby->name) {
+      idle.push_back(instance);
+    }
+    if (idle.size() == kMaxReleased) {
+      break;
+    }
+  }
+  for (const std::string& instance : idle) {
+    this->OrderMove({ instance, standby->name });
+  }
+}
+
 std::uint64_t
 Dispatcher::FenceOf(const InstanceId& aId) const
 {
--- a/src/dispatch/DispatcherWaves.cpp
+++ b/src/dispatch/DispatcherWaves.cpp
@@ -128,22 +128,25 @@
   this->MoveLongRunningAhead();
 }
 
-// Stops long-running tasks on instances that are due, as far as their jobs
-// allow and other upstreams take them.
+// Stops long-running tasks on instances that are due for maintenance or in a
+// data centre under evacuation, as far as their jobs allow and other upstreams
+// take them.
 void
 Dispatcher::MoveLongRunningAhead()
 {
   std::map<ServiceId, std::vector<Candidate>> candidates;
   std::size_t considered = 0;
   for (auto& [id, session] : this->sessions) {
-    if (!session.maintenanceDue || session.evacuating) {
+    const bool isDue = session.maintenanceDue || session.dataCentreEvacuating;
+    if (!isDue || session.evacuating) {
       continue;
     }
     std::vector<RunKey> movable;
     for (const auto& [key, live] : session.runs) {
       const work::Job* job = this->FindJob(key.first.job);
       if (live.longRunning && !live.stopping && job != nullptr &&
-          job->spec.steps[key.first.step].maxUnavailable > 0 &&
+          (session.dataCentreEvacuating ||
+           job->spec.steps[key.first.step].maxUnavailable > 0) &&
           this->MayStopLongRunning(key.first)) {
         movable.push_back(key);
       }
@@ -163,7 +166,10 @@
       }
       if (HasLastingRoom(found->second,
                          this->QueryOf(view->second, key.first))) {
-        this->RequestStop(session, key, "maintenance ahead");
+        this->RequestStop(session,
+                          key,
+                          session.dataCentreEvacuating ? "data centre evacuated"
+                                                       : "maintenance ahead");
       }
     }
   }
--- a/src/dispatch/Instructions.h
+++ b/src/dispatch/Instructions.h
@@ -181,7 +181,8 @@
   InstancePhase phase = InstancePhase::Down;
   std::vector<std::string> labels;
   state::Resources capacity;
-  InstanceId upstream; // empty when none runs on it
+  DataCentreId dataCentre; // empty when it is not stated
+  InstanceId upstream;     // empty when none runs on it
 };
 
 struct InstanceList
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -67,9 +67,9 @@
 IsUsable(const UpstreamSession& aSession, Time aNow)
 {
   return aSession.fenceConfirmed && !aSession.record.draining &&
-         !aSession.evacuating && !aSession.departedAt &&
-         !aSession.otherBootSeenAt && aSession.unanswered < kUnansweredLimit &&
-         aNow >= aSession.avoidUntil;
+         !aSession.evacuating && !aSession.dataCentreEvacuating &&
+         !aSession.departedAt && !aSession.otherBootSeenAt &&
+         aSession.unanswered < kUnansweredLimit && aNow >= aSession.avoidUntil;
 }
 
 std::vector<Candidate>
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -104,6 +104,10 @@
   bool maintenanceDue = false;
   // No new starts: it is ordered into maintenance or to another pool.
   bool evacuating = false;
+  // No new starts: an operator has ordered so for its data centre.
+  bool dataCentreEvacuating = false;
+  // Runs tasks slowly until then.
+  Time coldUntil{};
 
   // Lets the upstream discard its ends once all listed ends are recorded.
   void AdvanceRecordedEnd()
--- a/src/node/CallHandler.cpp
+++ b/src/node/CallHandler.cpp
@@ -2,7 +2,9 @@
 #include "node/CallHandler.h"
 
 #include "dispatch/Text.h"
+#include "node/OperatorCalls.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hyssoppaddle::node {
@@ -14,6 +16,8 @@
 constexpr Duration kNoSetupRetryAfter = std::chrono::seconds(1);
 // Recorded cancels of unknown jobs expire one by one, so there is soon room.
 constexpr Duration kCancelRetryAfter = std::chrono::seconds(1);
+// Orders in force have to be withdrawn by an operator first.
+constexpr Duration kFullRetryAfter = std::chrono::seconds(1);
 // Bounds the memory of the job IDs that are recorded without a job.
 constexpr std::size_t kMaxJobIdBytes = 256;
 // Approver recorded for setups: the members of this deployment have agreed,
@@ -48,6 +52,8 @@
   switch (aOutcome) {
     case Outcome::NoSuchQueue:
       return "no such queue";
+    case Outcome::NoSuchDataCentre:
+      return "no such data centre";
     case Outcome::UnknownKey:
       return "unknown key";
     case Outcome::Malformed:
@@ -66,11 +72,13 @@
 CallHandler::CallHandler(const work::WorkState& aState,
                          dispatch::Dispatcher& aDispatcher,
                          std::string aControlAddress,
-                         Callbacks aCallbacks)
+                         Callbacks aCallbacks,
+                         std::vector<DataCentreId> aDataCentres)
   : state(aState)
   , dispatcher(aDispatcher)
   , controlAddress(std::move(aControlAddress))
   , callbacks(std::move(aCallbacks))
+  , dataCentres(std::move(aDataCentres))
 {
 }
 
@@ -406,6 +414,65 @@
     std::move(aDone));
 }
 
+bool
+CallHandler::IsUnknown(const DataCentreId& aDataCentre) const
+{
+  const auto& upstreams = this->state.Tables().upstreams;
+  const bool isListed = std::find(this->dataCentres.begin(),
+                                  this->dataCentres.end(),
+                                  aDataCentre) != this->dataCentres.end();
+  return !this->dataCentres.empty() && !isListed &&
+         !this->state.IsEvacuating(aDataCentre) &&
+         std::none_of(
+           upstreams.begin(), upstreams.end(), [&](const auto& aItem) {
+             return aItem.second.dataCentre == aDataCentre;
+           });
+}
+
+// Proposed even if it seems to be in force already: another leader may have
+// recorded the opposite since.
+void
+CallHandler::On(const EvacuateCall& aCall, ReplyCallback aDone)
+{
+  if (this->IsUnknown(aCall.dataCentre)) {
+    this->ReplyAfterConfirmation(
+      [dataCentre = aCall.dataCentre] {
+        Reply reply = MakeReply(Outcome::NoSuchDataCentre);
+        reply.reason = "no data centre " + dataCentre.value;
+        return reply;
+      },
+      [this, done = std::move(aDone)](Reply aReply) {
+        this->Refuse({}, std::move(aReply), done);
+      });
+    return;
+  }
+  this->Propose(
+    work::SetEvacuation{ aCall.dataCentre, aCall.requested, aCall.by },
+    [this](work::Verdict aVerdict) {
+      if (aVerdict != work::Verdict::Full) {
+        return MakeReply(Outcome::Done);
+      }
+      Reply reply = MakeReply(Outcome::Unavailable);
+      reply.retryAfter = kFullRetryAfter;
+      this->LogRefusal({}, reply);
+      return reply;
+    },
+    std::move(aDone));
+}
+
+void
+CallHandler::On(const ShowEvacuationsCall& /*aCall*/, ReplyCallback aDone)
+{
+  this->ReplyAfterConfirmation(
+    [this] {
+      Reply reply = MakeReply(Outcome::EvacuationsShown);
+      reply.document =
+        EncodeEvacuations(this->dispatcher.Evacuations(this->callbacks.now()));
+      return reply;
+    },
+    std::move(aDone));
+}
+
 void
 CallHandler::On(const MalformedCall& aCall, ReplyCallback aDone)
 {
--- a/src/node/CallHandler.h
+++ b/src/node/CallHandler.h
@@ -33,10 +33,12 @@
 
   // aState and aDispatcher must outlive this object. aControlAddress is
   // returned to upstreams as the address for their next announcements.
+  // aDataCentres are all of the deployment, or empty when these are not known.
   CallHandler(const work::WorkState& aState,
               dispatch::Dispatcher& aDispatcher,
               std::string aControlAddress,
-              Callbacks aCallbacks);
+              Callbacks aCallbacks,
+              std::vector<DataCentreId> aDataCentres = {});
 
   // Must be called only on a leader that has caught up. Calls aDone exactly
   // once.
@@ -61,9 +63,14 @@
   void On(const GetSetupCall& aCall, ReplyCallback aDone);
   void On(const StartWaveCall& aCall, ReplyCallback aDone);
   void On(const ShowWaveCall& aCall, ReplyCallback aDone);
+  void On(const EvacuateCall& aCall, ReplyCallback aDone);
+  void On(const ShowEvacuationsCall& aCall, ReplyCallback aDone);
   void On(const MalformedCall& aCall, ReplyCallback aDone);
 
   [[nodiscard]] Access CheckAccess(const QueueTarget& aCall) const;
+  // True when the deployment has no such data centre, as far as this node
+  // knows.
+  [[nodiscard]] bool IsUnknown(const DataCentreId& aDataCentre) const;
   // Confirms leadership, so that the state is current, and then replies with
   // the result of aBuildReply.
   void ReplyAfterConfirmation(std::function<Reply()> aBuildReply,
@@ -84,6 +91,7 @@
   dispatch::Dispatcher& dispatcher;
   std::string controlAddress;
   Callbacks callbacks;
+  std::vector<DataCentreId> dataCentres;
   // Jobs whose submission is proposed but not yet committed or rejected.
   std::set<JobId> submitting;
 };
--- a/src/node/CallMeter.cpp
+++ b/src/node/CallMeter.cpp
@@ -17,8 +17,9 @@
 
 // In the order of the alternatives of Call.
 constexpr std::array<std::string_view, CallMeter::kKinds> kNames{
-  "submit",    "show",      "cancel",     "announce",  "depart",
-  "put_setup", "get_setup", "start_wave", "show_wave", "malformed"
+  "submit",    "show",      "cancel",           "announce",
+  "depart",    "put_setup", "get_setup",        "start_wave",
+  "show_wave", "evacuate",  "show_evacuations", "malformed"
 };
 
 } // namespace
--- a/src/node/Calls.h
+++ b/src/node/Calls.h
@@ -4,6 +4,7 @@
 #define hyssoppaddle_node_Calls_h
 
 #include "dispatch/Announcement.h"
+#include "dispatch/DataCentreEvacuation.h"
 #include "work/Commands.h"
 
 #include <optional>
@@ -67,6 +68,17 @@
   std::uint64_t number = 0;
 };
 
+// Orders that nothing is started in a data centre, or withdraws that order.
+struct EvacuateCall
+{
+  DataCentreId dataCentre;
+  bool requested = false; // false: withdrawn
+  std::string by;         // who asks, as the caller states it
+};
+
+struct ShowEvacuationsCall
+{};
+
 // A call that cannot be decoded. The reason is sent to the caller and logged.
 struct MalformedCall
 {
@@ -83,6 +95,8 @@
                           GetSetupCall,
                           StartWaveCall,
                           ShowWaveCall,
+                          EvacuateCall,
+                          ShowEvacuationsCall,
                           MalformedCall>;
 
 // Calls of one class wait in one line for the leader.
@@ -97,15 +111,17 @@
 
 enum class Outcome : std::uint8_t
 {
-  Done,       // accepted and committed, or already in that state
-  JobShown,   // sets `job`
-  QueueShown, // sets `pending`
-  SetupShown, // sets `document`
-  WaveShown,  // sets `waveCompleted`
-  Announced,  // sets `announceTo`
+  Done,             // accepted and committed, or already in that state
+  JobShown,         // sets `job`
+  QueueShown,       // sets `pending`
+  SetupShown,       // sets `document`
+  WaveShown,        // sets `waveCompleted`
+  Announced,        // sets `announceTo`
+  EvacuationsShown, // sets `document`
   NoSuchJob,
   NoSuchQueue,
   NoSuchWave,
+  NoSuchDataCentre, // sets `reason`
   UnknownKey,
   Malformed,   // sets `reason`
   Overloaded,  // not run; sets `retryAfter`
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -303,7 +303,8 @@
   this->handler = std::make_unique<CallHandler>(this->replica->State(),
                                                 *this->dispatcher,
                                                 this->settings.controlAddress,
-                                                std::move(callbacks));
+                                                std::move(callbacks),
+                                                this->settings.dataCentres);
 }
 
 void
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -5,6 +5,7 @@
 #include "node/CallDeadline.h"
 #include "node/Clock.h"
 #include "node/LeaderRedirect.h"
+#include "node/OperatorCalls.h"
 #include "shell/Clock.h"
 
 #include <algorithm>
@@ -19,6 +20,8 @@
 constexpr Duration kQuorumContactLimit = std::chrono::milliseconds(800);
 // Calls are handled for this long before other events get their turn.
 constexpr Duration kMaxCallPass = std::chrono::milliseconds(10);
+// Orders for data centres are not accepted for this long after a pause.
+constexpr Duration kAfterPause = std::chrono::seconds(1);
 
 } // namespace
 
@@ -128,6 +131,12 @@
       return;
     }
   }
+  if (this->MayHaveWaitedInPause(aRequest)) {
+    Reply refusal;
+    refusal.retryAfter = kAfterPause;
+    aDone(this->protocol->Encode(refusal));
+    return;
+  }
   const Duration limit = this->protocol->TimeLimit(aRequest);
   wire::RemoteCall call;
   call.control = aControl;
@@ -145,6 +154,24 @@
     std::move(call), limit, SuspendAwareNow(), std::move(aDone));
 }
 
+Call
+Node::Impl::DecodeCall(const api::HttpRequest& aRequest) const
+{
+  std::optional<Call> own = DecodeOperatorCall(aRequest);
+  return own ? std::move(*own) : this->protocol->Decode(aRequest);
+}
+
+// An order that waited in a socket during a pause is repeated elsewhere by its
+// sender, who may have withdrawn it since.
+bool
+Node::Impl::MayHaveWaitedInPause(const api::HttpRequest& aRequest)
+{
+  const Time now = SuspendAwareNow();
+  this->DetectPause(now);
+  return this->pauseEndedAt && now - *this->pauseEndedAt < kAfterPause &&
+         std::holds_alternative<EvacuateCall>(this->DecodeCall(aRequest));
+}
+
 void
 Node::Impl::EnqueueCall(wire::RemoteCall aCall,
                         CallRouter::RoutedReplyCallback aDone)
@@ -220,7 +247,7 @@
 Node::Impl::HandleCall(QueuedCall aCall)
 {
   const Time begun = SuspendAwareNow();
-  const Call decoded = this->protocol->Decode(aCall.request);
+  const Call decoded = this->DecodeCall(aCall.request);
   this->handler->Handle(
     decoded, [this, done = std::move(aCall.done)](const Reply& aReply) {
       const bool undecided = aReply.outcome == Outcome::Undecided;
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -58,6 +58,8 @@
   void OnCall(api::HttpRequest aRequest,
               bool aControl,
               api::ReplyCallback aDone);
+  [[nodiscard]] Call DecodeCall(const api::HttpRequest& aRequest) const;
+  [[nodiscard]] bool MayHaveWaitedInPause(const api::HttpRequest& aRequest);
   // Must be called only while this node leads.
   void EnqueueCall(wire::RemoteCall aCall,
                    CallRouter::RoutedReplyCallback aDone);
@@ -156,7 +158,8 @@
 
   bool outputProcessingScheduled = false;
   bool callsScheduled = false;
-  Time lastHandlerAt{}; // time at which a handler last ran
+  Time lastHandlerAt{};             // time at which a handler last ran
+  std::optional<Time> pauseEndedAt; // end of the last long gap
   OrderPermission orderPermission;
   Time nextStatusAt{};
   Time nextJoinRequest{};
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -66,7 +66,6 @@
   reader.Finish();
 }
 
-// Only the number of data centres matters, not their names.
 void
 ReadDataCentres(ObjectReader& aReader, NodeSettings& aSettings)
 {
@@ -74,6 +73,11 @@
   if (aReader.Array("data_centres", names, Need::Optional)) {
     aSettings.tolerance.dataCentreCount = names.size();
   }
+  for (const LocatedNode& name : names) {
+    if (name.node->kind == config::JsonKind::String) {
+      aSettings.dataCentres.emplace_back(name.node->text);
+    }
+  }
 }
 
 void
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -5,6 +5,7 @@
 
 #include "agreement/FaultTolerance.h"
 #include "base/Finding.h"
+#include "base/Id.h"
 #include "dispatch/Options.h"
 
 #include <tl/expected.hpp>
@@ -20,6 +21,7 @@
 {
   std::string name;
   std::string dataCentre;
+  std::vector<DataCentreId> dataCentres; // all of the deployment; may be empty
   std::string callersAddress;
   std::string controlAddress;
   std::string readyAddress;   // readiness endpoint, polled by the load balancer
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -2,6 +2,7 @@
 #include "node/NodeImpl.h"
 
 #include "node/Clock.h"
+#include "node/EvacuationGauges.h"
 #include "shell/Clock.h"
 
 #include <algorithm>
@@ -133,6 +134,7 @@
   // the leader.
   this->orderPermission.OnPause();
   if (gap > kPauseThreshold) {
+    this->pauseEndedAt = aNow;
     this->cluster.ResetSilenceTimers(aNow);
     this->LogUnthrottled(
       { "paused", {}, { { "ms", std::to_string(gap.count() / 1000) } } });
@@ -459,6 +461,8 @@
     gauges.push_back({ "commit_index",
                        "Last entry committed.",
                        number(this->replica->RaftState().CommitIndex()) });
+    AppendEvacuationGauges(
+      tables, *this->dispatcher, SuspendAwareNow(), gauges);
   }
   std::string text = this->metrics->Render(gauges);
   text += "# HELP hyssoppaddle_descriptors_in_use Open connections by owner.\n"
--- a/src/work/Commands.h
+++ b/src/work/Commands.h
@@ -110,6 +110,15 @@
   bool operator==(const OrderInstance&) const = default;
 };
 
+// Orders that no run is started in a data centre, or withdraws that order.
+struct SetEvacuation
+{
+  DataCentreId dataCentre;
+  bool requested = false; // false: withdrawn
+  std::string by;         // who asked, as stated by the caller
+  bool operator==(const SetEvacuation&) const = default;
+};
+
 using Command = std::variant<SetSetup,
                              SubmitJob,
                              CancelJob,
@@ -119,7 +128,8 @@
                              RemoveUpstream,
                              StartWave,
                              AdvanceWave,
-                             OrderInstance>;
+                             OrderInstance,
+                             SetEvacuation>;
 
 struct Batch
 {
--- a/src/work/WorkSchema.h
+++ b/src/work/WorkSchema.h
@@ -125,11 +125,12 @@
 HYSSOPPADDLE_SCHEMA(work::StartWave, aIt.number, aIt.wave);
 HYSSOPPADDLE_SCHEMA(work::AdvanceWave, aIt.number, aIt.instance, aIt.removed);
 HYSSOPPADDLE_SCHEMA(work::OrderInstance, aIt.instance, aIt.holder, aIt.fence);
+HYSSOPPADDLE_SCHEMA(work::SetEvacuation, aIt.dataCentre, aIt.requested, aIt.by);
 
 template<>
 struct TypeNumbers<work::Command>
 {
-  static constexpr std::array<std::uint16_t, 10> kNumbers{
+  static constexpr std::array<std::uint16_t, 11> kNumbers{
     1,  // SetSetup
     2,  // SubmitJob
     3,  // CancelJob
@@ -140,11 +141,13 @@
     8,  // StartWave
     9,  // AdvanceWave
     10, // OrderInstance
+    11, // SetEvacuation
   };
 };
 
 HYSSOPPADDLE_SCHEMA(work::InstanceOrder, aIt.holder, aIt.at);
 HYSSOPPADDLE_SCHEMA(work::Withdrawal, aIt.at);
+HYSSOPPADDLE_SCHEMA(work::Evacuation, aIt.since, aIt.by);
 HYSSOPPADDLE_SCHEMA(work::Batch, aIt.stamp, aIt.commands);
 HYSSOPPADDLE_SCHEMA(work::WorkTables,
                     aIt.now,
@@ -154,8 +157,9 @@
                     aIt.endedBoots,
                     aIt.waves,
                     aIt.instanceOrders,
-                    aIt.withdrawals);
-HYSSOPPADDLE_ADDED_FIELDS(work::WorkTables, 2);
+                    aIt.withdrawals,
+                    aIt.evacuations);
+HYSSOPPADDLE_ADDED_FIELDS(work::WorkTables, 3);
 
 } // namespace hyssoppaddle::wire
 
--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -248,7 +248,8 @@
   const auto upstream = this->tables.upstreams.find(aCommand.run.upstream);
   const bool isPresent = upstream != this->tables.upstreams.end() &&
                          upstream->second.boot == aCommand.run.boot &&
-                         !upstream->second.draining;
+                         !upstream->second.draining &&
+                         !this->IsEvacuating(upstream->second.dataCentre);
   const bool isFree = task->runs.empty() || step.speculative;
   if (!isPresent || !isFree || aCommand.run.number <= task->lastRun) {
     return Verdict::Conflict;
@@ -381,6 +382,24 @@
   return Verdict::Done;
 }
 
+// A repetition keeps the time and the caller of the first order.
+Verdict
+WorkState::ApplyCommand(const SetEvacuation& aCommand)
+{
+  auto& evacuations = this->tables.evacuations;
+  if (!aCommand.requested) {
+    evacuations.erase(aCommand.dataCentre);
+    return Verdict::Done;
+  }
+  if (evacuations.size() >= kMaxEvacuations &&
+      !evacuations.contains(aCommand.dataCentre)) {
+    return Verdict::Full;
+  }
+  evacuations.try_emplace(aCommand.dataCentre,
+                          Evacuation{ this->tables.now, aCommand.by });
+  return Verdict::Done;
+}
+
 void
 WorkState::Restore(WorkTables aTables)
 {
--- a/src/work/WorkState.h
+++ b/src/work/WorkState.h
@@ -39,6 +39,14 @@
   bool operator==(const Withdrawal&) const = default;
 };
 
+// An order that no run is started in a data centre.
+struct Evacuation
+{
+  WallTime since{};
+  std::string by; // who asked first
+  bool operator==(const Evacuation&) const = default;
+};
+
 struct WorkTables
 {
   WallTime now{}; // stamp of the last batch; never decreases
@@ -52,6 +60,8 @@
   // Kept for kEndedJobRetention. Invariant: no key is in `jobs`, and there are
   // at most kMaxWithdrawals.
   std::map<JobId, Withdrawal> withdrawals;
+  // The orders in force; at most kMaxEvacuations.
+  std::map<DataCentreId, Evacuation> evacuations;
   bool operator==(const WorkTables&) const = default;
 };
 
@@ -67,6 +77,11 @@
   // True when this boot or a later one is known to have ended.
   [[nodiscard]] bool HasEnded(const InstanceId& aId, std::uint64_t aBoot) const;
   [[nodiscard]] const Job* FindJob(const JobId& aId) const;
+  // True while no run may be started in the data centre.
+  [[nodiscard]] bool IsEvacuating(const DataCentreId& aDataCentre) const
+  {
+    return this->tables.evacuations.contains(aDataCentre);
+  }
 
   void Restore(WorkTables aTables);
 
@@ -81,6 +96,7 @@
   Verdict ApplyCommand(const StartWave& aCommand);
   Verdict ApplyCommand(const AdvanceWave& aCommand);
   Verdict ApplyCommand(const OrderInstance& aCommand);
+  Verdict ApplyCommand(const SetEvacuation& aCommand);
 
   // Updates the name and the address of the job's queue from the current setup.
   // They stay as they are when it has no such queue.
@@ -120,6 +136,9 @@
 // refused, because forgetting an earlier one would let its job run.
 inline constexpr std::size_t kMaxWithdrawals = 65536;
 
+// Limits the memory that orders for data centres of any name take.
+inline constexpr std::size_t kMaxEvacuations = 1024;
+
 // How long a delayed announcement of an ended boot is recognised. This is far
 // longer than a process can be suspended or partitioned while it holds an
 // announcement.
--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -423,20 +423,13 @@
     up.record.labels = { "kind", "rack-0" };
     up.record.boot = 100000 + this->lastUpstream;
     up.record.instance = name;
+    up.record.dataCentre = instance.dataCentre;
     up.bootedAt = this->now;
     this->upstreams[InstanceId("up-" + number)] = up;
   }
   this->maxAwayAtOnce = std::max(this->maxAwayAtOnce, away);
 }
 
-void
-FakeDeployment::RemoveUpstreamsOf(const std::string& aInstance)
-{
-  std::erase_if(this->upstreams, [&](const auto& aItem) {
-    return aItem.second.record.instance == aInstance;
-  });
-}
-
 // Invariants that hold at all times.
 void
 FakeDeployment::CheckInvariants()
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -71,6 +71,7 @@
   // The replica that led at the last order.
   std::optional<std::size_t> orderedBy;
   Time orderedAt{};
+  DataCentreId dataCentre{};
 };
 
 class FakeDeployment
@@ -116,6 +117,11 @@
                  std::vector<std::string> aInstances,
                  Duration aLength,
                  std::uint32_t aMaxAway);
+  // Puts an added upstream and its instance into a data centre. Must be called
+  // before a leader is elected.
+  void Place(const std::string& aUpstream, const std::string& aDataCentre);
+  // Commits an order to evacuate the data centre, or its withdrawal.
+  void Evacuate(const std::string& aDataCentre, bool aRequested = true);
   void Drain(const std::string& aUpstream, Duration aLeavesIn);
   // The upstream ends without a notice. With aRestarts its instance starts a
   // new boot.
--- a/test/dispatch/FakeDeploymentUpstreams.cpp
+++ b/test/dispatch/FakeDeploymentUpstreams.cpp
@@ -1,6 +1,8 @@
 // How the upstreams and the owner of the instances handle orders.
 #include "FakeDeployment.h"
 
+#include "dispatch/Text.h"
+
 #include <algorithm>
 
 namespace hyssoppaddle::test {
@@ -35,6 +37,14 @@
     });
 }
 
+void
+FakeDeployment::RemoveUpstreamsOf(const std::string& aInstance)
+{
+  std::erase_if(this->upstreams, [&](const auto& aItem) {
+    return aItem.second.record.instance == aInstance;
+  });
+}
+
 void
 FakeDeployment::Reply(dispatch::Answer aAnswer)
 {
@@ -48,6 +58,23 @@
     { this->now + aAfter, [aAnswer] { return aAnswer; } });
 }
 
+void
+FakeDeployment::Place(const std::string& aUpstream,
+                      const std::string& aDataCentre)
+{
+  work::Upstream& record = this->upstreams.at(InstanceId(aUpstream)).record;
+  record.dataCentre = DataCentreId(aDataCentre);
+  this->instances.at(record.instance).dataCentre = record.dataCentre;
+}
+
+void
+FakeDeployment::Evacuate(const std::string& aDataCentre, bool aRequested)
+{
+  this->proposed.push_back({ work::SetEvacuation{
+    DataCentreId(aDataCentre), aRequested, "operator" } });
+  this->Commit();
+}
+
 void
 FakeDeployment::Deliver(dispatch::Instruction aInstruction)
 {
@@ -153,6 +180,10 @@
     return;
   }
   ++up->startsSeen;
+  if (this->state.IsEvacuating(up->record.dataCentre)) {
+    this->violations.push_back("start in an evacuated data centre: " +
+                               dispatch::Text(aOrder.task));
+  }
   const work::Job* job = this->state.FindJob(aOrder.task.job);
   const work::Step& step = job->spec.steps[aOrder.task.step];
   const auto ended = up->highestEnded.find(aOrder.task);
@@ -261,6 +292,7 @@
     row.instance = name;
     row.pool = instance.pool;
     row.phase = instance.phase;
+    row.dataCentre = instance.dataCentre;
     list.rows.push_back(std::move(row));
   }
   this->Reply(std::move(list));
--- a/test/platform/DecodeTest.cpp
+++ b/test/platform/DecodeTest.cpp
@@ -106,6 +106,12 @@
   EXPECT_EQUAL(trace, announcement->record.capacity.accelerators, 1);
   EXPECT_EQUAL(trace, announcement->sequence, 4U);
   EXPECT_THAT(trace, !announcement->record.draining);
+  EXPECT_EQUAL(trace, announcement->coldFor, Duration(0));
+  std::string cold = kReport;
+  cold.replace(cold.find("ms\":0"), 5, "ms\":70");
+  EXPECT_EQUAL(trace,
+               DecodeAnnouncement("i-1", cold)->coldFor,
+               Duration(milliseconds(70)));
   trace.Section("malformed reports are rejected", [&] {
     const auto replaced =
       [](std::string aText, const std::string& aFrom, const std::string& aTo) {
@@ -195,6 +201,47 @@
   EXPECT_EQUAL(trace, std::get<node::ShowWaveCall>(wave).number, 12U);
 }
 
+Test(Protocol, DecodesOrdersForDataCentres)
+{
+  TestTrace trace;
+  const PlatformProtocol protocol({ "node", "", "" });
+  const auto decode = [&](const char* aMethod, const char* aTarget) {
+    return protocol.Decode(
+      Request(aMethod, aTarget, "", api::Listener::Control));
+  };
+  const node::Call post = decode("POST", "/evacuate/norte-a");
+  const auto* order = std::get_if<node::EvacuateCall>(&post);
+  EXPECT_THAT(trace, order != nullptr && order->requested);
+  EXPECT_EQUAL(trace, order->dataCentre, DataCentreId("norte-a"));
+  const node::Call withdrawal = decode("DELETE", "/evacuate/norte-a?x=1");
+  order = std::get_if<node::EvacuateCall>(&withdrawal);
+  EXPECT_THAT(trace, order != nullptr && !order->requested);
+  EXPECT_EQUAL(trace, order->dataCentre, DataCentreId("norte-a"));
+  for (const auto& [method, target] : { std::pair{ "GET", "/evacuate/a" },
+                                        { "POST", "/evacuate/" },
+                                        { "POST", "/evacuate/a/b" },
+                                        { "POST", "/evacuate/a\nb" } }) {
+    const node::Call odd = decode(method, target);
+    const auto* malformed = std::get_if<node::MalformedCall>(&odd);
+    EXPECT_THAT(trace, malformed != nullptr && malformed->knownPath);
+  }
+  trace.Section("a queue of callers may have the same path", [&] {
+    EXPECT_THAT(
+      trace,
+      std::holds_alternative<node::CancelCall>(protocol.Decode(
+        Request("DELETE", "/evacuate/a", "", api::Listener::Callers))));
+  });
+  trace.Section("an unknown data centre is not found", [&] {
+    node::Reply reply;
+    reply.outcome = node::Outcome::NoSuchDataCentre;
+    reply.reason = "no data centre x";
+    EXPECT_EQUAL(trace, protocol.Encode(reply).status, 404U);
+    EXPECT_EQUAL(trace,
+                 protocol.Encode(reply).body,
+                 std::string(R"({"error":"no data centre x"})"));
+  });
+}
+
 Test(Protocol, EncodesReplies)
 {
   TestTrace trace;
--- a/test/platform/OddCallsTest.cpp
+++ b/test/platform/OddCallsTest.cpp
@@ -126,6 +126,8 @@
       { "machine", longText },  { "labels", "[1]" },
       { "labels", "{}" },       { "labels", "[" + longText + "]" },
       { "labels", manyLabels }, { "capacity", "[]" },
+      { "zone", Quoted("") },   { "cold_remaining_ms", "-1" },
+      { "zone", "null" },       { "cold_remaining_ms", "[]" },
     };
     for (const auto& [key, value] : rows) {
       trace.Section(key + " " + value.substr(0, 12), [&, k = key, v = value] {
@@ -133,6 +135,12 @@
       });
     }
   });
+  trace.Section("no data centre", [&] {
+    Fields fields = Report();
+    std::erase_if(fields,
+                  [](const auto& aField) { return aField.first == "zone"; });
+    EXPECT_THAT(trace, !DecodeAnnouncement("i-1", Object(fields)));
+  });
   trace.Section("the last of two equal keys counts", [&] {
     Fields twice = Report();
     twice.emplace_back("sequence", "5");
--- a/test/standin/PlatformUpstream.h
+++ b/test/standin/PlatformUpstream.h
@@ -124,7 +124,7 @@
   {
     Json report{ { "service", this->service },
                  { "address", this->address },
-                 { "zone", "dc-0" },
+                 { "zone", this->dataCentre },
                  { "version", "v1" },
                  { "slots", 8 },
                  { "state", this->draining ? "draining" : "ready" },
@@ -156,6 +156,7 @@
 
   // All upstreams whose runs are advanced before a start is judged.
   std::vector<std::unique_ptr<PlatformUpstream>>* all = nullptr;
+  std::string dataCentre;
 
 private:
   static constexpr std::int64_t kPollStepMs = 10;
@@ -404,6 +405,11 @@
         started.beganAt > this->confirmedDrainAt + this->state.drainMs) {
       this->checker.Report("a start after the drain", started.observed, {});
     }
+    if (aOrigin == "in time" &&
+        this->state.IsEvacuated(this->dataCentre, started.beganAt)) {
+      this->checker.Report(
+        "a start in an evacuated data centre", started.observed, {});
+    }
     this->runs[{ task, run }] = started;
     return {};
   }
--- a/test/standin/PlatformUpstreamStandin.cpp
+++ b/test/standin/PlatformUpstreamStandin.cpp
@@ -6,6 +6,7 @@
 // PlatformUpstreamStandin --service S --count N --net 127.0.0 --first HOST
 //   --port PORT --controls ADDRESS[,...] --seed N [--owner ADDRESS]
 //   [--orders-outlive-boots no]
+#include "DataCentreOperator.h"
 #include "MachineOwner.h"
 #include "PlatformUpstream.h"
 
@@ -38,6 +39,7 @@
         this->service,
         aValues["--net"] + "." + std::to_string(first + i) + ":" + this->port));
       this->upstreams.back()->all = &this->upstreams;
+      this->upstreams.back()->dataCentre = this->DataCentreOf(i);
       this->upstreams.back()->Boot(this->NewId(), 0);
     }
     this->busy.resize(this->upstreams.size());
@@ -55,6 +57,8 @@
     this->Spawn(this->DrawFaults());
     this->Spawn(this->WriteAsAnother());
     this->Spawn(this->AdvanceAll());
+    this->Spawn(
+      this->evacuations.Run({ this->DataCentreOf(0), this->DataCentreOf(1) }));
     this->WaitForSignal();
   }
 
@@ -66,7 +70,8 @@
               << " drain " << this->faults[1] << " silent " << this->faults[2]
               << " unhealthy " << this->faults[3] << " foreign "
               << this->foreignReports << " maintained "
-              << (this->owner ? this->owner->Maintained() : 0) << std::endl;
+              << (this->owner ? this->owner->Maintained() : 0)
+              << " evacuations " << this->evacuations.Confirmed() << std::endl;
   }
 
 private:
@@ -85,6 +90,12 @@
     asio::co_spawn(this->io, std::move(aWork), asio::detached);
   }
 
+  // Two data centres for each service.
+  std::string DataCentreOf(int aSlot) const
+  {
+    return "dc-" + this->service + "-" + std::to_string(aSlot % 2);
+  }
+
   std::string NewId()
   {
     return "i-" + this->service + "-" + std::to_string(++this->lastId);
@@ -223,7 +234,7 @@
       Json machine{ { "machine", upstream.Machine() },
                     { "pool", this->service },
                     { "state", phase },
-                    { "zone", "dc-0" },
+                    { "zone", this->DataCentreOf(static_cast<int>(slot)) },
                     { "labels", { "a", "r1-1" } },
                     { "capacity", { { "cpu", 8000 }, { "mem_mb", 16384 } } } };
       if (upstream.IsUp()) {
@@ -342,6 +353,7 @@
   SoakState state;
   RunChecker checker;
   ControlClient client;
+  DataCentreOperator evacuations{ this->client, this->state };
   std::string service, port;
   asio::signal_set signals;
   std::vector<std::unique_ptr<PlatformUpstream>> upstreams;
--- a/test/standin/SoakState.h
+++ b/test/standin/SoakState.h
@@ -3,7 +3,9 @@
 #define hyssoppaddle_test_standin_SoakState_h
 
 #include <cstdint>
+#include <map>
 #include <random>
+#include <string>
 
 namespace hyssoppaddle::standin {
 
@@ -17,6 +19,20 @@
   // Delayed orders outlive the boot that they were sent to. The next boot under
   // the ID executes them then.
   bool ordersOutliveBoots = true;
+  // Data centres whose evacuation was confirmed, with the time in steady ms.
+  // One leaves before its withdrawal is sent.
+  std::map<std::string, std::int64_t> evacuatedSince;
+
+  // True when no start may arrive there any more: orders that had left before
+  // the confirmation have arrived.
+  [[nodiscard]] bool IsEvacuated(const std::string& aDataCentre,
+                                 std::int64_t aNowMs) const
+  {
+    constexpr std::int64_t kOrderDeliveryMs = 2500;
+    const auto found = this->evacuatedSince.find(aDataCentre);
+    return found != this->evacuatedSince.end() &&
+           aNowMs > found->second + kOrderDeliveryMs;
+  }
 
   // Uniform in [0, aLimit).
   std::int64_t Below(std::int64_t aLimit)
--- a/test/work/WorkStateTest.cpp
+++ b/test/work/WorkStateTest.cpp
@@ -346,13 +346,18 @@
   const std::string bytes = EncodeTables(recorder.state.Tables());
   // Each missing field is an empty table, which takes one byte.
   const auto readWithFields = [&](std::size_t aFields) {
-    constexpr std::size_t kFields = 8;
+    constexpr std::size_t kFields = 9;
     constexpr unsigned kArray = 0x90;
     std::string earlier = bytes.substr(0, bytes.size() - (kFields - aFields));
     earlier.front() = static_cast<char>(kArray + aFields);
     return DecodeTables(earlier);
   };
-  trace.Section("without cancels of unknown jobs", [&] {
+  trace.Section("without evacuations", [&] {
+    const auto read = readWithFields(8);
+    EXPECT_THAT(trace, read.has_value());
+    EXPECT_THAT(trace, *read == recorder.state.Tables());
+  });
+  trace.Section("also without cancels of unknown jobs", [&] {
     const auto read = readWithFields(7);
     EXPECT_THAT(trace, read.has_value());
     EXPECT_THAT(trace, *read == recorder.state.Tables());
