Do not decode JSON of very many values or levels

Cause: a body of legal size can hold two million levels, elements or members, which take up to 60 times its size once decoded.

A test decodes a configuration of 4 MiB.

--- a/test/platform/OddCallsTest.cpp
+++ b/test/platform/OddCallsTest.cpp
@@ -1,5 +1,6 @@
 // Table tests of the readers of calls with odd fields: each call is rejected.
 #include "../../platform/Decode.h"
+#include "../../platform/JsonFields.h"
 #include "../../platform/PeerSeeds.h"
 #include "../../platform/PlatformProtocol.h"
 
@@ -274,3 +275,46 @@
     });
   }
 }
+
+// Guards against bodies of legal size whose values take many times their size.
+Test(OddCalls, JsonOfManyValuesOrLevelsIsNotDecoded)
+{
+  TestTrace trace;
+  constexpr std::size_t kBytes = 4UL * 1024 * 1024;
+  const auto repeat = [](std::string_view aText, std::size_t aTimes) {
+    std::string text;
+    for (std::size_t i = 0; i < aTimes; ++i) {
+      text += aText;
+    }
+    return text;
+  };
+  trace.Section("two million levels", [&] {
+    const std::string text = repeat("[", kBytes / 2) + repeat("]", kBytes / 2);
+    EXPECT_THAT(trace, ParseJsonText(text).is_discarded());
+  });
+  trace.Section("two million elements", [&] {
+    const std::string text = "[" + repeat("0,", kBytes / 2 - 1) + "0]";
+    EXPECT_THAT(trace, ParseJsonText(text).is_discarded());
+  });
+  trace.Section("half a million members", [&] {
+    std::string text = "{";
+    for (int i = 0; text.size() < kBytes; ++i) {
+      text += "\"" + std::to_string(i) + "\":0,";
+    }
+    EXPECT_THAT(trace, ParseJsonText(text + "\"z\":0}").is_discarded());
+  });
+  trace.Section("a string of the same size is decoded", [&] {
+    const std::string text = "\"" + repeat("\\\",[", kBytes / 4) + "\"";
+    EXPECT_THAT(trace, ParseJsonText(text).is_string());
+  });
+  trace.Section("a configuration of the same size is decoded", [&] {
+    const std::string route =
+      R"({"name":"r-35ieisp","host":"pule25.example","path_prefix":"/tije37/",)"
+      R"("kind":"non_idempotent","timeout_ms":3000,"target_completion_ms":2500,)"
+      R"("priority":0,"service":"lovo22d","max_attempts":3,"stretch":2.2,)"
+      R"("allow_anonymous":true},)";
+    const std::string text = R"({"version":7,"routes":[)" +
+                             repeat(route, kBytes / route.size()) + "{}]}";
+    EXPECT_THAT(trace, ParseJsonText(text).is_object());
+  });
+}
