Bound the memory and descriptors that clients take

Cause: requests that a node answers itself were read whole into memory, up to 4 MiB each, before anything was known of them, and only descriptors bounded their number. A header of many short fields takes ten times its size. The two probe listeners answered up to 256 refused connections each, beyond the budget of descriptors. Forwarded calls filled the queue of the link to the leader, which closes at 4 MiB, and calls waited on the leader without a bound of bytes.

Change: MemoryBudget, from memory_mb of the platform's settings, gives callers and the control address a part each, and one address half of it. Long headers, bodies and long answers draw from it before they are read or written; without it connections that stalled for 3 s are closed, the slowest first, and then the request is refused with 503 as not run. Bodies and answers must advance by 64 KiB in 10 s. At most 128 fields. Readiness and metrics read no bodies. Full listeners close stalled connections too. Refused connections stay within the reserve of descriptors. Bodies forwarded to a leader elsewhere are bounded by 3 MiB, those that wait on the leader by an eighth of memory_mb, concurrent reads of the configuration by the part of operators. Freed memory is returned after a load. Refusals are counted by cause and logged once a second.

--- a/src/base/DescriptorBudget.cpp
+++ b/src/base/DescriptorBudget.cpp
@@ -27,6 +27,7 @@
 
 DescriptorBudget::DescriptorBudget(std::size_t aLimit)
   : total(aLimit - std::min(kReserve, aLimit / kSmallReserveDivisor))
+  , reserve(aLimit - this->total)
 {
   this->guaranteed = { this->total / kAcceptedDivisor,
                        this->total / kAcceptedDivisor,
--- a/src/base/DescriptorBudget.h
+++ b/src/base/DescriptorBudget.h
@@ -44,11 +44,14 @@
   [[nodiscard]] std::size_t Guaranteed(DescriptorOwner aOwner) const;
   // Number of descriptors that are given out at most.
   [[nodiscard]] std::size_t Total() const { return this->total; }
+  // Number of descriptors that are never given out.
+  [[nodiscard]] std::size_t Reserve() const { return this->reserve; }
 
   [[nodiscard]] static std::string_view NameOf(DescriptorOwner aOwner);
 
 private:
   std::size_t total = 0;
+  std::size_t reserve = 0;
   // The sum is less than total. Owners share the rest.
   std::array<std::size_t, kOwners> guaranteed{};
   std::array<std::size_t, kOwners> inUse{}; // the sum is at most total
--- a/src/node/CallQueue.cpp
+++ b/src/node/CallQueue.cpp
@@ -2,6 +2,7 @@
 #include "node/CallQueue.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace hyssoppaddle::node {
@@ -24,11 +25,36 @@
 
 } // namespace
 
-CallQueue::CallQueue(DiscardFunction aDiscard)
+CallQueue::CallQueue(DiscardFunction aDiscard, std::size_t aMaxBytes)
   : discard(std::move(aDiscard))
+  , maxBytes(aMaxBytes)
 {
 }
 
+QueuedCall
+CallQueue::Lane::TakeFront()
+{
+  QueuedCall call = std::move(this->calls.front());
+  this->calls.pop_front();
+  this->bytes -= call.request.body.size();
+  return call;
+}
+
+QueuedCall
+CallQueue::Lane::TakeBack()
+{
+  QueuedCall call = std::move(this->calls.back());
+  this->calls.pop_back();
+  this->bytes -= call.request.body.size();
+  return call;
+}
+
+void
+CallQueue::DiscardOldest(Lane& aLane)
+{
+  this->discard(aLane.TakeFront(), DiscardReason::NotServed);
+}
+
 void
 CallQueue::Push(QueuedCall aCall)
 {
@@ -37,28 +63,43 @@
     // A class gains no credit while it has nothing to serve.
     lane.served = std::max(lane.served, this->servedFloor);
   }
+  lane.bytes += aCall.request.body.size();
   lane.calls.push_back(std::move(aCall));
   if (lane.calls.size() > kMaxWaiting) {
-    QueuedCall oldest = std::move(lane.calls.front());
-    lane.calls.pop_front();
-    this->discard(std::move(oldest), DiscardReason::NotServed);
+    this->DiscardOldest(lane);
+  }
+  while (this->Bytes() > this->maxBytes) {
+    const auto largest =
+      std::max_element(this->lanes.begin(),
+                       this->lanes.end(),
+                       [](const Lane& aLeft, const Lane& aRight) {
+                         return aLeft.bytes < aRight.bytes;
+                       });
+    this->DiscardOldest(*largest);
   }
 }
 
-bool
-CallQueue::DiscardIfLate(QueuedCall& aCall, Time aNow)
+std::size_t
+CallQueue::Bytes() const
+{
+  return std::accumulate(
+    this->lanes.begin(),
+    this->lanes.end(),
+    std::size_t{ 0 },
+    [](std::size_t aSum, const Lane& aLane) { return aSum + aLane.bytes; });
+}
+
+std::optional<CallQueue::DiscardReason>
+CallQueue::LateReason(const QueuedCall& aCall, Time aNow)
 {
   if (aNow >= aCall.answerBy) {
-    this->discard(std::move(aCall), DiscardReason::CallerGone);
-    return true;
+    return DiscardReason::CallerGone;
   }
   const Duration reserve =
     std::min(kMinTimeLeft, (aCall.answerBy - aCall.arrivedAt) / 4);
-  if (aNow > aCall.answerBy - reserve) {
-    this->discard(std::move(aCall), DiscardReason::NotServed);
-    return true;
-  }
-  return false;
+  return aNow > aCall.answerBy - reserve
+           ? std::optional(DiscardReason::NotServed)
+           : std::nullopt;
 }
 
 CallQueue::Lane*
@@ -78,24 +119,23 @@
 CallQueue::Pop(Time aNow)
 {
   for (Lane& lane : this->lanes) {
-    while (!lane.calls.empty() &&
-           this->DiscardIfLate(lane.calls.front(), aNow)) {
-      lane.calls.pop_front();
+    while (!lane.calls.empty()) {
+      const auto reason = LateReason(lane.calls.front(), aNow);
+      if (!reason) {
+        break;
+      }
+      this->discard(lane.TakeFront(), *reason);
     }
   }
   while (Lane* lane = this->NextLane()) {
     const bool isBehind = aNow - lane->calls.front().arrivedAt >= kMaxFairDelay;
-    QueuedCall call =
-      std::move(isBehind ? lane->calls.back() : lane->calls.front());
-    if (isBehind) {
-      lane->calls.pop_back();
-    } else {
-      lane->calls.pop_front();
-    }
-    if (!this->DiscardIfLate(call, aNow)) {
-      this->servedFloor = lane->served;
-      return call;
+    QueuedCall call = isBehind ? lane->TakeBack() : lane->TakeFront();
+    if (const auto reason = LateReason(call, aNow)) {
+      this->discard(std::move(call), *reason);
+      continue;
     }
+    this->servedFloor = lane->served;
+    return call;
   }
   return std::nullopt;
 }
@@ -114,6 +154,7 @@
 CallQueue::DiscardAll()
 {
   for (Lane& lane : this->lanes) {
+    lane.bytes = 0;
     for (QueuedCall& call : std::exchange(lane.calls, {})) {
       this->discard(std::move(call), DiscardReason::NotServed);
     }
--- a/src/node/CallQueue.h
+++ b/src/node/CallQueue.h
@@ -51,9 +51,12 @@
   // the queue.
   using DiscardFunction = std::function<void(QueuedCall, DiscardReason)>;
 
-  explicit CallQueue(DiscardFunction aDiscard);
+  // aMaxBytes limits the bodies of all calls together.
+  explicit CallQueue(DiscardFunction aDiscard,
+                     std::size_t aMaxBytes = ~std::size_t{ 0 });
 
-  // Discards the oldest call of the class if the class is full.
+  // Discards the oldest call of the class if the class is full. If there are
+  // too many bytes, discards the oldest calls of the class that has most.
   void Push(QueuedCall aCall);
   // Removes the next call to handle, and discards the calls that it is too late
   // for.
@@ -63,19 +66,29 @@
   void DiscardAll();
 
   [[nodiscard]] bool IsEmpty() const;
+  // Bytes of the bodies that wait.
+  [[nodiscard]] std::size_t Bytes() const;
 
 private:
   struct Lane
   {
     std::deque<QueuedCall> calls; // in the order of arrival
+    std::size_t bytes = 0;        // of the bodies of `calls`
     double served = 0; // microseconds of the leader, divided by the weight
+
+    QueuedCall TakeFront();
+    QueuedCall TakeBack();
   };
 
-  // Discards the call if it is too late for it, and returns whether it did.
-  bool DiscardIfLate(QueuedCall& aCall, Time aNow);
+  // Whether it is too late for the call, and why then. Empty: it is not.
+  [[nodiscard]] static std::optional<DiscardReason> LateReason(
+    const QueuedCall& aCall,
+    Time aNow);
+  void DiscardOldest(Lane& aLane);
   [[nodiscard]] Lane* NextLane();
 
   DiscardFunction discard;
+  std::size_t maxBytes = 0;
   std::array<Lane, kClasses> lanes; // in the order of CallClass
   double servedFloor = 0;           // `served` of the lane that was chosen last
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -91,6 +91,7 @@
   , metrics(std::make_shared<Metrics>())
   , descriptors(
       std::make_shared<DescriptorBudget>(DescriptorLimit(this->settings)))
+  , memory(std::make_shared<MemoryBudget>(MemoryLimit(this->settings)))
   , log(this->settings.name,
         this->settings.decisionLinesPerSecond,
         WriteToStandardOutput)
@@ -98,7 +99,8 @@
   , callQueue(
       [this](const QueuedCall& aCall, CallQueue::DiscardReason aReason) {
         this->DiscardCall(aCall, aReason);
-      })
+      },
+      this->memory->PartOfCalls())
   , speedProbe([] { return TimeFixedComputation(SuspendAwareNow); })
   , cluster(this->self, !this->settings.dataFolder.empty())
   , membership(this->self, this->settings.tolerance)
@@ -386,9 +388,18 @@
     options.limits.callerConnections = ~std::uint32_t{ 0 };
     options.descriptors = this->descriptors;
     options.owner = *aOwner;
+    options.memory = this->memory;
+    options.memoryOwner = *aOwner == DescriptorOwner::Callers
+                            ? MemoryOwner::Callers
+                            : MemoryOwner::Control;
   } else {
     options.limits.callerConnections = kMaxProbeConnections;
+    options.ignoresBodies = true;
   }
+  options.onRefusal = [this](std::string_view aCause,
+                             std::string_view aClient) {
+    this->LogClientRefusal(aCause, aClient);
+  };
   return std::make_shared<HttpServer>(this->io,
                                       std::move(options),
                                       this->deadlines,
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -128,6 +128,11 @@
       return;
     }
   }
+  if (!this->HasMemoryFor(aRequest)) {
+    this->RefuseForMemory(aRequest, aDone);
+    return;
+  }
+  aDone = this->CountUntilAnswered(aRequest, std::move(aDone));
   const Duration limit = this->protocol->TimeLimit(aRequest);
   wire::RemoteCall call;
   call.control = aControl;
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -4,6 +4,7 @@
 
 #include "agreement/Membership.h"
 #include "base/DescriptorBudget.h"
+#include "base/MemoryBudget.h"
 #include "dispatch/Dispatcher.h"
 #include "node/CallHandler.h"
 #include "node/CallMeter.h"
@@ -17,6 +18,7 @@
 #include "node/Node.h"
 #include "node/OrderPermission.h"
 #include "node/Protocol.h"
+#include "node/RefusalLog.h"
 #include "node/Replica.h"
 #include "node/SpeedProbe.h"
 #include "node/StopSequence.h"
@@ -79,6 +81,19 @@
   // Routes the waiting calls if CallTarget has changed since the last call.
   void RouteWaitingCalls();
 
+  // NodeMemory.cpp: bounds of what calls take.
+  // False when the call, or the answer to it, would exceed them.
+  [[nodiscard]] bool HasMemoryFor(const api::HttpRequest& aRequest);
+  [[nodiscard]] bool IsBulkRead(const api::HttpRequest& aRequest) const;
+  // Counts the call as open until the result is called.
+  api::ReplyCallback CountUntilAnswered(const api::HttpRequest& aRequest,
+                                        api::ReplyCallback aDone);
+  void RefuseForMemory(const api::HttpRequest& aRequest,
+                       const api::ReplyCallback& aDone);
+  void LogClientRefusal(std::string_view aCause, std::string_view aClient);
+  void ReleaseFreeMemory();
+  [[nodiscard]] std::string MemoryMetrics() const;
+
   // After an exception in a handler. What this node keeps only in memory can be
   // incomplete, so another one should lead.
   void OnHandlerError();
@@ -125,6 +140,7 @@
   std::shared_ptr<shell::DeadlineQueue> deadlines;
   std::shared_ptr<shell::Metrics> metrics;
   std::shared_ptr<DescriptorBudget> descriptors;
+  std::shared_ptr<MemoryBudget> memory;
   LineLog log;
   LoopMeter loopMeter;
   CallMeter callMeter;
@@ -173,8 +189,15 @@
   Time nextTransferAttempt{};
   std::uint64_t loggedDescriptorRefusals = 0;
   Time descriptorShortageEndsAt{}; // unless refusals follow; zero: none
+  RefusalLog refusalLog;
+  std::size_t forwardedBytes = 0; // of the bodies of open calls
+  std::size_t bulkReads = 0;      // open calls with a long answer
 };
 
+// In bytes.
+std::size_t
+MemoryLimit(const NodeSettings& aSettings);
+
 } // namespace hyssoppaddle::node
 
 #endif
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -21,6 +21,8 @@
 // With fewer descriptors a node cannot hold its files and the links to its
 // peers.
 constexpr config::Range kDescriptorRange{ 64, 100000000 };
+// A node uses some MiB for itself, and its requests get at least 27.
+constexpr config::Range kMemoryRangeMb{ 64, 100000000 };
 
 void
 ReadSeeds(ObjectReader& aReader, NodeSettings& aSettings, FindingLog& aLog)
@@ -121,6 +123,8 @@
                  Need::Optional);
   reader.Integer(
     "descriptors", settings.descriptors, kDescriptorRange, Need::Optional);
+  reader.Integer(
+    "memory_mb", settings.memoryMb, kMemoryRangeMb, Need::Optional);
   ReadSeeds(reader, settings, log);
   ReadDataCentres(reader, settings);
   ReadTolerance(reader, settings, log);
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -40,6 +40,8 @@
   std::uint32_t decisionLinesPerSecond = 200;
   // File descriptors that this process may open; 0: the limit of the process.
   std::uint32_t descriptors = 0;
+  // Memory that this process may use; 0: the memory of the system.
+  std::uint32_t memoryMb = 0;
   dispatch::Options dispatch;
 };
 
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -96,6 +96,7 @@
     this->lastLoggedLeader = leader;
   }
   this->LogDescriptorShortage(now);
+  this->ReleaseFreeMemory();
   if (const auto load =
         this->loopMeter.TakeReport(now, this->dispatcherTerm != 0)) {
     this->LogUnthrottled(*load);
@@ -476,6 +477,7 @@
                 std::to_string(this->descriptors->Refused(owner)) + "\n";
   }
   text += refusals;
+  text += this->MemoryMetrics();
   text += "# HELP hyssoppaddle_loop_seconds_total Time of the event loop.\n"
           "# TYPE hyssoppaddle_loop_seconds_total counter\n";
   for (std::size_t i = 0; i < LoopMeter::kParts; ++i) {
--- a/src/shell/CallerLink.cpp
+++ b/src/shell/CallerLink.cpp
@@ -13,6 +13,8 @@
 // Reading more than this of an unused body costs more than a new connection.
 constexpr std::size_t kMaxDiscardedBytes = 64UL * 1024;
 constexpr std::size_t kPieceBytes = 16UL * 1024;
+// A longer reply is written in pieces.
+constexpr std::size_t kMaxWriteBytes = 64UL * 1024;
 
 } // namespace
 
@@ -95,6 +97,18 @@
   co_return error;
 }
 
+Awaitable<ErrorValue>
+CallerLink::AppendBodyPiece(std::string& aBody, std::size_t aMaxBytes)
+{
+  const std::size_t size = aBody.size();
+  aBody.resize(size + aMaxBytes);
+  std::size_t bytesRead = 0;
+  const ErrorValue error = co_await this->ReadBodyPiece(
+    asio::buffer(aBody.data() + size, aMaxBytes), bytesRead);
+  aBody.resize(size + bytesRead);
+  co_return error;
+}
+
 bool
 CallerLink::MayDiscardBody() const
 {
@@ -129,6 +143,27 @@
   co_return !error && keepAlive;
 }
 
+Awaitable<bool>
+CallerLink::ReplyInPieces(const api::HttpReply& aReply,
+                          bool aKeepAlive,
+                          const std::function<void()>& aProgress)
+{
+  if (this->IsHead() || aReply.body.size() <= kMaxWriteBytes) {
+    co_return co_await this->Reply(aReply, aKeepAlive);
+  }
+  const bool keepAlive = aKeepAlive && this->MayDiscardBody();
+  const std::string header = ReplyText(aReply, keepAlive, true);
+  ErrorValue error = co_await this->Write(asio::buffer(header));
+  std::string_view rest = aReply.body;
+  while (!error && !rest.empty()) {
+    const std::string_view piece = rest.substr(0, kMaxWriteBytes);
+    rest.remove_prefix(piece.size());
+    aProgress();
+    error = co_await this->Write(asio::buffer(piece));
+  }
+  co_return !error && keepAlive;
+}
+
 std::string
 ReplyText(const api::HttpReply& aReply, bool aKeepAlive, bool aOmitBody)
 {
--- a/src/shell/CallerLink.h
+++ b/src/shell/CallerLink.h
@@ -9,6 +9,7 @@
 #include "shell/Deadlines.h"
 #include "shell/Stream.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -79,12 +80,21 @@
   // Appends the rest of the body to aBody. Returns body_limit if aBody becomes
   // longer than aLimit bytes.
   Awaitable<ErrorValue> ReadWholeBody(std::string& aBody, std::uint64_t aLimit);
+  // Appends between 1 and aMaxBytes bytes of the body to aBody, unless the body
+  // or the stream ends.
+  Awaitable<ErrorValue> AppendBodyPiece(std::string& aBody,
+                                        std::size_t aMaxBytes);
   // Reads and discards the rest of a short body. Returns false if the
   // connection cannot be used for another request.
   Awaitable<bool> DiscardBody();
   // Writes a complete reply. Returns false if the connection must be closed;
   // otherwise the rest of the body must still be discarded.
   Awaitable<bool> Reply(const api::HttpReply& aReply, bool aKeepAlive);
+  // The same without a copy of a long body. aProgress is called before each
+  // piece of it.
+  Awaitable<bool> ReplyInPieces(const api::HttpReply& aReply,
+                                bool aKeepAlive,
+                                const std::function<void()>& aProgress);
 
   template<typename Buffers>
   Awaitable<ErrorValue> Write(const Buffers& aBuffers)
--- a/src/shell/HttpServer.cpp
+++ b/src/shell/HttpServer.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace hyssoppaddle::shell {
 
 namespace {
@@ -15,10 +17,12 @@
 // Accepting fails when no file descriptors are left. Retrying immediately would
 // be a busy loop.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 100 };
-// Number of connections over the limit that are answered at the same time.
-// Further ones are closed without an answer.
+// Connections over the limit that are answered at the same time are at most
+// this part of it, and this many. Further ones are closed without an answer.
+constexpr std::size_t kRefusedDivisor = 4;
 constexpr std::size_t kMaxRefusedConnections = 256;
-// The same where descriptors are scarce.
+// With a budget of descriptors, they are taken from its reserve.
+constexpr std::size_t kRefusedReserveDivisor = 16;
 constexpr std::size_t kMaxRefusedWithBudget = 64;
 // Connections accepted in one turn of the event loop.
 constexpr std::size_t kMaxAcceptedAtOnce = 64;
@@ -146,13 +150,14 @@
 HttpServer::StartSession(Socket aSocket)
 {
   const std::size_t limit = this->options.limits.callerConnections;
-  const bool overLimit =
-    this->sessions.size() >= limit || !this->AcquireDescriptor();
+  const bool isFull = this->sessions.size() >= limit;
+  if (isFull) {
+    this->MakeRoom(); // for the next one; this one is refused
+  }
+  const bool overLimit = isFull || !this->AcquireDescriptor();
   this->metrics->Add(overLimit ? Counter::ConnectionsRefused
                                : Counter::ConnectionsAccepted);
-  const std::size_t maxRefused =
-    this->options.descriptors ? kMaxRefusedWithBudget : kMaxRefusedConnections;
-  if (overLimit && this->refusedSessions >= maxRefused) {
+  if (overLimit && this->refusedSessions >= this->MaxRefused()) {
     return;
   }
   ErrorValue error;
@@ -164,6 +169,20 @@
                                                    overLimit));
 }
 
+std::size_t
+HttpServer::MaxRefused() const
+{
+  const DescriptorBudget* budget = this->options.descriptors.get();
+  const std::size_t part =
+    budget != nullptr
+      ? budget->Reserve() / kRefusedReserveDivisor
+      : this->options.limits.callerConnections / kRefusedDivisor;
+  return std::clamp<std::size_t>(part,
+                                 1,
+                                 budget != nullptr ? kMaxRefusedWithBudget
+                                                   : kMaxRefusedConnections);
+}
+
 bool
 HttpServer::AcquireDescriptor()
 {
@@ -172,22 +191,51 @@
     return true;
   }
   if (!budget->HasRoom(this->options.owner)) {
-    this->CloseLongestIdle();
+    this->MakeRoom();
   }
   return budget->Acquire(this->options.owner);
 }
 
 void
+HttpServer::MakeRoom()
+{
+  if (!this->CloseLongestIdle()) {
+    this->CloseSlowest(this->unfinished, "no_descriptors");
+  }
+}
+
+bool
 HttpServer::CloseLongestIdle()
 {
   if (this->idleSessions.empty()) {
-    return;
+    return false;
   }
   HttpSession* session = this->idleSessions.front();
-  if (SteadyClock::now() - session->IdleSince() >=
+  if (SteadyClock::now() - session->IdleSince() <
       this->options.minIdleBeforeClose) {
-    session->CloseWhenIdle();
+    return false;
   }
+  session->CloseWhenIdle();
+  return true;
+}
+
+bool
+HttpServer::CloseSlowest(const ProgressQueue& aQueue, std::string_view aCause)
+{
+  HttpSession* session = aQueue.Slowest();
+  if (session == nullptr || SteadyClock::now() - session->AdvancedAt() <
+                              this->options.minStallBeforeClose) {
+    return false;
+  }
+  session->Evict(aCause);
+  return true;
+}
+
+void
+HttpServer::CountRefusal(std::string_view aCause, std::string_view aClient)
+{
+  this->metrics->CountRefusal(aCause);
+  this->options.onRefusal(aCause, aClient);
 }
 
 } // namespace hyssoppaddle::shell
--- a/src/shell/HttpSession.cpp
+++ b/src/shell/HttpSession.cpp
@@ -2,9 +2,10 @@
 #include "shell/HttpSession.h"
 
 #include "shell/HandlerErrors.h"
-#include "shell/Problems.h"
 #include "shell/Relay.h"
-#include "shell/Signal.h"
+#include "shell/RequestProblems.h"
+
+#include <iterator>
 
 namespace hyssoppaddle::shell {
 
@@ -17,56 +18,14 @@
 constexpr std::size_t kReadBytes = 4096;
 // A larger buffer is freed while the connection is idle.
 constexpr std::size_t kMaxIdleBufferBytes = 8192;
+// A header that needs a larger buffer draws from the memory budget.
+constexpr std::size_t kFreeHeaderBytes = 4096;
+// The buffer doubles, and the parser copies the fields.
+constexpr std::size_t kHeaderCopies = 3;
+// Connections that are closed at most to make room for one request.
+constexpr int kMaxClosedForMemory = 8;
 constexpr unsigned kHttp11 = 11;
 
-ProblemDetail
-HeaderProblem(const ErrorValue& aError, bool aTimedOut)
-{
-  if (aTimedOut) {
-    return { 408, "header_timeout", true, "the header took too long", {} };
-  }
-  if (aError == http::error::header_limit ||
-      aError == http::error::buffer_overflow) {
-    return { 431, "header_too_large", true, "the header is too large", {} };
-  }
-  if (aError == http::error::body_limit) {
-    return { 413, "body_too_large", true, "the body is over the limit", {} };
-  }
-  return { 400, "bad_request", true, aError.message(), {} };
-}
-
-api::HttpRequest
-LocalRequest(const RequestParser& aParser,
-             std::string aBody,
-             std::string aRemoteAddress,
-             api::Listener aListener)
-{
-  const auto text = [](beast::string_view aView) {
-    return std::string(aView.data(), aView.size());
-  };
-  api::HttpRequest request;
-  request.method = text(aParser.get().method_string());
-  request.target = text(aParser.get().target());
-  for (const auto& field : aParser.get()) {
-    request.headers.push_back(
-      { text(field.name_string()), text(field.value()) });
-  }
-  request.body = std::move(aBody);
-  request.remoteAddress = std::move(aRemoteAddress);
-  request.listener = aListener;
-  return request;
-}
-
-struct PendingReply
-{
-  explicit PendingReply(const Executor& aExecutor)
-    : signal(aExecutor)
-  {
-  }
-  Signal signal;
-  std::optional<api::HttpReply> reply;
-};
-
 } // namespace
 
 HttpSession::HttpSession(std::shared_ptr<HttpServer> aServer,
@@ -79,6 +38,11 @@
   , deadline(*this->server->deadlines, [this] { this->OnDeadline(); })
   , overLimit(aOverLimit)
   , ownsDescriptor(!aOverLimit && this->server->options.descriptors)
+  , lease(this->server->options.memory,
+          this->server->options.memoryOwner,
+          std::string(this->Client()))
+  , place(this)
+  , holderPlace(this)
 {
   this->server->sessions.insert(this);
   this->server->refusedSessions += aOverLimit ? 1 : 0;
@@ -141,6 +105,55 @@
   }
 }
 
+void
+HttpSession::Evict(std::string_view aCause)
+{
+  this->evicted = true;
+  this->stream.Close();
+  this->EndProgress();
+  this->lease.Release();
+  this->ReleaseDescriptor();
+  this->server->CountRefusal(aCause, this->Client());
+}
+
+bool
+HttpSession::AcquireMemory(std::size_t aBytes)
+{
+  this->MarkProgress();
+  bool granted = this->lease.GrowTo(aBytes);
+  for (int i = 0; !granted && i < kMaxClosedForMemory; ++i) {
+    if (!this->server->CloseSlowest(this->server->memoryHolders,
+                                    "closed_for_memory")) {
+      return false;
+    }
+    granted = this->lease.GrowTo(aBytes);
+  }
+  if (granted) {
+    this->MarkProgress();
+  }
+  return granted;
+}
+
+void
+HttpSession::MarkProgress()
+{
+  if (this->overLimit || this->evicted) {
+    return;
+  }
+  const auto now = SteadyClock::now();
+  this->place.Advance(this->server->unfinished, now);
+  if (this->lease.Bytes() > 0) {
+    this->holderPlace.Advance(this->server->memoryHolders, now);
+  }
+}
+
+void
+HttpSession::EndProgress()
+{
+  this->place.Leave();
+  this->holderPlace.Leave();
+}
+
 void
 HttpSession::OnDeadline()
 {
@@ -210,15 +223,55 @@
     co_return false;
   }
   this->deadline.Set(limits.headerTimeout);
-  ErrorValue error;
-  co_await http::async_read_header(
-    this->stream, this->buffer, *this->parser, StoreError(error));
+  this->MarkProgress();
+  const ErrorValue error = co_await this->ReadHeader();
   this->deadline.Clear();
   if (error) {
+    this->EndProgress();
     co_await this->AnswerBadHeader(error);
     co_return false;
   }
-  co_return co_await this->Dispatch();
+  const bool more = co_await this->Dispatch();
+  this->EndProgress();
+  this->lease.Release();
+  co_return more;
+}
+
+// http::async_read_header would let the buffer and the fields grow unseen.
+Awaitable<ErrorValue>
+HttpSession::ReadHeader()
+{
+  const HttpServerOptions& options = this->server->options;
+  ErrorValue error;
+  std::size_t total = this->buffer.size();
+  while (!error) {
+    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+    const auto& fields = this->parser->get();
+    const auto count = std::distance(fields.begin(), fields.end());
+    if (count > std::ptrdiff_t{ options.headerFields }) {
+      error = http::error::header_limit;
+    }
+    if (error == http::error::need_more) {
+      error = {};
+    }
+    if (error || this->parser->is_header_done()) {
+      break;
+    }
+    if (total >= kFreeHeaderBytes &&
+        !this->AcquireMemory(kHeaderCopies * options.limits.headerBytes)) {
+      error = MemoryError();
+      break;
+    }
+    const std::size_t bytesRead = co_await this->stream.async_read_some(
+      this->buffer.prepare(kReadBytes), StoreError(error));
+    this->buffer.commit(bytesRead);
+    total += bytesRead;
+    if (error == asio::error::eof) {
+      error = this->parser->got_some() ? http::error::partial_message
+                                       : http::error::end_of_stream;
+    }
+  }
+  co_return error;
 }
 
 Awaitable<void>
@@ -229,8 +282,11 @@
   if (isGone || (aError == asio::error::operation_aborted && !this->timedOut)) {
     co_return;
   }
+  this->parser.emplace(); // frees the fields
+  this->buffer = beast::flat_buffer();
+  this->lease.Release();
   const ProblemDetail problem = HeaderProblem(aError, this->timedOut);
-  this->server->metrics->CountRefusal(problem.code);
+  this->server->CountRefusal(problem.code, this->Client());
   const std::string text = ReplyText(ProblemReply(problem), false, false);
   ErrorValue ignored;
   this->deadline.Set(kLingerTimeout);
@@ -249,13 +305,15 @@
   if (this->parser->get().version() != kHttp11) {
     const api::HttpReply reply = ProblemReply(
       { 505, "version_not_supported", true, "only HTTP/1.1 is spoken", {} });
+    this->deadline.Set(kLingerTimeout);
     co_return co_await caller.Reply(reply, false);
   }
-  // Limits operations that no shorter deadline covers, for example writing a
-  // reply that the caller does not read.
-  this->deadline.Set(limits.requestTimeout + 2 * limits.headerTimeout);
   bool more = false;
   if (this->server->relay && IsRelayTarget({ target.data(), target.size() })) {
+    this->EndProgress(); // the relay has its own limits
+    // Limits operations that no shorter deadline covers, for example writing a
+    // reply that the caller does not read.
+    this->deadline.Set(limits.requestTimeout + 2 * limits.headerTimeout);
     more = co_await this->server->relay->Serve(caller, keepAlive);
   } else {
     more = co_await this->ServeLocal(caller, keepAlive);
@@ -268,41 +326,6 @@
   co_return more;
 }
 
-Awaitable<bool>
-HttpSession::ServeLocal(CallerLink& aCaller, bool aKeepAlive)
-{
-  std::string body;
-  ErrorValue error;
-  if (this->parser->content_length().value_or(0) > kMaxLocalBodyBytes) {
-    error = http::error::body_limit;
-  } else {
-    error = co_await aCaller.SendContinue();
-    if (!error) {
-      error = co_await aCaller.ReadWholeBody(body, kMaxLocalBodyBytes);
-    }
-  }
-  if (error) {
-    const ProblemDetail problem = HeaderProblem(error, false);
-    this->server->metrics->CountRefusal(problem.code);
-    const api::HttpReply reply = ProblemReply(problem);
-    co_return co_await aCaller.Reply(reply, false);
-  }
-  const auto pending =
-    std::make_shared<PendingReply>(this->server->io.get_executor());
-  this->server->handler(LocalRequest(*this->parser,
-                                     std::move(body),
-                                     this->remoteAddress,
-                                     this->server->options.listener),
-                        [pending](api::HttpReply aReply) {
-                          pending->reply = std::move(aReply);
-                          pending->signal.Notify();
-                        });
-  while (!pending->reply) {
-    co_await pending->signal.Wait();
-  }
-  co_return co_await aCaller.Reply(*pending->reply, aKeepAlive);
-}
-
 Awaitable<void>
 HttpSession::Linger()
 {
--- a/test/node/CallQueueTest.cpp
+++ b/test/node/CallQueueTest.cpp
@@ -14,17 +14,21 @@
 
 namespace {
 
+constexpr std::size_t kMaxBytes = 1000;
+
 struct QueueFixture
 {
   Time now{ seconds(100) };
   std::vector<std::string> gone;      // targets of the calls of gone callers
   std::vector<std::string> notServed; // targets of the calls given back
-  CallQueue queue{ [this](const QueuedCall& aCall,
-                          CallQueue::DiscardReason aReason) {
-    (aReason == CallQueue::DiscardReason::CallerGone ? this->gone
-                                                     : this->notServed)
-      .push_back(aCall.request.target);
-  } };
+  CallQueue queue{
+    [this](const QueuedCall& aCall, CallQueue::DiscardReason aReason) {
+      (aReason == CallQueue::DiscardReason::CallerGone ? this->gone
+                                                       : this->notServed)
+        .push_back(aCall.request.target);
+    },
+    kMaxBytes
+  };
 
   void Push(CallClass aClass,
             const std::string& aTarget,
@@ -37,6 +41,18 @@
     call.answerBy = this->now + aTimeLeft;
     this->queue.Push(std::move(call));
   }
+  void PushBytes(CallClass aClass,
+                 const std::string& aTarget,
+                 std::size_t aBytes)
+  {
+    QueuedCall call;
+    call.callClass = aClass;
+    call.request.target = aTarget;
+    call.request.body.assign(aBytes, 'x');
+    call.arrivedAt = this->now;
+    call.answerBy = this->now + seconds(2);
+    this->queue.Push(std::move(call));
+  }
 
   // The target of the next call; empty without one.
   std::string Pop(Duration aElapsed = milliseconds(1))
@@ -199,3 +215,31 @@
     EXPECT_THAT(trace, fixture.queue.IsEmpty());
   });
 }
+
+// Guards against callers whose waiting bodies fill the memory of the leader.
+Test(CallQueue, LimitsTheBytesThatWait)
+{
+  TestTrace trace;
+  QueueFixture fixture;
+  fixture.PushBytes(CallClass::Report, "report", 300);
+  fixture.PushBytes(CallClass::Submission, "first", 400);
+  fixture.PushBytes(CallClass::Submission, "second", 300);
+  EXPECT_EQUAL(trace, fixture.queue.Bytes(), kMaxBytes);
+  trace.Section("the oldest call of the class with most bytes gives way", [&] {
+    fixture.PushBytes(CallClass::Report, "report 2", 1);
+    EXPECT_EQUAL(trace, fixture.notServed.size(), 1U);
+    EXPECT_EQUAL(trace, fixture.notServed.at(0), "first");
+    EXPECT_EQUAL(trace, fixture.queue.Bytes(), 601U);
+  });
+  trace.Section("a call over the limit is given back itself", [&] {
+    fixture.PushBytes(CallClass::Submission, "large", kMaxBytes + 1);
+    EXPECT_EQUAL(trace, fixture.notServed.back(), "large");
+  });
+  trace.Section("calls that are served make room", [&] {
+    while (!fixture.Pop().empty()) {
+    }
+    EXPECT_EQUAL(trace, fixture.queue.Bytes(), 0U);
+    fixture.PushBytes(CallClass::Order, "order", kMaxBytes);
+    EXPECT_EQUAL(trace, fixture.Pop(), "order");
+  });
+}
--- a/test/processes/hostile-clients.sh
+++ b/test/processes/hostile-clients.sh
@@ -11,7 +11,7 @@
 cd "$(dirname "$0")/../.."
 kind=${1:?kind}
 build=${HOSTILE_CLIENTS_BUILD:-build}
-# Bounds of one node. The descriptors are also those of its settings.
+# Bounds of one node, also in its settings.
 max_resident_kb=$((128 * 1024))
 max_descriptors=512
 tries=600
@@ -42,6 +42,7 @@
   "ready_address": "$net.$1:$ready", "peers_address": "$net.$1:$peers",
   "metrics_address": "$net.$1:$metrics", "data_folder": "$work/data-$1", "first_start": true,
   "seeds": ["$net.1:$control", "$net.2:$control", "$net.3:$control"], "descriptors": $max_descriptors,
+  "memory_mb": $((max_resident_kb / 1024)),
   "tolerated_losses": { "instances": $((nodes / 3)), "data_centres": 0 },
   "times": { "announce_ms": 500, "max_lease_ms": 6000, "stop_ms": 400 } }
 END
