--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -137,6 +137,11 @@
     aDone(this->protocol->Encode(refusal));
     return;
   }
+  if (!this->HasMemoryFor(aRequest)) {
+    this->RefuseForMemory(aRequest, aDone);
+    return;
+  }
+  aDone = this->CountUntilAnswered(aRequest, std::move(aDone));
   const Duration limit = this->protocol->TimeLimit(aRequest);
   wire::RemoteCall call;
   call.control = aControl;
