Move work away from slow, standing and silent upstreams

Cause: a run was waited for wherever it was. Tasks on a silent upstream waited for the end of its lease (8 s), also where a step may run twice; nothing compared a run with others, and only failures led to a quarantine. Declared estimates of single steps are off by up to three times, which the rank of a job took as they are. Change: StepTimes and RunTimes learn run times, UpstreamSpeed finds slow upstreams by runs of several steps, RunRemedy decides between a second run (steps that allow it), a stop and nothing, within a budget; RunWatch derives the values from the sessions. Placement puts slow upstreams last and gives them one ending task at a time. Measured times of steps replace estimates in JobView. In WorkState a failure after a task is done no longer counts as an attempt: that of the second run failed the job.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -52,6 +52,8 @@
   this->forecast = {};
   this->turns = {};
   this->recentLoads.clear();
+  this->runWatch = {};
+  this->secondRunsWanted.clear();
 }
 
 // Every recorded run may be executing, because an earlier leader may have sent
@@ -71,19 +73,15 @@
   for (const auto& [id, job] : this->state.Tables().jobs) {
     for (std::uint32_t k = 0; k < job.tasks.size(); ++k) {
       for (std::uint32_t s = 0; s < job.tasks[k].size(); ++s) {
-        const work::Step& step = job.spec.steps[s];
         for (std::uint32_t i = 0; i < job.tasks[k][s].size(); ++i) {
           for (const work::Run& run : job.tasks[k][s][i].runs) {
-            LiveRun live;
-            live.run = run;
-            live.workspace = job.workspace;
-            live.size = step.size;
+            LiveRun live = DescribeRun(job, { id, k, s, i }, run);
             live.phase = RunPhase::Unanswered;
             live.phaseSince = this->now;
             live.progressAt = this->now;
-            live.longRunning = step.longRunning;
-            live.fills = step.fills;
-            live.stopping = job.IsFinal();
+            const work::Task& task = job.tasks[k][s][i];
+            live.stopping = job.IsFinal() || task.done;
+            live.isSecond = &run != &task.runs.front();
             this->AddRun(run.upstream, { { id, k, s, i }, run.number }, live);
           }
         }
@@ -107,6 +105,7 @@
     session->used.memoryMb += aRun.size.memoryMb;
   }
   this->used[aRun.workspace] += aRun.size;
+  session->endingRuns += aRun.longRunning ? 0 : 1;
   session->runs[aKey] = std::move(aRun);
 }
 
@@ -146,6 +145,7 @@
     session->used.memoryMb -= run.size.memoryMb;
   }
   this->used[run.workspace] -= run.size;
+  session->endingRuns -= run.longRunning ? 0 : 1;
   session->runs.erase(found);
 }
 
@@ -185,13 +185,16 @@
   const work::Job* job = this->FindJob(aJob);
   if (job == nullptr || job->IsFinal()) {
     this->views.erase(aJob);
+    this->runWatch.ForgetJob(aJob);
     this->tickets.ForgetJob(aJob);
     return;
   }
   const work::Queue* queue =
     this->queues.Find(this->state.CurrentSetup(), job->queue);
   JobView& view = this->views[aJob];
-  view = MakeView(aJob, *job, queue, this->wall);
+  view =
+    MakeView(aJob, *job, queue, this->wall, &this->runWatch.StepTimesSoFar());
+  this->AddSecondRuns(view);
   std::erase_if(view.pending, [this](const work::TaskRef& aTask) {
     return this->proposedStarts.contains(aTask);
   });
@@ -377,9 +380,12 @@
   UpstreamSession& session = *this->FindSession(aCommand.upstream);
   const work::Job* job = this->FindJob(aCommand.task.job);
   const bool ended = job == nullptr || job->IsFinal();
+  this->secondRunsWanted.erase(aCommand.task);
   if (aCommand.kind == work::EndKind::Done) {
     session.consecutiveFailures = 0;
     this->failedOn.erase(aCommand.task);
+    this->runWatch.ObserveEnd(aCommand, aRun, session, this->now);
+    this->StopOtherRuns(aCommand.task, aRun);
   }
   if (aCommand.kind == work::EndKind::Failed) {
     ++session.consecutiveFailures;
@@ -429,6 +435,7 @@
     this->RemoveIfSilent(id, session);
     this->PlanAgainIfUsable(session);
   }
+  this->ReviewRuns();
   this->CompleteSettledPlans();
   std::erase_if(this->owner.takenDown, [this](const auto& aItem) {
     return this->now >= aItem.second.until;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -20,6 +20,7 @@
 #include "dispatch/Options.h"
 #include "dispatch/OrderHistory.h"
 #include "dispatch/PlanPass.h"
+#include "dispatch/RunWatch.h"
 #include "dispatch/TicketCache.h"
 #include "dispatch/TurnForecast.h"
 #include "work/WorkState.h"
@@ -143,6 +144,11 @@
                     const OrderAnswer& aAnswer);
   void StopGang(const work::TaskRef& aTask);
   void QuarantineIfFailing(const InstanceId& aId, UpstreamSession& aSession);
+  // A task that may run twice is done: its other run ends.
+  void StopOtherRuns(const work::TaskRef& aTask, const LiveRun& aDone);
+  // Looks for runs that may end too late where they are.
+  void ReviewRuns();
+  void AddSecondRuns(JobView& aView) const;
 
   // DispatcherSessions.cpp: leases and the task lists of upstreams.
   void On(const LeaseAnswer& aAnswer);
@@ -367,6 +373,11 @@
   std::map<ServiceId, RecentLoad> recentLoads;
   std::uint64_t loadMeasurements = 0;
   OrderHistory history; // kept when leadership is lost
+
+  RunWatch runWatch;
+  // Tasks with one run that should get another one elsewhere.
+  std::set<work::TaskRef> secondRunsWanted;
+  Time runsReviewedAt{};
 };
 
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/DispatcherLoads.cpp
+++ b/src/dispatch/DispatcherLoads.cpp
@@ -175,7 +175,8 @@
       { "no_accelerator", count(Refusal::Accelerators) },
       { "no_label", count(Refusal::Label) },
       { "step_limit", count(Refusal::StepLimit) },
-      { "no_ticket", count(Refusal::Ticket) } });
+      { "no_ticket", count(Refusal::Ticket) },
+      { "slow", count(Refusal::Slow) } });
 }
 
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -383,6 +383,7 @@
   PlacementQuery query;
   query.step = &this->FindJob(aTask.job)->spec.steps[aTask.step];
   query.task = aTask;
+  query.runs = this->FindJob(aTask.job)->Find(aTask)->runs;
   if (const auto failed = this->failedOn.find(aTask);
       failed != this->failedOn.end()) {
     query.avoid = failed->second;
@@ -427,14 +428,10 @@
   run.upstream = *chosen->id;
   run.boot = chosen->session->record.boot;
   run.startedAt = this->wall;
-  LiveRun live;
-  live.run = run;
-  live.workspace = aView.workspace;
-  live.size = step.size;
+  LiveRun live = DescribeRun(job, aTask, run);
   live.phaseSince = this->now;
-  live.longRunning = step.longRunning;
-  live.fills = step.fills;
-  this->AddRun(*chosen->id, { aTask, aNumber }, live);
+  live.isSecond = !query.runs.empty();
+  this->AddRun(*chosen->id, { aTask, aNumber }, std::move(live));
   this->proposedStarts.insert(aTask);
   this->output.commands.emplace_back(work::StartRun{ aTask, run });
   return true;
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -13,6 +13,9 @@
 // until the next renewal.
 constexpr Duration kRefusedStartDelay = milliseconds(150);
 
+// Interval between two reviews of the runs.
+constexpr Duration kReviewInterval = milliseconds(100);
+
 } // namespace
 
 void
@@ -23,7 +26,8 @@
   const work::Task* task = job == nullptr ? nullptr : job->Find(aKey.first);
   const auto until =
     aSession.clock.LeaseEndAfter(this->options.Lease(), this->now);
-  if (task == nullptr || job->IsFinal() || !until || aSession.otherBootSeenAt) {
+  const bool isWanted = task != nullptr && !task->done && !job->IsFinal();
+  if (!isWanted || !until || aSession.otherBootSeenAt) {
     this->ProposeEnd(
       live.run.upstream, aKey, work::EndKind::NotStarted, EndEvidence::NotSent);
     return;
@@ -36,6 +40,7 @@
   start.payload = job->spec.payload;
   start.leaseUntil = *until;
   start.checkpoint = task->checkpoint;
+  live.resumes = !task->checkpoint.empty();
   start.ticket =
     this->tickets.Find(StepOf(aKey.first), live.run.upstream, this->now);
   aSession.clock.RecordGrant(*until, this->now);
@@ -207,6 +212,9 @@
     case OrderResult::Superseded: // its end is listed or will be
       live.phase = RunPhase::Confirmed;
       live.phaseSince = this->now;
+      if (!live.resumes) {
+        live.measuredSince = this->now;
+      }
       return;
     case OrderResult::NoAnswer:
     case OrderResult::Fenced: // a later leader is active; the log decides
@@ -299,4 +307,86 @@
   }
 }
 
+void
+Dispatcher::StopOtherRuns(const work::TaskRef& aTask, const LiveRun& aDone)
+{
+  const work::Job* job = this->FindJob(aTask.job);
+  const work::Task* task = job == nullptr ? nullptr : job->Find(aTask);
+  if (!aDone.mayRunTwice || task == nullptr) {
+    return;
+  }
+  for (const work::Run& run : task->runs) {
+    UpstreamSession* session = this->FindSession(run.upstream);
+    const RunKey key{ aTask, run.number };
+    if (session == nullptr || !session->runs.contains(key)) {
+      continue;
+    }
+    this->LogDecision("second_run_decided",
+                      aTask.job.value,
+                      { { "task", Text(aTask) },
+                        { "first_to_end", aDone.isSecond ? "second" : "first" },
+                        { "upstream", aDone.run.upstream.value },
+                        { "ran_ms", Text(this->now - aDone.phaseSince) },
+                        { "other_upstream", run.upstream.value } });
+    this->RequestStop(*session, key, "task is done");
+  }
+}
+
+void
+Dispatcher::ReviewRuns()
+{
+  if (this->now - this->runsReviewedAt < kReviewInterval) {
+    return;
+  }
+  this->runsReviewedAt = this->now;
+  RunReview review = this->runWatch.Review(
+    this->sessions, this->state, this->options.maxStopTime, this->now);
+  for (const RunReview::SpeedChange& change : review.speedChanges) {
+    this->dirtyServices.insert(change.service);
+    this->LogDecision(
+      change.isSlow ? "upstream_slow" : "upstream_usual",
+      {},
+      { { "upstream", change.upstream.value },
+        { "service", change.service.value },
+        { "slowdown_percent",
+          Text(static_cast<std::int64_t>(change.slowdown * 100.0)) },
+        { "slow_peers", Text(change.slowPeers) } });
+  }
+  for (const auto& [upstream, key] : review.restarts) {
+    this->RequestStop(*this->FindSession(upstream), key, "upstream is slow");
+  }
+  std::swap(this->secondRunsWanted, review.secondRuns);
+  const std::set<work::TaskRef>& before = review.secondRuns;
+  std::set<JobId> changed;
+  for (const work::TaskRef& task : this->secondRunsWanted) {
+    if (!before.contains(task)) {
+      changed.insert(task.job);
+      this->LogDecision(
+        "second_run_wanted", task.job.value, { { "task", Text(task) } });
+    }
+  }
+  for (const work::TaskRef& task : before) {
+    if (!this->secondRunsWanted.contains(task)) {
+      changed.insert(task.job);
+    }
+  }
+  for (const JobId& job : changed) {
+    this->RefreshView(job);
+  }
+}
+
+void
+Dispatcher::AddSecondRuns(JobView& aView) const
+{
+  const work::Job* job = this->FindJob(aView.id);
+  for (auto task = this->secondRunsWanted.lower_bound({ aView.id, 0, 0, 0 });
+       task != this->secondRunsWanted.end() && task->job == aView.id;
+       ++task) {
+    const work::Task* record = job->Find(*task);
+    if (record != nullptr && !record->done && record->runs.size() == 1) {
+      aView.pending.push_back(*task);
+    }
+  }
+}
+
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/DispatcherSessions.cpp
+++ b/src/dispatch/DispatcherSessions.cpp
@@ -280,6 +280,7 @@
       live.percent = running.percent;
       live.progressAt = this->now;
     }
+    this->runWatch.ObserveProgress(aId, key, live, this->now);
     live.load = running.load;
     live.checkpoint = running.checkpoint;
   }
--- a/src/dispatch/DispatcherUpstreams.cpp
+++ b/src/dispatch/DispatcherUpstreams.cpp
@@ -56,6 +56,8 @@
   next.otherBootSeenAt = this->now;
   next.runs = std::move(aSession.runs);
   next.used = aSession.used;
+  next.endingRuns = aSession.endingRuns;
+  this->runWatch.ForgetUpstream(aId);
   for (auto& [key, live] : next.runs) {
     // The earlier boot may have accepted the stop.
     live.stopInFlight = false;
@@ -81,6 +83,7 @@
     this->DropRun(aCommand.id, session->runs.begin()->first);
   }
   this->sessions.erase(aCommand.id);
+  this->runWatch.ForgetUpstream(aCommand.id);
   this->LogDecision(
     "upstream_removed", {}, { { "upstream", aCommand.id.value } });
 }
--- a/src/dispatch/JobView.cpp
+++ b/src/dispatch/JobView.cpp
@@ -9,13 +9,24 @@
 
 // A job has no value after this multiple of its objective.
 constexpr int kLateFactor = 3;
-// Assumed for steps without an estimate.
-constexpr Duration kDefaultEstimate = std::chrono::seconds(1);
+using Times = std::vector<Duration>; // of one task of each step
 
-Duration
-EstimateOf(const work::Step& aStep)
+// What runs of the occurrence have shown, or else the declared estimates.
+Times
+TimesOf(const JobId& aId,
+        const work::Job& aJob,
+        std::uint32_t aOccurrence,
+        const StepTimes* aMeasured)
 {
-  return aStep.estimate.count() > 0 ? aStep.estimate : kDefaultEstimate;
+  Times times;
+  times.reserve(aJob.spec.steps.size());
+  for (std::uint32_t s = 0; s < aJob.spec.steps.size(); ++s) {
+    const auto measured = aMeasured == nullptr
+                            ? std::nullopt
+                            : aMeasured->TimeOf({ aId, aOccurrence, s, 0 });
+    times.push_back(measured.value_or(DeclaredTime(aJob.spec.steps[s])));
+  }
+  return times;
 }
 
 bool
@@ -27,7 +38,9 @@
 }
 
 Duration
-LongestPath(const work::JobSpec& aSpec, const std::vector<bool>& aSkip)
+LongestPath(const work::JobSpec& aSpec,
+            const Times& aTimes,
+            const std::vector<bool>& aSkip)
 {
   std::vector<Duration> ends(aSpec.steps.size(), Duration(0));
   Duration longest{ 0 };
@@ -36,14 +49,31 @@
     for (const std::uint32_t before : aSpec.steps[i].after) {
       start = std::max(start, ends[before]);
     }
-    ends[i] = start + (aSkip[i] ? Duration(0) : EstimateOf(aSpec.steps[i]));
+    ends[i] = start + (aSkip[i] ? Duration(0) : aTimes[i]);
     longest = std::max(longest, ends[i]);
   }
   return longest;
 }
 
+// Critical path through the steps that are not done.
+Duration
+RemainingChain(const work::JobSpec& aSpec,
+               const Times& aTimes,
+               const std::vector<std::vector<work::Task>>& aOccurrence)
+{
+  std::vector<bool> skip;
+  skip.reserve(aOccurrence.size());
+  for (const auto& step : aOccurrence) {
+    skip.push_back(IsDone(step));
+  }
+  return LongestPath(aSpec, aTimes, skip);
+}
+
 void
-AddOccurrence(JobView& aView, const work::Job& aJob, std::uint32_t aNumber)
+AddOccurrence(JobView& aView,
+              const work::Job& aJob,
+              const Times& aTimes,
+              std::uint32_t aNumber)
 {
   const auto& steps = aJob.tasks[aNumber];
   for (std::uint32_t s = 0; s < steps.size(); ++s) {
@@ -51,7 +81,7 @@
     const bool open = aJob.IsStepOpen(aNumber, s);
     const double each =
       static_cast<double>(step.size.milliCpus) / 1000.0 *
-      std::chrono::duration<double, std::milli>(EstimateOf(step)).count();
+      std::chrono::duration<double, std::milli>(aTimes[s]).count();
     for (std::uint32_t i = 0; i < steps[s].size(); ++i) {
       const work::Task& task = steps[s][i];
       if (task.done) {
@@ -67,23 +97,12 @@
 
 } // namespace
 
-Duration
-RemainingChain(const work::JobSpec& aSpec,
-               const std::vector<std::vector<work::Task>>& aOccurrence)
-{
-  std::vector<bool> skip;
-  skip.reserve(aOccurrence.size());
-  for (const auto& step : aOccurrence) {
-    skip.push_back(IsDone(step));
-  }
-  return LongestPath(aSpec, skip);
-}
-
 JobView
 MakeView(const JobId& aId,
          const work::Job& aJob,
          const work::Queue* aQueue,
-         WallTime aNow)
+         WallTime aNow,
+         const StepTimes* aMeasured)
 {
   JobView view;
   view.id = aId;
@@ -95,6 +114,7 @@
                 aJob.spec.steps.end(),
                 [](const work::Step& aStep) { return aStep.longRunning; });
   WallTime start = aJob.acceptedAt;
+  Times times = TimesOf(aId, aJob, 0, aMeasured);
   for (std::uint32_t k = 0; k < aJob.tasks.size(); ++k) {
     const WallTime due = aJob.DueAt(k);
     if (due > aNow) {
@@ -102,14 +122,16 @@
       break;
     }
     const double before = view.remainingWork;
-    AddOccurrence(view, aJob, k);
+    Times current = k == 0 ? times : TimesOf(aId, aJob, k, aMeasured);
+    AddOccurrence(view, aJob, current, k);
     if (view.remainingWork > before && view.remainingChain.count() == 0) {
-      view.remainingChain = RemainingChain(aJob.spec, aJob.tasks[k]);
+      view.remainingChain = RemainingChain(aJob.spec, current, aJob.tasks[k]);
+      times = std::move(current);
       start = due;
     }
   }
-  const Duration chain =
-    LongestPath(aJob.spec, std::vector<bool>(aJob.spec.steps.size(), false));
+  const Duration chain = LongestPath(
+    aJob.spec, times, std::vector<bool>(aJob.spec.steps.size(), false));
   Duration allowed = chain * 2;
   if (aQueue != nullptr) {
     view.hasQueue = true;
--- a/src/dispatch/JobView.h
+++ b/src/dispatch/JobView.h
@@ -2,7 +2,8 @@
 #ifndef hyssoppaddle_dispatch_JobView_h
 #define hyssoppaddle_dispatch_JobView_h
 
-#include "work/Job.h"
+#include "dispatch/RunObservation.h"
+#include "dispatch/StepTimes.h"
 
 #include <vector>
 
@@ -22,24 +23,22 @@
   std::vector<work::TaskRef> pending; // tasks of open steps that have no run
   // Due time of the next occurrence that is not due yet.
   WallTime nextDue = WallTime::max();
-  // Core-milliseconds of work not done yet, from the declared estimates.
+  // Core-milliseconds of work not done yet, by measured times of steps or their
+  // declared estimates.
   double remainingWork = 0;
   Duration remainingChain{ 0 }; // critical path of the remaining steps
   WallTime objective{};         // full value until then
   WallTime latest{};            // no value after this
 };
 
-// Critical path through the steps that are not done, by their estimates.
-Duration
-RemainingChain(const work::JobSpec& aSpec,
-               const std::vector<std::vector<work::Task>>& aOccurrence);
-
-// aQueue may be null when a newer setup no longer contains it.
+// aQueue may be null when a newer setup no longer contains it. Times that are
+// known from aMeasured, if it is not null, take the place of declared ones.
 JobView
 MakeView(const JobId& aId,
          const work::Job& aJob,
          const work::Queue* aQueue,
-         WallTime aNow);
+         WallTime aNow,
+         const StepTimes* aMeasured = nullptr);
 
 } // namespace hyssoppaddle::dispatch
 
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -46,10 +46,18 @@
       !HasLabel(session.record, step.requiredLabel)) {
     return Refusal::Label;
   }
-  if (step.maxPerUpstream > 0 &&
-      CountOfStep(session, aQuery.task) >= step.maxPerUpstream) {
+  const bool hasRun = std::any_of(
+    aQuery.runs.begin(), aQuery.runs.end(), [&](const work::Run& aRun) {
+      return aRun.upstream == *aCandidate.id;
+    });
+  if (hasRun || (step.maxPerUpstream > 0 &&
+                 CountOfStep(session, aQuery.task) >= step.maxPerUpstream)) {
     return Refusal::StepLimit;
   }
+  // A long-running task can wait for its start, but must not wait for room.
+  if (session.isSlow && session.endingRuns > 0 && !step.longRunning) {
+    return Refusal::Slow;
+  }
   const bool mayRun = !aQuery.hasTicket || aQuery.hasTicket(*aCandidate.id);
   return mayRun ? Refusal::None : Refusal::Ticket;
 }
@@ -129,8 +137,8 @@
                const PlacementQuery& aQuery)
 {
   const work::Step& step = *aQuery.step;
-  using Score =
-    std::tuple<bool, bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
+  using Score = std::
+    tuple<bool, bool, bool, bool, std::uint32_t, std::int64_t, std::int64_t>;
   std::optional<Score> best;
   const Candidate* chosen = nullptr;
   for (const Candidate& candidate : aCandidates) {
@@ -143,6 +151,7 @@
       step.dataRack.empty() ? aQuery.rack : step.dataRack;
     const bool isOffRack = !wanted.empty() && session.record.Rack() != wanted;
     const Score score{ id == aQuery.avoid,
+                       session.isSlow,
                        isOffRack,
                        step.longRunning && session.maintenanceDue,
                        session.consecutiveFailures,
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -33,6 +33,8 @@
   work::TaskRef task;
   std::string rack; // where all tasks of the step should run; may be empty
   InstanceId avoid; // upstream of the task's last failure
+  // Runs of the task that may be executing, when a second one is placed.
+  std::span<const work::Run> runs;
   // Whether there is a ticket to run the step on the upstream; null where the
   // queue needs no advice.
   std::function<bool(const InstanceId&)> hasTicket;
@@ -48,8 +50,9 @@
   Label,
   StepLimit, // runs as many tasks of the step as it allows on one upstream
   Ticket,
+  Slow, // takes one task at a time, and has one
 };
-using RefusalCounts = std::array<std::size_t, 7>; // by Refusal
+using RefusalCounts = std::array<std::size_t, 8>; // by Refusal
 
 // True when the upstream may receive starts at all.
 bool
--- a/src/dispatch/PlanPass.cpp
+++ b/src/dispatch/PlanPass.cpp
@@ -81,7 +81,12 @@
 void
 PlanPass::RecordMiss(const work::Step& aStep)
 {
-  if (IsUnconstrained(aStep)) {
+  // A slow upstream may refuse a task and then take one of another kind.
+  const bool anySlow = std::any_of(
+    this->candidates.begin(),
+    this->candidates.end(),
+    [](const Candidate& aCandidate) { return aCandidate.session->isSlow; });
+  if (IsUnconstrained(aStep) && !anySlow) {
     this->misses.sizes.push_back(aStep.size);
   }
   this->MeasureRoom();
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -30,8 +30,8 @@
   work::Run run;
   WorkspaceId workspace;
   state::Resources size; // share of the upstream's capacity
+  Time phaseSince{};     // start of the phase
   RunPhase phase = RunPhase::Proposed;
-  Time phaseSince{}; // start of the phase
   bool longRunning = false;
   bool fills = false;
   bool stopping = false; // a stop was decided
@@ -40,15 +40,26 @@
   // The recorded boot has listed it. Until then another boot may have carried
   // out the start.
   bool listed = false;
+  EndEvidence endEvidence = EndEvidence::None;
+  bool isGang = false;       // one of the members that run together
+  bool mayRunTwice = false;  // a second run of the task may be added
+  bool isSecond = false;     // another run of the task was recorded before it
+  bool resumes = false;      // was started with a checkpoint
+  std::uint32_t percent = 0; // progress, as last reported
   std::optional<Time> stopConfirmed; // when the upstream accepted the stop
   Time stopSentAt{};
-  std::uint32_t percent = 0;     // progress, as last reported
-  Time progressAt{};             // last change of the progress
-  std::uint32_t paceAsked = 100; // percent, or kUnknownPacePercent
+  Time progressAt{}; // last change of the progress
   std::optional<std::int64_t> load;
   std::string checkpoint; // last one reported
-  EndEvidence endEvidence = EndEvidence::None;
-  Time endProposedAt{}; // when the evidence was received
+  Time endProposedAt{};   // when the evidence was received
+  std::string kind;       // see KindOf
+  Duration declared{ 0 }; // estimate of the whole task
+  Time listedAt{};        // last list that had it
+  // Progress is measured from here: from its start, or from the first list that
+  // had it where the start is not known.
+  std::optional<Time> measuredSince;
+  std::uint32_t percentAtStart = 0; // progress at that time
+  std::uint32_t paceAsked = 100;    // percent, or kUnknownPacePercent
 };
 
 using RunKey = std::pair<work::TaskRef, std::uint32_t>;
@@ -104,6 +115,11 @@
   bool maintenanceDue = false;
   // No new starts: it is ordered into maintenance or to another pool.
   bool evacuating = false;
+  // Takes several times as long as its peers. It gets one task that ends by
+  // itself at a time, and only where no other upstream has room.
+  bool isSlow = false;
+  std::size_t endingRuns = 0;      // runs of tasks that end by themselves
+  std::optional<Time> silentSince; // first review that found it unanswered
 
   // Lets the upstream discard its ends once all listed ends are recorded.
   void AdvanceRecordedEnd()
--- a/src/work/WorkState.cpp
+++ b/src/work/WorkState.cpp
@@ -288,7 +288,8 @@
       this->CompleteGang(job, aCommand.task, aCommand.run);
     }
   }
-  const bool hasFailed = aCommand.kind == EndKind::Failed;
+  // The failure of a second run does not matter once the task is done.
+  const bool hasFailed = aCommand.kind == EndKind::Failed && !task->done;
   task->failures += hasFailed ? 1 : 0;
   // A run that did not fail counts too: the setup may allow fewer attempts now.
   const bool isLast = hasFailed || (!task->done && task->runs.empty());
