Elect the next leader when the connections of the old one are closed

Change: Raft takes LinkLost and LinkRestored. A voter that has lost its connection to the leader for 350 ms grants pre-votes and campaigns; the voters campaign 60 ms apart, so that they do not split the votes. A leader counts a voter whose connection was closed only after its next reply.

--- a/src/agreement/Events.h
+++ b/src/agreement/Events.h
@@ -36,6 +36,19 @@
   std::uint64_t sequence = 0;
 };
 
+// The connection to that replica was closed. On a voter that follows it, this
+// is a sign that the process of the leader has ended.
+struct LinkLost
+{
+  InstanceId peer;
+};
+
+// There is a connection to that replica again.
+struct LinkRestored
+{
+  InstanceId peer;
+};
+
 // Starts a linearizable read. ReadReady follows once a majority has answered a
 // round of appends sent after this event, which confirms the leadership.
 struct ReadRequest
@@ -76,6 +89,8 @@
                            MessageReceived,
                            Propose,
                            Persisted,
+                           LinkLost,
+                           LinkRestored,
                            ReadRequest,
                            SnapshotTaken,
                            ChangeConfiguration,
--- a/src/agreement/Raft.cpp
+++ b/src/agreement/Raft.cpp
@@ -53,10 +53,7 @@
   this->appliedIndex = meta.index;
   // No leader is known yet, so the leader lease must not block votes.
   this->lastLeaderContact = aNow - this->times.maxElectionTimeout;
-  this->ResetElectionDeadline();
-  if (this->IsVoter(this->self) && this->Majority() == 1) {
-    this->electionDeadline = aNow; // there is no other leader to wait for
-  }
+  this->ScheduleFirstCampaign();
 }
 
 Effects
--- a/src/agreement/Raft.h
+++ b/src/agreement/Raft.h
@@ -21,6 +21,17 @@
   Duration learnerHeartbeat{ std::chrono::seconds(1) };
   Duration minElectionTimeout{ std::chrono::milliseconds(1200) };
   Duration maxElectionTimeout{ std::chrono::seconds(2) };
+  // A voter whose connection to the leader was closed campaigns after this time
+  // unless it is connected again. Longer than a heartbeat interval, so that a
+  // leader that is still alive has noticed the loss.
+  Duration lostLinkGrace{ std::chrono::milliseconds(350) };
+  // A voter that has just started campaigns after this time, or after its first
+  // election timeout if that is shorter. Its links to the other voters should
+  // exist by then, and a live leader should have sent a heartbeat.
+  Duration restartGrace{ std::chrono::seconds(2) };
+  // Between the campaigns of two voters after the same loss. Longer than an
+  // election, so that the votes are not split.
+  Duration campaignStep{ std::chrono::milliseconds(60) };
 };
 
 struct RaftLimits
@@ -86,7 +97,8 @@
   [[nodiscard]] LogIndex CommitIndex() const;
   [[nodiscard]] LogIndex LastIndex() const;
   [[nodiscard]] const Configuration& ActiveConfiguration() const;
-  // On the leader: time of the last reply from that replica.
+  // On the leader: time of the last reply from that replica; empty if its
+  // connection was closed after that.
   [[nodiscard]] std::optional<Time> LastHeard(const InstanceId& aReplica) const;
   // On the leader: as LastHeard, but not before this leader began to replicate
   // to that replica. From then on the replica can be silent.
--- a/src/agreement/RaftElection.cpp
+++ b/src/agreement/RaftElection.cpp
@@ -7,6 +7,71 @@
 
 namespace hyssoppaddle::agreement {
 
+// All replicas may have restarted together, so a voter with a log does not wait
+// for a whole election timeout. It disturbs no leader: the others refuse its
+// pre-vote while they hear one.
+void
+Raft::Impl::ScheduleFirstCampaign()
+{
+  this->ResetElectionDeadline();
+  if (!this->IsVoter(this->self)) {
+    return;
+  }
+  if (this->Majority() == 1) {
+    this->electionDeadline = this->now; // there is no other leader to wait for
+  } else if (this->MayCampaign() && this->log.LastIndex() > 0) {
+    this->electionDeadline =
+      std::min(this->electionDeadline,
+               this->now + this->times.restartGrace + this->CampaignDelay());
+  }
+}
+
+Duration
+Raft::Impl::CampaignDelay() const
+{
+  const auto& voters = this->log.ActiveConfiguration().voters;
+  Duration delay{ 0 };
+  // The order rotates with the term, so that a voter that cannot win is not
+  // always the first.
+  for (std::size_t i = 0; i < voters.size(); ++i) {
+    const InstanceId& voter =
+      voters[(this->currentHardState.term + i) % voters.size()];
+    if (voter == this->self) {
+      break;
+    }
+    delay += voter == this->leader ? Duration(0) : this->times.campaignStep;
+  }
+  return delay;
+}
+
+void
+Raft::Impl::Handle(const LinkLost& aEvent)
+{
+  const auto replica = this->progress.find(aEvent.peer);
+  if (replica != this->progress.end()) {
+    replica->second.linkLostAt = this->now;
+  }
+  const bool followsIt = this->role == Role::Follower &&
+                         this->leader == aEvent.peer && this->MayCampaign();
+  if (!followsIt || this->leaderLinkLostAt) {
+    return;
+  }
+  this->leaderLinkLostAt = this->now;
+  this->deadlineBeforeLinkLoss = this->electionDeadline;
+  this->electionDeadline =
+    std::min(this->electionDeadline,
+             this->now + this->times.lostLinkGrace + this->CampaignDelay());
+}
+
+void
+Raft::Impl::Handle(const LinkRestored& aEvent)
+{
+  if (this->leaderLinkLostAt && this->leader == aEvent.peer) {
+    this->leaderLinkLostAt.reset();
+    this->electionDeadline = this->deadlineBeforeLinkLoss;
+  }
+}
+
 void
 Raft::Impl::ElectionTick()
 {
@@ -50,6 +115,10 @@
   if (this->role == Role::Leader) {
     return true; // the quorum check ends the role if contact is lost
   }
+  if (this->leaderLinkLostAt &&
+      this->now - *this->leaderLinkLostAt >= this->times.lostLinkGrace) {
+    return false;
+  }
   return this->now - this->lastLeaderContact < this->times.minElectionTimeout;
 }
 
--- a/src/agreement/RaftFollower.cpp
+++ b/src/agreement/RaftFollower.cpp
@@ -22,6 +22,7 @@
     this->BecomeFollower(aFrom);
   }
   this->lastLeaderContact = this->now;
+  this->leaderLinkLostAt.reset();
   this->ResetElectionDeadline();
   return true;
 }
--- a/src/agreement/RaftImpl.h
+++ b/src/agreement/RaftImpl.h
@@ -43,6 +43,7 @@
   std::uint64_t ackedRound = 0;
   Time lastSent{};
   std::optional<Time> lastHeard;
+  std::optional<Time> linkLostAt;
   Time trackedSince{}; // when this leader began to replicate to it
 
   std::shared_ptr<const StoredSnapshot> snapshot; // being sent
@@ -121,6 +122,8 @@
   void Handle(const MessageReceived& aEvent);
   void Handle(const Propose& aEvent);
   void Handle(const Persisted& aEvent);
+  void Handle(const LinkLost& aEvent);
+  void Handle(const LinkRestored& aEvent);
   void Handle(const ReadRequest& aEvent);
   void Handle(const SnapshotTaken& aEvent);
   void Handle(const ChangeConfiguration& aEvent);
@@ -147,6 +150,10 @@
   [[nodiscard]] std::size_t Majority() const;
 
   // RaftElection.cpp
+  void ScheduleFirstCampaign();
+  // Lets the voters campaign one after the other when they notice the same
+  // loss.
+  [[nodiscard]] Duration CampaignDelay() const;
   void ElectionTick();
   [[nodiscard]] bool MayCampaign() const;
   [[nodiscard]] bool IsEmptyReplica() const;
@@ -261,6 +268,10 @@
   Time electionDeadline{};
   Duration campaignDelay{ 0 }; // added to electionDeadline
   Time lastLeaderContact{};
+  // Since when there is no connection to the leader. Empty while there is one.
+  std::optional<Time> leaderLinkLostAt;
+  // The election deadline that applies again when the link is restored.
+  Time deadlineBeforeLinkLoss{};
   std::uint64_t recoveryNonce = 0; // not 0 while currentHardState.recovering
   std::set<InstanceId> votes;
   // Sequence number of the Persist effect that contains the own vote.
--- a/src/agreement/RaftInspect.cpp
+++ b/src/agreement/RaftInspect.cpp
@@ -126,6 +126,7 @@
     this->Put(aProgress.ackedRound);
     this->PutAge(aProgress.lastSent, aNow);
     this->PutAge(aProgress.lastHeard.value_or(Time()), aNow);
+    this->PutAge(aProgress.linkLostAt.value_or(Time()), aNow);
     this->Put(aProgress.ackedOffset);
     this->Put(aProgress.sentOffset);
     this->Put(aProgress.recovery);
@@ -174,6 +175,8 @@
   writer.Put(this->requestedSnapshotIndex);
   writer.PutAge(this->electionDeadline + this->campaignDelay, this->now);
   writer.PutAge(this->lastLeaderContact, this->now);
+  writer.PutAge(this->leaderLinkLostAt.value_or(Time()), this->now);
+  writer.PutAge(this->deadlineBeforeLinkLoss, this->now);
   writer.Put(this->recoveryNonce);
   for (const InstanceId& voter : this->votes) {
     writer.Put(voter);
--- a/src/agreement/RaftReplication.cpp
+++ b/src/agreement/RaftReplication.cpp
@@ -319,8 +319,13 @@
 Raft::LastHeard(const InstanceId& aReplica) const
 {
   const auto found = this->impl->progress.find(aReplica);
-  return found == this->impl->progress.end() ? std::nullopt
-                                             : found->second.lastHeard;
+  if (found == this->impl->progress.end()) {
+    return std::nullopt;
+  }
+  const Progress& state = found->second;
+  const bool isStale = state.lastHeard && state.linkLostAt &&
+                       *state.lastHeard <= *state.linkLostAt;
+  return isStale ? std::nullopt : state.lastHeard;
 }
 
 bool
--- a/test/agreement/FaultTest.cpp
+++ b/test/agreement/FaultTest.cpp
@@ -68,7 +68,7 @@
   hyssoppaddle::Random& random = aCluster.random;
   const std::size_t node = random.Below(aCluster.Size());
   const std::size_t other = random.Below(aCluster.Size());
-  switch (random.Below(9)) {
+  switch (random.Below(11)) {
     case 0:
       if (aCluster.IsUp(node)) {
         aCluster.Crash(node);
@@ -93,6 +93,12 @@
     case 7:
       aCluster.Transfer();
       return;
+    case 8:
+      aCluster.CloseLinks(node);
+      return;
+    case 9:
+      aCluster.RestoreLink(node, other);
+      return;
     default:
       if (aScenario.changes) {
         aCluster.Change(static_cast<ChangeKind>(random.Below(4)), node);
--- a/test/agreement/Simulation.cpp
+++ b/test/agreement/Simulation.cpp
@@ -187,7 +187,7 @@
                                            node.disk.content,
                                            this->random.Next(),
                                            this->LocalTime(node),
-                                           raft::RaftTimes{},
+                                           this->times,
                                            this->limits);
 }
 
@@ -215,6 +215,44 @@
   }
 }
 
+void
+Simulation::CloseLinks(std::size_t aNode)
+{
+  for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+    if (i != aNode) {
+      this->CloseLink(aNode, i);
+    }
+  }
+}
+
+void
+Simulation::CloseLink(std::size_t aOne, std::size_t aOther)
+{
+  for (const auto& [at, peer] :
+       { std::pair(aOne, aOther), std::pair(aOther, aOne) }) {
+    if (this->nodes[at].raft) {
+      this->Schedule(this->now,
+                     at,
+                     this->nodes[at].incarnation,
+                     raft::LinkLost{ this->nodes[peer].id });
+    }
+  }
+}
+
+void
+Simulation::RestoreLink(std::size_t aOne, std::size_t aOther)
+{
+  for (const auto& [at, peer] :
+       { std::pair(aOne, aOther), std::pair(aOther, aOne) }) {
+    if (this->nodes[at].raft) {
+      this->Schedule(this->now,
+                     at,
+                     this->nodes[at].incarnation,
+                     raft::LinkRestored{ this->nodes[peer].id });
+    }
+  }
+}
+
 void
 Simulation::SetInitial(std::size_t aNode, raft::Configuration aInitial)
 {
--- a/test/agreement/Simulation.h
+++ b/test/agreement/Simulation.h
@@ -47,6 +47,11 @@
   void Wipe(std::size_t aNode); // erases the storage of a stopped node
   void Pause(std::size_t aNode, Duration aFor);
   void SetLinkBlocked(std::size_t aFrom, std::size_t aTo, bool aBlocked);
+  // The connections between the node and the others are closed, and both ends
+  // notice it at once. Messages still arrive unless the links are blocked.
+  void CloseLinks(std::size_t aNode);
+  void CloseLink(std::size_t aOne, std::size_t aOther);
+  void RestoreLink(std::size_t aOne, std::size_t aOther);
   // Replaces the bootstrap configuration that the node uses without a log.
   void SetInitial(std::size_t aNode, raft::Configuration aInitial);
   [[nodiscard]] bool IsLinkBlocked(std::size_t aFrom, std::size_t aTo) const;
@@ -74,6 +79,7 @@
   [[nodiscard]] bool NoneRecovering() const;
   [[nodiscard]] raft::Configuration AllVoters() const;
 
+  raft::RaftTimes times; // of the replicas that are started from now on
   std::string violation; // empty while all rules hold
   std::uint64_t committedProposals = 0;
   std::uint64_t failedProposals = 0;
