Decide by the state of the replicas how long a call waits for a leader

Cause: without a leader each call is refused after 120 ms, although an election among live replicas ends within most callers' time limits. While nobody can be elected, calls that may have run are held to their time limits, and their callers can't ask again. Change: LeaderAbsence holds a call for an election that can succeed, for as long as its caller can use the answer, and refuses it at once otherwise; Retry-After grows with the outage within the caller's time. A call that a lost leader has received is answered as undecided at once while nobody can be elected. The router counts held and refused calls.

--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -1,6 +1,7 @@
 // Forwards calls, retries unanswered ones and gives up at the deadline.
 #include "node/CallRouter.h"
 
+#include "dispatch/Text.h"
 #include "node/CallDeadline.h"
 
 #include <algorithm>
@@ -9,13 +10,9 @@
 
 namespace {
 
-// An unsent call is refused after this time if no leader is known. An election
-// takes longer, and the caller can use the remaining time elsewhere.
-constexpr Duration kLeaderWaitLimit = std::chrono::milliseconds(120);
-// The same for a leader that refuses the call: it hands over its leadership, or
-// has been elected and has not applied the log yet.
+// An unsent call is refused after this time if the leader refuses it: it hands
+// over its leadership, or has been elected and has not applied the log yet.
 constexpr Duration kUnreadyLeaderWaitLimit = std::chrono::milliseconds(300);
-constexpr Duration kNoLeaderRetryAfter = std::chrono::seconds(1);
 // Reserved so that the reply reaches the sender before its time limit.
 constexpr Duration kReplyMargin = std::chrono::milliseconds(60);
 
@@ -64,12 +61,14 @@
   open.waitingSince = aNow;
   open.answerBy = aNow + std::max(aLimit - kReplyMargin, aLimit / 2);
   if (this->closed) {
-    this->GiveUp(token);
+    this->GiveUp(token, {}, aNow);
     return;
   }
   const InstanceId leader = this->callbacks.leader();
   if (!leader.empty()) {
     this->Forward(token, leader, aNow);
+  } else if (this->MustGiveUp(open, leader, aNow)) {
+    this->GiveUp(token, this->callbacks.absence(aNow), aNow);
   }
 }
 
@@ -82,6 +81,10 @@
   OpenCall& open = this->calls.insert(std::move(entry)).position->second;
   open.call.token = token;
   open.sentTo = aLeader;
+  if (open.isHeld) {
+    open.isHeld = false;
+    ++this->heldCalls;
+  }
   open.refused = false;
   SetTimeLeft(open.call, open.answerBy - aNow);
   if (aLeader != this->self) {
@@ -156,12 +159,15 @@
 }
 
 void
-CallRouter::GiveUp(std::uint64_t aToken)
+CallRouter::GiveUp(std::uint64_t aToken,
+                   const LeaderAbsence& aAbsence,
+                   Time aNow)
 {
   const OpenCall& call = this->calls.at(aToken);
   Reply reply;
   reply.outcome = call.MayHaveRun() ? Outcome::Undecided : Outcome::Unavailable;
-  reply.retryAfter = kNoLeaderRetryAfter;
+  reply.retryAfter = ReturnAfter(aAbsence, call.answerBy - aNow, aToken);
+  this->refusedCalls += call.MayHaveRun() ? 0 : 1;
   const std::string notSent = this->closed ? "node stops" : "no leader known";
   this->callbacks.logDecision(
     { "call_given_up",
@@ -169,7 +175,11 @@
       { { "method", call.call.method },
         { "target", call.call.target },
         { "sent_to", call.sentTo ? call.sentTo->value : notSent },
-        { "may_have_run", call.MayHaveRun() ? "yes" : "no" } } });
+        { "may_have_run", call.MayHaveRun() ? "yes" : "no" },
+        { "absent_ms", dispatch::Text(aAbsence.lasted) },
+        { "replicas", dispatch::Text(aAbsence.replicas) },
+        { "reachable", dispatch::Text(aAbsence.reachable) },
+        { "retry_after_ms", dispatch::Text(reply.retryAfter) } } });
   this->OnRoutedReply(aToken, { true, false, this->callbacks.encode(reply) });
 }
 
@@ -182,24 +192,31 @@
     open.push_back(token);
   }
   for (const std::uint64_t token : open) {
-    this->GiveUp(token);
+    this->GiveUp(token, {}, this->calls.at(token).answerBy);
   }
 }
 
 bool
 CallRouter::MustGiveUp(const OpenCall& aCall,
                        const InstanceId& aLeader,
-                       Time aNow)
+                       Time aNow) const
 {
   if (aNow >= aCall.answerBy) {
     return true;
   }
-  if (aCall.sentTo || aCall.MayHaveRun()) {
+  if (aCall.sentTo) {
     return false;
   }
-  const Duration waited = aNow - aCall.waitingSince.value_or(aNow);
-  return aLeader.empty() ? waited >= kLeaderWaitLimit
-                         : aCall.refused && waited >= kUnreadyLeaderWaitLimit;
+  const Time since = aCall.waitingSince.value_or(aNow);
+  if (aLeader.empty()) {
+    const LeaderAbsence absence = this->callbacks.absence(aNow);
+    // Only the next leader knows whether an earlier one has executed the call.
+    const bool needsLeader = aCall.MayHaveRun() && absence.CanElect();
+    return !needsLeader &&
+           aNow >= HoldUntil(absence, since, aCall.answerBy, aNow);
+  }
+  return !aCall.MayHaveRun() && aCall.refused &&
+         aNow - since >= kUnreadyLeaderWaitLimit;
 }
 
 void
@@ -216,10 +233,12 @@
     if (!call.sentTo && !call.waitingSince) {
       call.waitingSince = aNow;
     }
-    if (MustGiveUp(call, leader, aNow)) {
+    if (this->MustGiveUp(call, leader, aNow)) {
       expired.push_back(token);
     } else if (!call.sentTo && !leader.empty()) {
       unsent.push_back(token);
+    } else if (!call.sentTo) {
+      call.isHeld = true;
     }
   }
   for (const std::uint64_t token : unsent) {
@@ -227,7 +246,7 @@
   }
   for (const std::uint64_t token : expired) {
     if (this->calls.contains(token)) {
-      this->GiveUp(token);
+      this->GiveUp(token, this->callbacks.absence(aNow), aNow);
     }
   }
 }
--- a/src/node/CallRouter.h
+++ b/src/node/CallRouter.h
@@ -10,6 +10,7 @@
 #include "base/TokenSequence.h"
 #include "dispatch/Decision.h"
 #include "node/Calls.h"
+#include "node/LeaderAbsence.h"
 #include "wire/PeerMessage.h"
 
 #include <functional>
@@ -29,12 +30,19 @@
 class CallRouter
 {
 public:
+  // Longer than any election.
+  static constexpr Duration kLongAbsence = std::chrono::hours(1);
+
   using RoutedReplyCallback = std::function<void(RoutedReply)>;
   struct Callbacks
   {
     // The node that accepts calls now, which may be this one; empty when there
     // is none.
     std::function<InstanceId()> leader;
+    // Used while there is none. By default no leader is expected soon.
+    std::function<LeaderAbsence(Time)> absence = [](Time) {
+      return LeaderAbsence{ kLongAbsence, kLongAbsence, 0, 0 };
+    };
     std::function<void(const InstanceId&, const wire::RemoteCall&)> send;
     std::function<void(wire::RemoteCall, RoutedReplyCallback)> handleLocally;
     // Encodes a reply that this node generates itself.
@@ -74,6 +82,13 @@
   {
     return this->calls.size();
   }
+  // Calls refused as not run because no leader accepted them in time.
+  [[nodiscard]] std::uint64_t CountRefused() const
+  {
+    return this->refusedCalls;
+  }
+  // Calls that a leader received after they had waited for one.
+  [[nodiscard]] std::uint64_t CountHeld() const { return this->heldCalls; }
 
 private:
   struct OpenCall
@@ -91,6 +106,7 @@
     // True when the node that received the call last is not the leader or not
     // ready.
     bool refused = false;
+    bool isHeld = false; // has waited for a leader at the last tick
 
     // Always false for a read, which has no effect.
     [[nodiscard]] bool MayHaveRun() const;
@@ -100,18 +116,20 @@
   void Forward(std::uint64_t aToken, const InstanceId& aLeader, Time aNow);
   // True when the caller is better served by another attempt later. aLeader is
   // empty when there is none.
-  [[nodiscard]] static bool MustGiveUp(const OpenCall& aCall,
-                                       const InstanceId& aLeader,
-                                       Time aNow);
+  [[nodiscard]] bool MustGiveUp(const OpenCall& aCall,
+                                const InstanceId& aLeader,
+                                Time aNow) const;
   void OnLocalReply(std::uint64_t aToken, RoutedReply aReply);
   void OnRoutedReply(std::uint64_t aToken, RoutedReply aReply);
-  void GiveUp(std::uint64_t aToken);
+  void GiveUp(std::uint64_t aToken, const LeaderAbsence& aAbsence, Time aNow);
 
   InstanceId self;
   Callbacks callbacks;
   TokenSequence tokens;
   std::map<std::uint64_t, OpenCall> calls; // by token of the last attempt
   bool closed = false;                     // since GiveUpAll
+  std::uint64_t refusedCalls = 0;
+  std::uint64_t heldCalls = 0;
 };
 
 } // namespace hyssoppaddle::node
