Tell the replica about its connections, and time each takeover

Change: nodes pass lost and restored connections to Raft, campaign 500 ms after a restart, tick exactly at the election deadline, and hold calls by LeaderAbsence. TakeoverMeter writes one takeover line and gauges for each change. The leadership parts of NodeTimers and NodeEvents move to NodeLeadership.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -65,6 +65,7 @@
   times.learnerHeartbeat = std::chrono::milliseconds(300);
   times.minElectionTimeout = std::chrono::milliseconds(900);
   times.maxElectionTimeout = std::chrono::milliseconds(1400);
+  times.restartGrace = std::chrono::milliseconds(500);
   return times;
 }
 
@@ -141,6 +142,8 @@
   if (!started) {
     return started;
   }
+  this->callTargetLostAt = SuspendAwareNow();
+  this->takeover.OnLeaderLost(this->callTargetLostAt);
   this->DialLinkTargets();
   this->ArmSignals();
   this->ArmTick();
@@ -221,6 +224,9 @@
           { "leads",
             aRole.role == agreement::Role::Leader ? "yes" : "no" } } });
     this->nextStatusAt = Time{}; // send the new status at once
+    if (aRole.role == agreement::Role::Leader) {
+      this->takeover.OnElected(SuspendAwareNow());
+    }
   };
   hooks.unreadable = [this](const Error& aError) {
     this->LogUnthrottled(
@@ -311,6 +317,7 @@
 {
   CallRouter::Callbacks callbacks;
   callbacks.leader = [this] { return this->CallTarget(); };
+  callbacks.absence = [this](Time aNow) { return this->Absence(aNow); };
   callbacks.send = [this](const InstanceId& aTo,
                           const wire::RemoteCall& aCall) {
     this->peers->Send(aTo, aCall);
@@ -347,13 +354,22 @@
     this->LogUnthrottled({ "peer_connected", {}, { { "peer", aPeer.value } } });
     const Time now = SuspendAwareNow();
     this->cluster.RecordContact(aPeer, now);
+    this->CheckElectable(now);
     this->peers->Send(aPeer, this->MakeStatus(now));
+    if (this->replica) {
+      this->StepReplica(agreement::LinkRestored{ aPeer }, now);
+    }
     this->ScheduleOutputProcessing();
   };
   hooks.lost = [this](const InstanceId& aPeer) {
     this->LogUnthrottled({ "peer_lost", {}, { { "peer", aPeer.value } } });
+    const Time now = SuspendAwareNow();
     this->cluster.RemoveNode(aPeer);
+    this->CheckElectable(now);
     this->router->OnPeerLost(aPeer);
+    if (this->replica) {
+      this->StepReplica(agreement::LinkLost{ aPeer }, now);
+    }
     this->ScheduleOutputProcessing();
   };
   this->peers = std::make_shared<PeerNetwork>(
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -15,7 +15,8 @@
 
 // A leader sends instructions only while a majority of the voters has answered
 // within this time. It is shorter than the minimum election timeout (900 ms),
-// after which another leader may have been elected.
+// after which another leader may have been elected. Voters whose connection was
+// closed may elect one sooner, and count only after their next answer.
 constexpr Duration kQuorumContactLimit = std::chrono::milliseconds(800);
 // Calls are handled for this long before other events get their turn.
 constexpr Duration kMaxCallPass = std::chrono::milliseconds(10);
@@ -245,26 +246,6 @@
   this->ArmTick();
 }
 
-InstanceId
-Node::Impl::CallTarget()
-{
-  const InstanceId leader = this->cluster.Leader(SuspendAwareNow());
-  if (leader == this->self) {
-    return this->dispatcherTerm != 0 ? leader : InstanceId();
-  }
-  return this->peers->IsConnected(leader) ? leader : InstanceId();
-}
-
-void
-Node::Impl::RouteWaitingCalls()
-{
-  InstanceId target = this->CallTarget();
-  if (target != this->lastCallTarget) {
-    this->lastCallTarget = std::move(target);
-    this->router->Tick(SuspendAwareNow());
-  }
-}
-
 // Posts the processing to the event loop, so that all output of the current
 // handlers is proposed and sent together.
 void
@@ -300,28 +281,6 @@
   }
 }
 
-void
-Node::Impl::CheckLeadership()
-{
-  const std::uint64_t leadingTerm =
-    this->replica->HasCaughtUp() ? this->replica->RaftState().CurrentTerm() : 0;
-  if (leadingTerm == this->dispatcherTerm) {
-    return;
-  }
-  this->dispatcherTerm = leadingTerm;
-  this->rejectedCommands.clear();
-  if (leadingTerm == 0) {
-    this->dispatcher->LoseLeadership();
-    this->callQueue.DiscardAll(); // their routers send them to the next leader
-    this->LogThrottled({ "leadership_lost", {}, {} });
-    return;
-  }
-  this->orderPermission.OnElected();
-  this->handover.OnElected(SuspendAwareNow());
-  this->dispatcher->BecomeLeader(
-    leadingTerm, SuspendAwareNow(), shell::WallClockNow());
-}
-
 void
 Node::Impl::ProposeDispatcherCommands(std::vector<work::Command> aCommands)
 {
@@ -404,6 +363,9 @@
     });
     return;
   }
+  if (std::holds_alternative<dispatch::StartTask>(aInstruction)) {
+    this->takeover.OnStep(TakeoverStep::FirstStart, SuspendAwareNow());
+  }
   this->metrics->Add(shell::Counter::InstructionsSent);
   this->client->Send(
     this->protocol->EncodeInstruction(aInstruction), maySend, answer);
--- a/src/node/NodeImpl.h
+++ b/src/node/NodeImpl.h
@@ -20,6 +20,7 @@
 #include "node/Replica.h"
 #include "node/SpeedProbe.h"
 #include "node/StopSequence.h"
+#include "node/TakeoverMeter.h"
 #include "shell/HttpServer.h"
 #include "shell/PeerNetwork.h"
 #include "shell/StorageThread.h"
@@ -67,7 +68,6 @@
   void HandleCall(QueuedCall aCall);
   void ScheduleOutputProcessing();
   void ProcessDispatcherOutput();
-  void CheckLeadership();
   void ProposeDispatcherCommands(std::vector<work::Command> aCommands);
   void Execute(const dispatch::Instruction& aInstruction);
   void HandleAnswer(const dispatch::Instruction& aInstruction,
@@ -75,22 +75,13 @@
   void Propose(std::vector<work::Command> aCommands,
                Replica::ProposalCallback aDone);
   [[nodiscard]] bool MaySendInstructions(Time aNow) const;
-  [[nodiscard]] InstanceId CallTarget();
-  // Routes the waiting calls if CallTarget has changed since the last call.
-  void RouteWaitingCalls();
 
   // After an exception in a handler. What this node keeps only in memory can be
   // incomplete, so another one should lead.
   void OnHandlerError();
 
-  // NodeTimers.cpp: periodic tasks, stop and reload.
-  void ArmTick();
-  void Tick();
-  void StepReplica(const agreement::Event& aEvent, Time aNow);
-  void TickDispatcher(Time aNow);
-  // Must be called first in every handler that can send an order to an
-  // upstream.
-  void DetectPause(Time aNow);
+  // NodeLeadership.cpp: taking office and handing it over.
+  void CheckLeadership();
   void ConfirmLeadership(Time aNow);
   // Orders end with the first offer to another voter.
   void TransferLeadership(InstanceId aTo, Time aNow);
@@ -100,6 +91,21 @@
                          const wire::RemoteReply& aReport);
   void HandOverIfSlow(Time aNow);
   void HandOverIfStorageRefuses(Time aNow);
+  void MeasureTakeover(Time aNow);
+  [[nodiscard]] LeaderAbsence Absence(Time aNow) const;
+  void CheckElectable(Time aNow);
+  [[nodiscard]] InstanceId CallTarget();
+  // Routes the waiting calls if CallTarget has changed since the last call.
+  void RouteWaitingCalls();
+
+  // NodeTimers.cpp: periodic tasks, stop and reload.
+  void ArmTick();
+  void Tick();
+  void StepReplica(const agreement::Event& aEvent, Time aNow);
+  void TickDispatcher(Time aNow);
+  // Must be called first in every handler that can send an order to an
+  // upstream.
+  void DetectPause(Time aNow);
   [[nodiscard]] wire::NodeStatus MakeStatus(Time aNow) const;
   void SendStatus(Time aNow);
   void DialLinkTargets();
@@ -168,6 +174,11 @@
   std::vector<work::Command> rejectedCommands;
   InstanceId lastLoggedLeader; // leader last reported in the log
   InstanceId lastCallTarget;   // node to which calls were routed last
+  Time callTargetLostAt{};     // when lastCallTarget became empty
+  // Whether the replicas that are connected can elect a leader, and since when.
+  bool canElect = false;
+  Time electableSince{};
+  TakeoverMeter takeover;
   StopSequence stop;
   // Of transfers before a stop, and of those while the disk takes no writes.
   Time nextTransferAttempt{};
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -18,36 +18,34 @@
 // Resolution of the timeouts. The leader also renews leases at its tick.
 constexpr milliseconds kLeaderTick{ 25 };
 constexpr milliseconds kNonLeaderTick{ 60 };
+constexpr Duration kMinTick = milliseconds(5);
 constexpr Duration kStatusInterval = milliseconds(500);
 constexpr Duration kJoinInterval = milliseconds(250);
 constexpr Duration kChangeInterval = milliseconds(200);
 // If no handler has run for this long, the process must confirm its leadership
-// before it sends the next order. It is shorter than the minimum election
-// timeout, after which another node may be the leader.
+// before it sends the next order. It is shorter than the time after which
+// another node may be the leader: the minimum election timeout, or the grace
+// for a lost link.
 constexpr Duration kMaxUnconfirmedGap = milliseconds(300);
 // If no handler has run for this long, the process or its machine was paused.
 constexpr Duration kPauseThreshold = milliseconds(700);
 constexpr Duration kTransferRetryInterval = milliseconds(400);
-// A transfer that fails keeps proposals back until its own time limit. The next
-// one waits longer than that, because the disks of all voters may be full.
-constexpr Duration kRefusedTransferInterval = std::chrono::seconds(3);
-// Added to the election timeout of a slow replica. It exceeds the range of the
-// timeouts of the others.
-constexpr Duration kSlowCampaignDelay = milliseconds(600);
-constexpr Duration kSpeedReportInterval = milliseconds(200);
 // A shortage of descriptors has ended after this time without refusals.
 constexpr Duration kShortageEnd = std::chrono::seconds(2);
-// Name of the field in a report of a voter to the leader.
-constexpr std::string_view kSlownessField = "slowness";
 
 } // namespace
 
 void
 Node::Impl::ArmTick()
 {
-  const Duration interval =
-    this->dispatcherTerm != 0 ? kLeaderTick : kNonLeaderTick;
-  this->tickDueAt = SuspendAwareNow() + interval;
+  const Time now = SuspendAwareNow();
+  Duration interval = this->dispatcherTerm != 0 ? kLeaderTick : kNonLeaderTick;
+  if (this->replica && this->dispatcherTerm == 0) {
+    // Campaigns of different voters are only a tick apart.
+    const Duration left = this->replica->RaftState().NextTick() - now;
+    interval = std::clamp<Duration>(left, kMinTick, interval);
+  }
+  this->tickDueAt = now + interval;
   this->tickTimer.expires_after(interval);
   this->tickTimer.async_wait([this](shell::ErrorValue aError) {
     if (!aError) {
@@ -80,6 +78,7 @@
     this->RequestJoin(now);
     this->ChangeReplicas(now);
     this->ProcessDispatcherOutput();
+    this->MeasureTakeover(now);
   }
   this->router->Tick(now);
   this->SendStatus(now);
@@ -139,107 +138,6 @@
   }
 }
 
-void
-Node::Impl::ConfirmLeadership(Time aNow)
-{
-  if (!this->replica->IsLeader() ||
-      this->replica->RaftState().IsTransferring()) {
-    return;
-  }
-  if (const auto ticket = this->orderPermission.BeginRound()) {
-    this->replica->Confirm(aNow, [this, ticket = *ticket](bool aConfirmed) {
-      this->orderPermission.EndRound(ticket, aConfirmed);
-    });
-  }
-}
-
-void
-Node::Impl::TransferLeadership(InstanceId aTo, Time aNow)
-{
-  this->StepReplica(agreement::TransferLeadership{ std::move(aTo) }, aNow);
-  // It may have ended already, or found no voter.
-  if (this->replica->RaftState().IsTransferring()) {
-    this->orderPermission.OnTransfer();
-  }
-}
-
-void
-Node::Impl::MeasureSpeed(Time aNow)
-{
-  this->speedProbe.Tick(aNow);
-  const bool shouldWait = this->storageRefuses ||
-                          this->speedProbe.Slowness() >= HandoverPolicy::kSlow;
-  this->replica->DelayCampaigns(shouldWait ? kSlowCampaignDelay : Duration(0));
-}
-
-void
-Node::Impl::ReportSpeed(Time aNow)
-{
-  const InstanceId leader = this->cluster.Leader(aNow);
-  if (aNow < this->nextSpeedReport || leader.empty() || leader == this->self) {
-    return;
-  }
-  this->nextSpeedReport = aNow + kSpeedReportInterval;
-  wire::RemoteReply report;
-  report.token = wire::kReportToken;
-  report.fields.push_back({ std::string(kSlownessField),
-                            std::to_string(this->speedProbe.Slowness()) });
-  this->peers->Send(leader, report);
-}
-
-void
-Node::Impl::RecordSpeedReport(const InstanceId& aFrom,
-                              const wire::RemoteReply& aReport)
-{
-  for (const wire::HeaderField& field : aReport.fields) {
-    double slowness = 0;
-    const char* end = field.value.data() + field.value.size();
-    const auto [rest, error] =
-      std::from_chars(field.value.data(), end, slowness);
-    if (field.name == kSlownessField && error == std::errc() && rest == end) {
-      this->handover.Record(aFrom, slowness, SuspendAwareNow());
-    }
-  }
-}
-
-void
-Node::Impl::HandOverIfSlow(Time aNow)
-{
-  if (this->dispatcherTerm == 0 || this->stop.HasBegun()) {
-    return;
-  }
-  const double slowness = this->speedProbe.Slowness();
-  const auto next = this->handover.Choose(
-    slowness,
-    this->replica->RaftState().ActiveConfiguration().voters,
-    this->self,
-    aNow);
-  if (!next) {
-    return;
-  }
-  this->LogUnthrottled(
-    { "leadership_handed_over",
-      {},
-      { { "to", next->value }, { "slowness", std::to_string(slowness) } } });
-  this->TransferLeadership(*next, aNow);
-}
-
-// A leader that cannot write still commits what a majority of the others has
-// written, but keeps everything in memory.
-void
-Node::Impl::HandOverIfStorageRefuses(Time aNow)
-{
-  const bool leads = this->dispatcherTerm != 0;
-  if (!leads || !this->storageRefuses || this->stop.HasBegun() ||
-      aNow < this->nextTransferAttempt) {
-    return;
-  }
-  this->nextTransferAttempt = aNow + kRefusedTransferInterval;
-  this->LogUnthrottled(
-    { "leadership_handed_over", {}, { { "reason", "storage_refused" } } });
-  this->TransferLeadership({}, aNow);
-}
-
 wire::NodeStatus
 Node::Impl::MakeStatus(Time aNow) const
 {
@@ -438,6 +336,12 @@
     { "peers_connected",
       "Links to other nodes.",
       number(this->peers->Connected()) },
+    { "calls_refused_without_leader",
+      "Calls refused as not run since the start because no leader took them.",
+      number(this->router->CountRefused()) },
+    { "calls_held",
+      "Calls since the start that waited for a leader and were then sent.",
+      number(this->router->CountHeld()) },
     { "is_leader", "1 on the leader.", this->dispatcherTerm != 0 ? 1.0 : 0.0 },
     { "upstream_connections_opened",
       "Connections opened to upstreams.",
@@ -485,6 +389,18 @@
             std::string(LoopMeter::NameOf(part)) + "\"} " +
             std::to_string(total.count()) + "\n";
   }
+  text += "# HELP hyssoppaddle_takeover_seconds Time since the loss of the "
+          "earlier leader, in the last takeover.\n"
+          "# TYPE hyssoppaddle_takeover_seconds gauge\n";
+  for (std::size_t i = 0; i < TakeoverMeter::kSteps; ++i) {
+    const auto step = static_cast<TakeoverStep>(i);
+    if (const auto elapsed = this->takeover.TimeTo(step)) {
+      text += "hyssoppaddle_takeover_seconds{step=\"" +
+              std::string(TakeoverMeter::NameOf(step)) + "\"} " +
+              std::to_string(std::chrono::duration<double>(*elapsed).count()) +
+              "\n";
+    }
+  }
   text += "# HELP hyssoppaddle_decisions_total Decisions by kind.\n"
           "# TYPE hyssoppaddle_decisions_total counter\n";
   for (const auto& [kind, count] : this->log.Counts()) {
