Hold calls while the leader is silent

Cause: a leader without power closes no connection, so nodes sent it calls for up to 1.6 s of silence. Change: a leader that has sent nothing for one and a half status intervals gets no further calls until it is heard again; they are held as in any absence.

--- a/src/node/Cluster.cpp
+++ b/src/node/Cluster.cpp
@@ -8,6 +8,8 @@
 // Three status intervals (of 500 ms) without any message; the connection is
 // then closed.
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(1600);
+// One and a half status intervals.
+constexpr Duration kOverdueLimit = std::chrono::milliseconds(750);
 // A report of the leader is ignored when it is older than this.
 constexpr Duration kLeaderInfoLifetime = std::chrono::milliseconds(1600);
 
@@ -150,6 +152,14 @@
   return silent;
 }
 
+bool
+Cluster::IsOverdue(const InstanceId& aNode, Time aNow) const
+{
+  const auto found = this->nodes.find(aNode);
+  return found == this->nodes.end() ||
+         aNow - found->second.heardAt > kOverdueLimit;
+}
+
 void
 Cluster::ResetSilenceTimers(Time aNow)
 {
--- a/src/node/Cluster.h
+++ b/src/node/Cluster.h
@@ -51,6 +51,10 @@
   [[nodiscard]] std::vector<InstanceId> Replicas() const;
   // Connected nodes that have sent no message for too long.
   [[nodiscard]] std::vector<InstanceId> SilentNodes(Time aNow) const;
+  // True for a node that has sent no message for longer than the interval of
+  // its status messages. Its machine may be without power, which closes no
+  // connection.
+  [[nodiscard]] bool IsOverdue(const InstanceId& aNode, Time aNow) const;
   // Called after this node was paused: it could not receive messages, so the
   // silence does not mean that the other nodes have failed.
   void ResetSilenceTimers(Time aNow);
--- a/src/node/NodeLeadership.cpp
+++ b/src/node/NodeLeadership.cpp
@@ -206,11 +206,16 @@
 InstanceId
 Node::Impl::CallTarget()
 {
-  const InstanceId leader = this->cluster.Leader(SuspendAwareNow());
+  const Time now = SuspendAwareNow();
+  const InstanceId leader = this->cluster.Leader(now);
   if (leader == this->self) {
     return this->dispatcherTerm != 0 ? leader : InstanceId();
   }
-  return this->peers->IsConnected(leader) ? leader : InstanceId();
+  // What is sent to a leader that has fallen silent may or may not be executed.
+  // Until it is heard again, calls are held instead.
+  const bool isHeard =
+    this->peers->IsConnected(leader) && !this->cluster.IsOverdue(leader, now);
+  return isHeard ? leader : InstanceId();
 }
 
 void
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -80,6 +80,7 @@
     this->ProcessDispatcherOutput();
     this->MeasureTakeover(now);
   }
+  this->RouteWaitingCalls();
   this->router->Tick(now);
   this->SendStatus(now);
   if (this->stop.HasBegun()) {
--- a/test/node/NodeTest.cpp
+++ b/test/node/NodeTest.cpp
@@ -350,6 +350,26 @@
   });
 }
 
+// Guards against calls that are sent to a leader without power, whose
+// connection stays open, and then count as calls that may have run.
+Test(Cluster, ALeaderThatMissesItsStatusIsOverdueUntilItIsHeardAgain)
+{
+  TestTrace trace;
+  const InstanceId leader("l");
+  Cluster cluster(InstanceId("a"), false);
+  EXPECT_THAT(trace, cluster.IsOverdue(leader, kStart));
+  cluster.OnStatus(leader, { true, leader, 4, {} }, kStart);
+  EXPECT_THAT(trace, !cluster.IsOverdue(leader, kStart + milliseconds(600)));
+  EXPECT_THAT(trace, cluster.IsOverdue(leader, kStart + milliseconds(800)));
+  trace.Section("it is still the leader that this node knows", [&] {
+    EXPECT_EQUAL(trace, cluster.Leader(kStart + milliseconds(800)), leader);
+  });
+  trace.Section("any message counts", [&] {
+    cluster.RecordContact(leader, kStart + milliseconds(900));
+    EXPECT_THAT(trace, !cluster.IsOverdue(leader, kStart + seconds(1)));
+  });
+}
+
 Test(Cluster, FollowsTheHighestTermWhileItsReportIsRecent)
 {
   TestTrace trace;
