--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -81,6 +81,7 @@
     this->ProcessDispatcherOutput();
     this->MeasureTakeover(now);
   }
+  this->RouteWaitingCalls();
   this->router->Tick(now);
   this->SendStatus(now);
   if (this->stop.HasBegun()) {
