Learn which kinds of tasks slow each other down, off by default

Cause: nothing learns which kinds of tasks take longer beside which, so they share upstreams also where there is room apart. Change: Interference compares the runs of a kind with and without each neighbour by a rank sum, over several jobs and upstreams, with a bound and an age limit; placement takes it as one more criterion. RunObservation names the neighbours. `learn_interference` switches it on.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -53,6 +53,7 @@
   this->turns = {};
   this->recentLoads.clear();
   this->runWatch = {};
+  this->interference = {};
   this->secondRunsWanted.clear();
 }
 
@@ -384,7 +385,11 @@
   if (aCommand.kind == work::EndKind::Done) {
     session.consecutiveFailures = 0;
     this->failedOn.erase(aCommand.task);
-    this->runWatch.ObserveEnd(aCommand, aRun, session, this->now);
+    const auto observation =
+      this->runWatch.ObserveEnd(aCommand, aRun, session, this->now);
+    if (observation && this->options.learnsInterference) {
+      this->interference.Add(*observation, this->now);
+    }
     this->StopOtherRuns(aCommand.task, aRun);
   }
   if (aCommand.kind == work::EndKind::Failed) {
@@ -436,6 +441,7 @@
     this->PlanAgainIfUsable(session);
   }
   this->ReviewRuns();
+  this->ReviewInterference();
   this->CompleteSettledPlans();
   std::erase_if(this->owner.takenDown, [this](const auto& aItem) {
     return this->now >= aItem.second.until;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -16,6 +16,7 @@
 #include "dispatch/Decision.h"
 #include "dispatch/DemandForecast.h"
 #include "dispatch/InstanceOwner.h"
+#include "dispatch/Interference.h"
 #include "dispatch/JobView.h"
 #include "dispatch/Options.h"
 #include "dispatch/OrderHistory.h"
@@ -148,6 +149,8 @@
   void StopOtherRuns(const work::TaskRef& aTask, const LiveRun& aDone);
   // Looks for runs that may end too late where they are.
   void ReviewRuns();
+  // Logs which kinds of tasks have been found to slow each other down.
+  void ReviewInterference();
   void AddSecondRuns(JobView& aView) const;
 
   // DispatcherSessions.cpp: leases and the task lists of upstreams.
@@ -375,6 +378,8 @@
   OrderHistory history; // kept when leadership is lost
 
   RunWatch runWatch;
+  Interference interference;
+  Time interferenceReviewedAt{};
   // Tasks with one run that should get another one elsewhere.
   std::set<work::TaskRef> secondRunsWanted;
   Time runsReviewedAt{};
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -383,7 +383,12 @@
   PlacementQuery query;
   query.step = &this->FindJob(aTask.job)->spec.steps[aTask.step];
   query.task = aTask;
-  query.runs = this->FindJob(aTask.job)->Find(aTask)->runs;
+  const work::Job& job = *this->FindJob(aTask.job);
+  query.runs = job.Find(aTask)->runs;
+  if (!this->interference.IsEmpty()) {
+    query.interference = &this->interference;
+    query.kind = KindOf(job.queue, *query.step, aTask.step);
+  }
   if (const auto failed = this->failedOn.find(aTask);
       failed != this->failedOn.end()) {
     query.avoid = failed->second;
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -15,6 +15,8 @@
 
 // Interval between two reviews of the runs.
 constexpr Duration kReviewInterval = milliseconds(100);
+// Interval between two comparisons of kinds of tasks.
+constexpr Duration kInterferenceInterval = seconds(1);
 
 } // namespace
 
@@ -375,6 +377,27 @@
   }
 }
 
+void
+Dispatcher::ReviewInterference()
+{
+  if (this->now - this->interferenceReviewedAt < kInterferenceInterval) {
+    return;
+  }
+  this->interferenceReviewedAt = this->now;
+  for (const InterferenceChange& change :
+       this->interference.Review(this->now)) {
+    this->LogDecision(
+      change.isKnown ? "interference_learned" : "interference_forgotten",
+      {},
+      { { "slowed", change.slowed },
+        { "neighbour", change.neighbour },
+        { "slowdown_percent",
+          Text(static_cast<std::int64_t>(change.slowdown * 100.0)) },
+        { "runs_with", Text(change.with) },
+        { "runs_without", Text(change.without) } });
+  }
+}
+
 void
 Dispatcher::AddSecondRuns(JobView& aView) const
 {
--- a/src/dispatch/Options.h
+++ b/src/dispatch/Options.h
@@ -33,6 +33,8 @@
   Duration moveTime = milliseconds(1500);
   bool hasInstanceOwner = false;
   bool hasAdvisor = false;
+  // Whether tasks that slow each other down are kept apart where there is room.
+  bool learnsInterference = false;
 
   // Derived from them.
   // Four fifths of the longest lease, because a change of the leader takes 2 s.
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -1,5 +1,6 @@
 // Filters and scores the upstreams for one task.
 #include "dispatch/Placement.h"
+#include "dispatch/Interference.h"
 
 #include <algorithm>
 #include <tuple>
@@ -26,6 +27,20 @@
     });
 }
 
+// Number of runs that would slow down the task, or that it would slow down.
+std::int64_t
+CountIncompatible(const UpstreamSession& aSession, const PlacementQuery& aQuery)
+{
+  if (aQuery.interference == nullptr) {
+    return 0;
+  }
+  return std::count_if(
+    aSession.runs.begin(), aSession.runs.end(), [&](const auto& aItem) {
+      return !aQuery.interference->AreCompatible(aItem.second.kind,
+                                                 aQuery.kind);
+    });
+}
+
 Refusal
 RefusalOf(const Candidate& aCandidate, const PlacementQuery& aQuery)
 {
@@ -155,7 +170,8 @@
                        isOffRack,
                        step.longRunning && session.maintenanceDue,
                        session.consecutiveFailures,
-                       Disturbance(session, step),
+                       Disturbance(session, step) +
+                         CountIncompatible(session, aQuery),
                        session.Free().milliCpus };
     if (!best || score < *best) {
       best = score;
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -18,6 +18,8 @@
 
 namespace hyssoppaddle::dispatch {
 
+class Interference;
+
 using Sessions = std::map<InstanceId, UpstreamSession>;
 
 // An upstream that may receive starts.
@@ -35,6 +37,9 @@
   InstanceId avoid; // upstream of the task's last failure
   // Runs of the task that may be executing, when a second one is placed.
   std::span<const work::Run> runs;
+  std::string kind; // see KindOf
+  // Kinds that should not share an upstream; may be null.
+  const Interference* interference = nullptr;
   // Whether there is a ticket to run the step on the upstream; null where the
   // queue needs no advice.
   std::function<bool(const InstanceId&)> hasTicket;
--- a/src/dispatch/RunObservation.h
+++ b/src/dispatch/RunObservation.h
@@ -21,8 +21,8 @@
   double fraction = 1.0;
   Duration declared{ 0 }; // estimate for the whole task
   std::int64_t milliCpus = 0;
-  // Kinds of the other runs on the upstream when this one ended, sorted and
-  // without repetition.
+  // Kinds of the other runs that were on the upstream for at least the second
+  // half of that time, sorted and without repetition.
   std::vector<std::string> neighbours;
 };
 
--- a/src/dispatch/RunWatch.cpp
+++ b/src/dispatch/RunWatch.cpp
@@ -42,6 +42,21 @@
     static_cast<double>(aDuration.count()) * aFactor));
 }
 
+// Kinds of the runs that were there for the second half of the time of aRun.
+std::vector<std::string>
+NeighboursOf(const LiveRun& aRun, const UpstreamSession& aSession)
+{
+  const Time half =
+    *aRun.measuredSince + (aRun.endProposedAt - *aRun.measuredSince) / 2;
+  std::set<std::string> kinds;
+  for (const auto& [key, live] : aSession.runs) {
+    if (live.phase == RunPhase::Confirmed && live.phaseSince <= half) {
+      kinds.insert(live.kind);
+    }
+  }
+  return { kinds.begin(), kinds.end() };
+}
+
 // True when another upstream of the service takes the run now.
 bool
 HasRoomElsewhere(const Sessions& aSessions,
@@ -138,7 +153,7 @@
                      aNow);
 }
 
-void
+std::optional<RunObservation>
 RunWatch::ObserveEnd(const work::EndRun& aEnd,
                      const LiveRun& aRun,
                      const UpstreamSession& aSession,
@@ -146,7 +161,7 @@
 {
   if (!IsMeasurable(aRun) || !aRun.measuredSince ||
       aRun.endEvidence != EndEvidence::Listed || aRun.percentAtStart >= 100) {
-    return;
+    return std::nullopt;
   }
   RunObservation observation;
   observation.kind = aRun.kind;
@@ -156,6 +171,7 @@
   observation.fraction = (100 - aRun.percentAtStart) / 100.0;
   observation.declared = aRun.declared;
   observation.milliCpus = aRun.size.milliCpus;
+  observation.neighbours = NeighboursOf(aRun, aSession);
   this->ObserveSpeed(aEnd.upstream,
                      aEnd.task,
                      this->Expect(aEnd.task, aRun, aNow),
@@ -163,7 +179,7 @@
                      observation.fraction,
                      aNow);
   if (aSession.isSlow) {
-    return;
+    return std::nullopt;
   }
   this->runTimes.Add(observation, aNow);
   // The progress of a short rest is too coarse to tell the time of the whole.
@@ -172,6 +188,7 @@
       StepOf(aEnd.task),
       Scaled(observation.elapsed, 1.0 / observation.fraction));
   }
+  return observation;
 }
 
 void
--- a/src/dispatch/RunWatch.h
+++ b/src/dispatch/RunWatch.h
@@ -49,11 +49,13 @@
                        const RunKey& aKey,
                        LiveRun& aRun,
                        Time aNow);
-  // Called when an end as done is recorded.
-  void ObserveEnd(const work::EndRun& aEnd,
-                  const LiveRun& aRun,
-                  const UpstreamSession& aSession,
-                  Time aNow);
+  // Called when an end as done is recorded and the run has left aSession.
+  // Returns what it has shown, unless its time is not known or its upstream is
+  // held slow.
+  std::optional<RunObservation> ObserveEnd(const work::EndRun& aEnd,
+                                           const LiveRun& aRun,
+                                           const UpstreamSession& aSession,
+                                           Time aNow);
   void ForgetUpstream(const InstanceId& aUpstream)
   {
     this->speeds.Forget(aUpstream);
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -121,6 +121,8 @@
                  Need::Optional);
   reader.Integer(
     "descriptors", settings.descriptors, kDescriptorRange, Need::Optional);
+  reader.Boolean(
+    "learn_interference", settings.dispatch.learnsInterference, Need::Optional);
   ReadSeeds(reader, settings, log);
   ReadDataCentres(reader, settings);
   ReadTolerance(reader, settings, log);
