--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -129,6 +129,8 @@
     "descriptors", settings.descriptors, kDescriptorRange, Need::Optional);
   reader.Integer(
     "memory_mb", settings.memoryMb, kMemoryRangeMb, Need::Optional);
+  reader.Boolean(
+    "learn_interference", settings.dispatch.learnsInterference, Need::Optional);
   ReadSeeds(reader, settings, log);
   ReadDataCentres(reader, settings);
   ReadTolerance(reader, settings, log);
