Rank and admit jobs by what their workspace is owed

Cause: admission compared the whole backlog of a service with the objective of a job and knew no workspace. A workspace that sent many times its weight took the room of all others, and callers of small jobs were rejected because of work that is served after theirs. The order by remaining work alone let a job lose its place to new ones after most of its tasks had started.

Change: WorkspaceShares keeps a token bucket per workspace, filled by its weight (jobs a second); what goes beyond it is lent: it ranks behind owed jobs and is rejected when it would miss its objective, with a Retry-After at its own turn, spread by a hash of the job. Nothing is rejected while no task waits for room. Admission counts the work that is served before the job. WorkRank orders by the core-seconds that must still be started for one unit of value that can be gained in time. A plan orders only as many jobs as it looks at. A new leader derives the shares from the accepted jobs. A weight that is absent, zero or not finite counts as the smallest one of the setup.

--- a/src/dispatch/Admission.cpp
+++ b/src/dispatch/Admission.cpp
@@ -16,10 +16,22 @@
 
 } // namespace
 
+double
+WorkAhead(std::span<const AcceptedWork> aAccepted, const WorkRank& aRank)
+{
+  double work = 0;
+  for (const AcceptedWork& job : aAccepted) {
+    work += job.started; // is not interrupted
+    work += job.rank <= aRank ? job.unstarted : 0;
+  }
+  return work;
+}
+
 std::optional<Duration>
 RetryAfter(const ServiceLoad& aLoad,
            const work::Queue& aQueue,
-           const work::JobSpec& aSpec)
+           const work::JobSpec& aSpec,
+           bool aIsLent)
 {
   const bool lasts =
     std::any_of(aSpec.steps.begin(),
@@ -29,6 +41,9 @@
   if (lasts || aSpec.firstDue || cores <= 0) {
     return std::nullopt; // these can wait without losing value
   }
+  if (!aLoad.hasWaitingTasks) {
+    return std::nullopt;
+  }
   double chainMs = 0;
   for (const work::Step& step : aSpec.steps) {
     chainMs += std::chrono::duration<double, std::milli>(step.estimate).count();
@@ -37,7 +52,9 @@
     chainMs * aQueue.stretch +
     std::chrono::duration<double, std::milli>(aQueue.targetCompletion).count();
   const double waitMs = aLoad.backlog / cores;
-  const double excess = waitMs - objectiveMs * kHopelessFactor;
+  const double longestWaitMs =
+    aIsLent ? objectiveMs - chainMs : objectiveMs * kHopelessFactor;
+  const double excess = waitMs - longestWaitMs;
   if (excess <= 0) {
     return std::nullopt;
   }
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -22,6 +22,7 @@
   this->wall = aWall;
   this->electedAt = aNow;
   this->AdoptRuns();
+  this->RebuildShares();
   this->RefreshAllViews();
   this->LogDecision("leadership_gained",
                     {},
@@ -52,6 +53,9 @@
   this->forecast = {};
   this->turns = {};
   this->recentLoads.clear();
+  this->workspaceShares.Clear();
+  this->meanWork.Clear();
+  this->rejectedBeyondShare.clear();
 }
 
 // Every recorded run may be executing, because an earlier leader may have sent
@@ -185,6 +189,7 @@
   const work::Job* job = this->FindJob(aJob);
   if (job == nullptr || job->IsFinal()) {
     this->views.erase(aJob);
+    this->workspaceShares.Forget(aJob);
     this->tickets.ForgetJob(aJob);
     return;
   }
@@ -192,6 +197,8 @@
     this->queues.Find(this->state.CurrentSetup(), job->queue);
   JobView& view = this->views[aJob];
   view = MakeView(aJob, *job, queue, this->wall);
+  view.meanWork = this->meanWork.Of(job->queue);
+  view.isLent = this->workspaceShares.IsLent(aJob);
   std::erase_if(view.pending, [this](const work::TaskRef& aTask) {
     return this->proposedStarts.contains(aTask);
   });
@@ -243,6 +250,7 @@
         if constexpr (std::is_same_v<T, work::SubmitJob>) {
           if (!this->views.contains(aConcrete.id)) {
             accepted.push_back(aConcrete.id); // not a resubmission
+            this->RecordAccepted(aConcrete.id);
           }
         }
         this->On(aConcrete, aVerdicts[i]);
@@ -264,7 +272,12 @@
                             aNow);
       const auto recent = this->recentLoads.find(view->second.service);
       if (recent != this->recentLoads.end() && !view->second.longRunning) {
-        recent->second.load.backlog += view->second.remainingWork;
+        recent->second.load.hasWaitingTasks = true; // until measured again
+        const double share = this->ShareOf(view->second.workspace);
+        recent->second.accepted.push_back(
+          { RankOf(view->second, share, this->wall),
+            0,
+            view->second.remainingWork });
       }
     }
   }
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -17,11 +17,13 @@
 #include "dispatch/DemandForecast.h"
 #include "dispatch/InstanceOwner.h"
 #include "dispatch/JobView.h"
+#include "dispatch/MeanWork.h"
 #include "dispatch/Options.h"
 #include "dispatch/OrderHistory.h"
 #include "dispatch/PlanPass.h"
 #include "dispatch/TicketCache.h"
 #include "dispatch/TurnForecast.h"
+#include "dispatch/WorkspaceShares.h"
 #include "work/WorkState.h"
 
 #include <set>
@@ -29,8 +31,6 @@
 
 namespace hyssoppaddle::dispatch {
 
-struct WorkRank;
-
 struct Output
 {
   std::vector<work::Command> commands; // proposed as one batch
@@ -73,13 +73,15 @@
   std::vector<work::Command> HandleDeparture(const InstanceId& aUpstream,
                                              Time aNow);
 
-  // Returns no value when the job should be accepted, otherwise the time after
-  // which the caller should retry.
-  [[nodiscard]] std::optional<Duration> RetryAfter(const work::Queue& aQueue,
-                                                   const work::JobSpec& aSpec);
+  // Returns no value when the job should be accepted.
+  [[nodiscard]] std::optional<Rejection> CheckAdmission(
+    const JobId& aJob,
+    const WorkspaceId& aWorkspace,
+    const work::Queue& aQueue,
+    const work::JobSpec& aSpec);
 
-  // How often RetryAfter has measured a load, which looks at all upstreams and
-  // jobs.
+  // How often CheckAdmission has measured a load, which looks at all upstreams
+  // and jobs.
   [[nodiscard]] std::uint64_t LoadMeasurements() const
   {
     return this->loadMeasurements;
@@ -99,7 +101,8 @@
   struct RecentLoad
   {
     Time measuredAt{};
-    ServiceLoad load; // with the jobs that were accepted since
+    ServiceLoad load;
+    std::vector<AcceptedWork> accepted; // with the jobs accepted since
     std::optional<double> reachable;
   };
 
@@ -238,8 +241,14 @@
 
   // DispatcherLoads.cpp: loads of the services, and rejection of jobs.
   [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
+  [[nodiscard]] std::vector<AcceptedWork> AcceptedWorkOf(
+    const ServiceId& aService) const;
+  // Derives the shares and means from the accepted jobs.
+  void RebuildShares();
+  void RecordAccepted(const JobId& aId);
   [[nodiscard]] RecentLoad& RecentLoadOf(const ServiceId& aService);
   void LogServiceLoads();
+  void LogWorkspaceShares();
   void LogWaitingTask(const ServiceId& aService);
 
   // DispatcherDrainAndPace.cpp: tasks on draining upstreams, and best-effort
@@ -367,6 +376,13 @@
   std::map<ServiceId, RecentLoad> recentLoads;
   std::uint64_t loadMeasurements = 0;
   OrderHistory history; // kept when leadership is lost
+
+  // Rebuilt from the accepted jobs by a new leader.
+  WorkspaceShares workspaceShares;
+  MeanWork meanWork;
+  // Jobs that were rejected beyond the share of their workspace, since the last
+  // workspace_share lines.
+  std::map<WorkspaceId, std::uint64_t> rejectedBeyondShare;
 };
 
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/DispatcherLoads.cpp
+++ b/src/dispatch/DispatcherLoads.cpp
@@ -13,6 +13,9 @@
 // How long a measured load is used for admission. Jobs that are accepted in the
 // meantime are added to it.
 constexpr Duration kLoadLifetime = milliseconds(100);
+// A workspace that has sent no job for this time is owed its whole burst, so
+// older jobs that have ended no longer matter.
+constexpr Duration kReplayTime = seconds(15);
 // Interval between two service_load lines.
 constexpr Duration kLoadLogInterval = seconds(1);
 
@@ -22,10 +25,12 @@
 Dispatcher::LoadOf(const ServiceId& aService) const
 {
   ServiceLoad load;
+  load.hasWaitingTasks = false;
   for (const auto& [id, view] : this->views) {
     if (view.service == aService && !view.longRunning) {
       load.backlog += view.remainingWork;
     }
+    load.hasWaitingTasks |= view.service == aService && !view.pending.empty();
   }
   for (const auto& [id, session] : this->sessions) {
     if (session.record.service != aService || !IsUsable(session, this->now)) {
@@ -45,19 +50,93 @@
   const auto [found, isNew] = this->recentLoads.try_emplace(aService);
   RecentLoad& recent = found->second;
   if (isNew || this->now - recent.measuredAt >= kLoadLifetime) {
-    recent = { this->now, this->LoadOf(aService), std::nullopt };
+    recent = { this->now,
+               this->LoadOf(aService),
+               this->AcceptedWorkOf(aService),
+               std::nullopt };
     ++this->loadMeasurements;
   }
   return recent;
 }
 
-std::optional<Duration>
-Dispatcher::RetryAfter(const work::Queue& aQueue, const work::JobSpec& aSpec)
+std::vector<AcceptedWork>
+Dispatcher::AcceptedWorkOf(const ServiceId& aService) const
+{
+  std::vector<AcceptedWork> accepted;
+  std::map<WorkspaceId, double> shares;
+  for (const auto& [id, view] : this->views) {
+    if (view.service != aService || view.longRunning) {
+      continue;
+    }
+    const auto [share, isNew] = shares.try_emplace(view.workspace, 0.0);
+    if (isNew) {
+      share->second = this->ShareOf(view.workspace);
+    }
+    accepted.push_back({ RankOf(view, share->second, this->wall),
+                         view.remainingWork - view.unstartedWork,
+                         view.unstartedWork });
+  }
+  return accepted;
+}
+
+void
+Dispatcher::RecordAccepted(const JobId& aId)
+{
+  const work::Job* job = this->FindJob(aId);
+  if (job == nullptr) {
+    return;
+  }
+  const work::Setup& setup = this->state.CurrentSetup();
+  const work::Queue* queue = this->queues.Find(setup, job->queue);
+  if (queue == nullptr) {
+    return;
+  }
+  const JobView view =
+    MakeOfferView(aId, job->workspace, *queue, job->spec, job->acceptedAt);
+  if (!view.longRunning) {
+    this->meanWork.Add(view.queue, view.totalWork);
+  }
+  this->workspaceShares.OnAccepted(
+    aId, job->workspace, OwedRate(setup, job->workspace), job->acceptedAt);
+}
+
+// The turns that were assigned to rejected jobs are not recorded: their callers
+// come back at the announced time and are treated like any other.
+void
+Dispatcher::RebuildShares()
+{
+  const work::WorkTables& tables = this->state.Tables();
+  std::vector<std::pair<WallTime, JobId>> accepted;
+  for (const auto& [id, job] : tables.jobs) {
+    if (!job.IsFinal() || tables.now - job.acceptedAt < kReplayTime) {
+      accepted.emplace_back(job.acceptedAt, id);
+    }
+  }
+  std::sort(accepted.begin(), accepted.end());
+  for (const auto& [at, id] : accepted) {
+    this->RecordAccepted(id);
+    if (this->FindJob(id)->IsFinal()) {
+      this->workspaceShares.Forget(id);
+    }
+  }
+}
+
+std::optional<Rejection>
+Dispatcher::CheckAdmission(const JobId& aJob,
+                           const WorkspaceId& aWorkspace,
+                           const work::Queue& aQueue,
+                           const work::JobSpec& aSpec)
 {
   RecentLoad& recent = this->RecentLoadOf(aQueue.service);
+  const double rate = OwedRate(this->state.CurrentSetup(), aWorkspace);
+  JobView view = MakeOfferView(aJob, aWorkspace, aQueue, aSpec, this->wall);
+  view.meanWork = this->meanWork.Of(view.queue);
+  view.isLent = !this->workspaceShares.IsOwed(aWorkspace, rate, this->wall);
   ServiceLoad load = recent.load;
+  load.backlog = WorkAhead(recent.accepted,
+                           RankOf(view, this->ShareOf(aWorkspace), this->wall));
   const bool hasRoom =
-    load.capacity > 0 && !dispatch::RetryAfter(load, aQueue, aSpec);
+    load.capacity > 0 && !RetryAfter(load, aQueue, aSpec, view.isLent);
   if (hasRoom) {
     return std::nullopt; // more cores would not change the answer
   }
@@ -66,7 +145,17 @@
     ++this->loadMeasurements;
   }
   load.reachable = *recent.reachable;
-  return dispatch::RetryAfter(load, aQueue, aSpec);
+  const auto retryAfter = RetryAfter(load, aQueue, aSpec, view.isLent);
+  if (!retryAfter) {
+    return std::nullopt;
+  }
+  if (!view.isLent) {
+    return Rejection{ *retryAfter, false };
+  }
+  ++this->rejectedBeyondShare[aWorkspace];
+  const Duration turn =
+    this->workspaceShares.AssignTurn(aJob, aWorkspace, rate, this->wall);
+  return Rejection{ turn, true };
 }
 
 std::uint64_t
@@ -119,6 +208,41 @@
         { "at_workspace_limit", Text(limited) } });
     this->LogWaitingTask(service);
   }
+  this->LogWorkspaceShares();
+}
+
+// Logs the workspaces that go beyond what they are owed.
+void
+Dispatcher::LogWorkspaceShares()
+{
+  struct Lent
+  {
+    std::size_t jobs = 0;
+    std::size_t waiting = 0; // jobs with tasks that wait
+  };
+  std::map<WorkspaceId, Lent> workspaces;
+  for (const auto& [id, view] : this->views) {
+    if (this->workspaceShares.IsLent(id)) {
+      Lent& lent = workspaces[view.workspace];
+      ++lent.jobs;
+      lent.waiting += view.pending.empty() ? 0 : 1;
+    }
+  }
+  for (const auto& [workspace, count] : this->rejectedBeyondShare) {
+    workspaces.try_emplace(workspace);
+  }
+  for (const auto& [workspace, lent] : workspaces) {
+    const double rate = OwedRate(this->state.CurrentSetup(), workspace);
+    this->LogDecision(
+      "workspace_share",
+      {},
+      { { "workspace", workspace.value },
+        { "owed_per_s", Text(static_cast<std::int64_t>(rate)) },
+        { "lent_jobs", Text(lent.jobs) },
+        { "lent_jobs_waiting", Text(lent.waiting) },
+        { "rejected", Text(this->rejectedBeyondShare[workspace]) } });
+  }
+  this->rejectedBeyondShare.clear();
 }
 
 // Logs why no upstream takes one of the waiting tasks, because the totals of
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -53,8 +53,16 @@
   this->cutShort.erase(aService);
   std::vector<std::pair<WorkRank, JobView*>> waiting;
   std::map<WorkspaceId, double> shares;
+  std::map<work::QueueId, double> means;
   for (auto& [id, view] : this->views) {
     if (view.service == aService && !view.pending.empty()) {
+      // The same mean for all jobs of the queue, or their values would differ
+      // with the time of their last change.
+      const auto [mean, isFirst] = means.try_emplace(view.queue, 0.0);
+      if (isFirst) {
+        mean->second = this->meanWork.Of(view.queue);
+      }
+      view.meanWork = mean->second;
       const auto [share, isNew] = shares.try_emplace(view.workspace, 0.0);
       if (isNew) {
         share->second = this->ShareOf(view.workspace);
@@ -65,27 +73,30 @@
   if (waiting.empty()) {
     return;
   }
-  std::sort(
-    waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
-      if (const auto order = aLeft.first <=> aRight.first; order != 0) {
-        return order < 0;
-      }
-      return aLeft.second->id < aRight.second->id;
-    });
+  // Most passes are cut short, so the order of the others is not needed.
+  const auto comesLater = [](const auto& aLeft, const auto& aRight) {
+    if (const auto order = aLeft.first <=> aRight.first; order != 0) {
+      return order > 0;
+    }
+    return aRight.second->id < aLeft.second->id;
+  };
+  std::make_heap(waiting.begin(), waiting.end(), comesLater);
   PlanPass pass(this->TakeCandidates(aService));
   std::size_t waitingForRoom = 0;
-  for (std::size_t i = 0; i < waiting.size(); ++i) {
+  for (std::size_t ahead = 0; !waiting.empty(); ++ahead) {
     if (waitingForRoom > kMaxWaitingForRoom && !isSettled) {
       this->cutShort.insert(aService);
       return;
     }
-    auto& [rank, view] = waiting[i];
+    std::pop_heap(waiting.begin(), waiting.end(), comesLater);
+    const auto [rank, view] = waiting.back();
+    waiting.pop_back();
     const std::vector<work::TaskRef> tasks = this->TasksToPlace(pass, *view);
     const std::size_t before = view->pending.size();
     this->PlaceTasks(pass, *view, tasks);
     const std::size_t placed = before - view->pending.size();
     if (placed > 0) {
-      this->LogPlacement(*view, tasks.front(), placed, rank, i);
+      this->LogPlacement(*view, tasks.front(), placed, rank, ahead);
     }
     waitingForRoom += this->CountWaitingForRoom(pass, *view);
   }
@@ -218,9 +229,9 @@
                          const WorkRank& aRank,
                          std::size_t aAhead)
 {
-  constexpr std::array<std::string_view, 3> kOutlooks{ "in time",
-                                                       "late",
-                                                       "hopeless" };
+  constexpr std::array<std::string_view, 4> kOutlooks{
+    "in time", "late", "lent", "hopeless"
+  };
   this->LogDecision(
     "tasks_placed",
     aView.id.value,
@@ -261,7 +272,7 @@
   }
   double weights = 0;
   for (const work::Workspace& other : setup.workspaces) {
-    weights += other.weight;
+    weights += std::max(0.0, other.weight);
   }
   std::int64_t total = 0;
   std::int64_t own = 0;
--- a/src/dispatch/JobView.cpp
+++ b/src/dispatch/JobView.cpp
@@ -18,6 +18,22 @@
   return aStep.estimate.count() > 0 ? aStep.estimate : kDefaultEstimate;
 }
 
+// Core-milliseconds of one task.
+double
+WorkOf(const work::Step& aStep)
+{
+  return static_cast<double>(aStep.size.milliCpus) / 1000.0 *
+         std::chrono::duration<double, std::milli>(EstimateOf(aStep)).count();
+}
+
+bool
+IsLongRunning(const work::JobSpec& aSpec)
+{
+  return std::any_of(aSpec.steps.begin(),
+                     aSpec.steps.end(),
+                     [](const work::Step& aStep) { return aStep.longRunning; });
+}
+
 bool
 IsDone(const std::vector<work::Task>& aTasks)
 {
@@ -42,6 +58,34 @@
   return longest;
 }
 
+Duration
+FullChain(const work::JobSpec& aSpec)
+{
+  return LongestPath(aSpec, std::vector<bool>(aSpec.steps.size(), false));
+}
+
+// Sets what the queue grants the job. aStart: from when its objective counts.
+void
+SetTerms(JobView& aView,
+         const work::JobSpec& aSpec,
+         const work::Queue* aQueue,
+         WallTime aStart)
+{
+  const Duration chain = FullChain(aSpec);
+  Duration allowed = chain * 2;
+  if (aQueue != nullptr) {
+    aView.hasQueue = true;
+    aView.needsAdvice = aQueue->needsAdvice;
+    aView.service = aQueue->service;
+    aView.priority = aQueue->priority;
+    allowed = Duration(static_cast<std::int64_t>(
+                aQueue->stretch * static_cast<double>(chain.count()))) +
+              aQueue->targetCompletion;
+  }
+  aView.objective = aStart + allowed;
+  aView.latest = aStart + allowed * kLateFactor;
+}
+
 void
 AddOccurrence(JobView& aView, const work::Job& aJob, std::uint32_t aNumber)
 {
@@ -49,15 +93,15 @@
   for (std::uint32_t s = 0; s < steps.size(); ++s) {
     const work::Step& step = aJob.spec.steps[s];
     const bool open = aJob.IsStepOpen(aNumber, s);
-    const double each =
-      static_cast<double>(step.size.milliCpus) / 1000.0 *
-      std::chrono::duration<double, std::milli>(EstimateOf(step)).count();
+    const double each = WorkOf(step);
     for (std::uint32_t i = 0; i < steps[s].size(); ++i) {
       const work::Task& task = steps[s][i];
+      aView.totalWork += each;
       if (task.done) {
         continue;
       }
       aView.remainingWork += each;
+      aView.unstartedWork += task.runs.empty() ? each : 0;
       if (open && task.runs.empty()) {
         aView.pending.push_back({ aView.id, aNumber, s, i });
       }
@@ -90,10 +134,7 @@
   view.queue = aJob.queue;
   view.workspace = aJob.workspace;
   view.started = aJob.state == work::JobState::Running;
-  view.longRunning =
-    std::any_of(aJob.spec.steps.begin(),
-                aJob.spec.steps.end(),
-                [](const work::Step& aStep) { return aStep.longRunning; });
+  view.longRunning = IsLongRunning(aJob.spec);
   WallTime start = aJob.acceptedAt;
   for (std::uint32_t k = 0; k < aJob.tasks.size(); ++k) {
     const WallTime due = aJob.DueAt(k);
@@ -108,20 +149,29 @@
       start = due;
     }
   }
-  const Duration chain =
-    LongestPath(aJob.spec, std::vector<bool>(aJob.spec.steps.size(), false));
-  Duration allowed = chain * 2;
-  if (aQueue != nullptr) {
-    view.hasQueue = true;
-    view.needsAdvice = aQueue->needsAdvice;
-    view.service = aQueue->service;
-    view.priority = aQueue->priority;
-    allowed = Duration(static_cast<std::int64_t>(
-                aQueue->stretch * static_cast<double>(chain.count()))) +
-              aQueue->targetCompletion;
+  SetTerms(view, aJob.spec, aQueue, start);
+  return view;
+}
+
+JobView
+MakeOfferView(const JobId& aId,
+              const WorkspaceId& aWorkspace,
+              const work::Queue& aQueue,
+              const work::JobSpec& aSpec,
+              WallTime aNow)
+{
+  JobView view;
+  view.id = aId;
+  view.queue = aQueue.name;
+  view.workspace = aWorkspace;
+  view.longRunning = IsLongRunning(aSpec);
+  for (const work::Step& step : aSpec.steps) {
+    view.totalWork += WorkOf(step) * step.count;
   }
-  view.objective = start + allowed;
-  view.latest = start + allowed * kLateFactor;
+  view.remainingWork = view.totalWork;
+  view.unstartedWork = view.totalWork;
+  view.remainingChain = FullChain(aSpec);
+  SetTerms(view, aSpec, &aQueue, aNow);
   return view;
 }
 
--- a/src/dispatch/JobView.h
+++ b/src/dispatch/JobView.h
@@ -24,6 +24,11 @@
   WallTime nextDue = WallTime::max();
   // Core-milliseconds of work not done yet, from the declared estimates.
   double remainingWork = 0;
+  double unstartedWork = 0; // the part of it whose tasks have no run
+  double totalWork = 0;     // of the occurrences that are due
+  // Of the recent jobs of the queue when the view was made; 0: unknown.
+  double meanWork = 0;
+  bool isLent = false;          // beyond the rate that its workspace is owed
   Duration remainingChain{ 0 }; // critical path of the remaining steps
   WallTime objective{};         // full value until then
   WallTime latest{};            // no value after this
@@ -34,6 +39,14 @@
 RemainingChain(const work::JobSpec& aSpec,
                const std::vector<std::vector<work::Task>>& aOccurrence);
 
+// The view of a job that is not accepted yet.
+JobView
+MakeOfferView(const JobId& aId,
+              const WorkspaceId& aWorkspace,
+              const work::Queue& aQueue,
+              const work::JobSpec& aSpec,
+              WallTime aNow);
+
 // aQueue may be null when a newer setup no longer contains it.
 JobView
 MakeView(const JobId& aId,
--- a/src/dispatch/WorkRank.h
+++ b/src/dispatch/WorkRank.h
@@ -2,8 +2,9 @@
 //
 // Load pattern: each queue in its turn asks for five times its mean for some
 // seconds, more than its pool holds. Serving first come first served makes
-// every job of the peak late; serving the smallest remaining work first among
-// the jobs that can still meet their objective keeps most of them in time.
+// every job of the peak late. The order prefers the jobs from which callers
+// gain the most, in time, for each core-second that is still to be started.
+// Jobs that a workspace sends beyond its share come after those that are owed.
 #ifndef hyssoppaddle_dispatch_WorkRank_h
 #define hyssoppaddle_dispatch_WorkRank_h
 
@@ -20,6 +21,7 @@
   {
     InTime,   // can meet its objective
     Late,     // can end while it still has value
+    Lent,     // can end while it has value, but is beyond its workspace's share
     Hopeless, // has no value any more; uses only capacity that no other job
               // needs
   };
--- a/src/node/CallHandler.cpp
+++ b/src/node/CallHandler.cpp
@@ -219,12 +219,15 @@
     return;
   }
   const bool isNew = !this->submitting.contains(access.job);
-  const auto retryAfter =
-    isNew ? this->dispatcher.RetryAfter(*access.queue, *aCall.spec)
+  const auto rejection =
+    isNew ? this->dispatcher.CheckAdmission(
+              access.job, access.workspace, *access.queue, *aCall.spec)
           : std::nullopt;
-  if (retryAfter) {
+  if (rejection) {
     Reply reply = MakeReply(Outcome::Overloaded);
-    reply.retryAfter = *retryAfter;
+    reply.retryAfter = rejection->retryAfter;
+    reply.reason =
+      rejection->isBeyondShare ? "beyond the share of the workspace" : "";
     this->Refuse(access.job.value, std::move(reply), aDone);
     return;
   }
--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -53,6 +53,16 @@
   this->setup.workspaces.push_back(workspace);
 }
 
+void
+FakeDeployment::AddWorkspace(const std::string& aName, double aWeight)
+{
+  work::Workspace workspace;
+  workspace.name = WorkspaceId(aName);
+  workspace.keys = { "key-" + aName };
+  workspace.weight = aWeight;
+  this->setup.workspaces.push_back(workspace);
+}
+
 void
 FakeDeployment::SetLimit(const std::string& aWorkspace, state::Resources aLimit)
 {
@@ -194,13 +204,19 @@
 }
 
 std::optional<Duration>
-FakeDeployment::Offer(const std::string& aQueue, std::vector<work::Step> aSteps)
+FakeDeployment::Offer(const std::string& aQueue,
+                      std::vector<work::Step> aSteps,
+                      const std::string& aWorkspace)
 {
   work::JobSpec spec;
   spec.steps = std::move(aSteps);
   const work::Queue* queue =
     this->state.CurrentSetup().FindQueue(work::QueueId(aQueue));
-  return this->dispatcher->RetryAfter(*queue, spec);
+  const JobId job("offer-" + std::to_string(++this->lastOffer));
+  const WorkspaceId workspace(aWorkspace.empty() ? aQueue : aWorkspace);
+  const auto rejection =
+    this->dispatcher->CheckAdmission(job, workspace, *queue, spec);
+  return rejection ? std::optional(rejection->retryAfter) : std::nullopt;
 }
 
 std::uint64_t
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -86,6 +86,8 @@
   void AddUpstream(const std::string& aService, std::int64_t aMilliCpus = 8000);
   // Adds an instance on standby, without an upstream.
   void AddStandby(const std::string& aInstance, const std::string& aPool);
+  // Must be called before a leader is elected.
+  void AddWorkspace(const std::string& aName, double aWeight);
   void SetLimit(const std::string& aWorkspace, state::Resources aLimit);
   // Must be called before a leader is elected.
   void SetMaintenanceTime(Duration aTime);
@@ -100,9 +102,10 @@
               std::vector<work::Step> aSteps,
               const std::string& aWorkspace = {});
   // Asks whether a job would be accepted now. Returns the time after which its
-  // caller should retry if it is rejected.
+  // caller should retry if it is rejected. aWorkspace as in Submit.
   std::optional<Duration> Offer(const std::string& aQueue,
-                                std::vector<work::Step> aSteps);
+                                std::vector<work::Step> aSteps,
+                                const std::string& aWorkspace = {});
   [[nodiscard]] std::uint64_t CountQueuedJobs(const std::string& aQueue) const;
   // How often the leader has measured a load for admission.
   [[nodiscard]] std::uint64_t LoadMeasurements() const
@@ -225,6 +228,7 @@
   std::map<std::string, WallTime> submitted;
   std::set<work::TaskRef> completedTasks; // recorded as done
   std::uint32_t lastUpstream = 0;
+  std::uint32_t lastOffer = 0;
 };
 
 // A step of aCount tasks that each need aMilliCpus and run for aRuns.
--- a/test/dispatch/StrategyTest.cpp
+++ b/test/dispatch/StrategyTest.cpp
@@ -21,6 +21,8 @@
 {
   dispatch::JobView view;
   view.remainingWork = aWork;
+  view.unstartedWork = aWork;
+  view.totalWork = aWork;
   view.remainingChain = aChain;
   view.objective = kNow + aObjectiveIn;
   view.latest = kNow + aObjectiveIn * 3;
@@ -54,6 +56,22 @@
     EXPECT_THAT(trace, RankOf(inTime, 1, kNow) < RankOf(late, 1, kNow));
     EXPECT_THAT(trace, RankOf(late, 1, kNow) < RankOf(lost, 1, kNow));
   });
+  trace.Section("a job beyond its workspace's share goes after them", [&] {
+    auto lent = small;
+    lent.isLent = true;
+    EXPECT_THAT(trace, RankOf(late, 1, kNow) < RankOf(lent, 1, kNow));
+    EXPECT_THAT(trace, RankOf(lent, 1, kNow) < RankOf(lost, 1, kNow));
+  });
+  trace.Section("a job that has begun goes before a new one of its size", [&] {
+    auto begun = inTime;
+    begun.unstartedWork = 3000;
+    EXPECT_THAT(trace, RankOf(begun, 1, kNow) < RankOf(inTime, 1, kNow));
+  });
+  trace.Section("a job with time to spare goes before one without", [&] {
+    auto tight = inTime;
+    tight.objective = kNow + milliseconds(800);
+    EXPECT_THAT(trace, RankOf(inTime, 1, kNow) < RankOf(tight, 1, kNow));
+  });
   trace.Section("a workspace above its share waits longer", [&] {
     EXPECT_THAT(trace, RankOf(small, 0.5, kNow) < RankOf(small, 2, kNow));
   });
