--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -486,24 +486,4 @@
   return job->endedAt - this->submitted.at(aJob);
 }
 
-std::size_t
-FakeDeployment::RunningOn(const std::string& aService) const
-{
-  std::size_t count = 0;
-  for (const auto& [id, up] : this->upstreams) {
-    count += up.record.service.value == aService ? up.running.size() : 0;
-  }
-  return count;
-}
-
-std::size_t
-FakeDeployment::UpstreamsOf(const std::string& aService) const
-{
-  return static_cast<std::size_t>(std::count_if(
-    this->upstreams.begin(), this->upstreams.end(), [&](const auto& aItem) {
-      return aItem.second.record.service.value == aService &&
-             aItem.second.alive;
-    }));
-}
-
 } // namespace hyssoppaddle::test
