--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -107,23 +107,22 @@
   std::uint32_t consecutiveFailures = 0;
   std::optional<Time> leavesBy;   // expected departure while draining
   std::optional<Time> departedAt; // when its departure was announced
-  bool hasMixedLoad = false;      // best-effort tasks run beside serving tasks
   Time paceCheckedAt{};
   Time evacuatingSince{};
   Time nextOrderAt{};
+  Time coldUntil{};                // runs tasks slowly until then
+  std::size_t endingRuns = 0;      // runs of tasks that end by themselves
+  std::optional<Time> silentSince; // first review that found it unanswered
+  bool hasMixedLoad = false;       // best-effort tasks run beside serving tasks
   // A wave will maintain its instance. Long-running tasks avoid it.
   bool maintenanceDue = false;
   // No new starts: it is ordered into maintenance or to another pool.
   bool evacuating = false;
   // No new starts: an operator has ordered so for its data centre.
   bool dataCentreEvacuating = false;
-  // Runs tasks slowly until then.
-  Time coldUntil{};
   // Takes several times as long as its peers. It gets one task that ends by
   // itself at a time, and only where no other upstream has room.
   bool isSlow = false;
-  std::size_t endingRuns = 0;      // runs of tasks that end by themselves
-  std::optional<Time> silentSince; // first review that found it unanswered
 
   // Lets the upstream discard its ends once all listed ends are recorded.
   void AdvanceRecordedEnd()
