Do not prepare on each end of a run what only learning uses

Cause: a read of the whole change showed work on the leader's hot path that nothing uses: each end collected the kinds of its neighbours, which only learn_interference needs, each listed run looked up its expected time before a cheaper test, and each placement found its job twice. Change: the neighbours are collected where they are learned from, the cheaper test comes first, the job is found once. Behaviour stays as it is. Observed: test_dispatch passes with 120 tests; format and lint of the three sources pass. Processor time is not measured again.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -390,9 +390,10 @@
   if (aCommand.kind == work::EndKind::Done) {
     session.consecutiveFailures = 0;
     this->failedOn.erase(aCommand.task);
-    const auto observation =
+    auto observation =
       this->runWatch.ObserveEnd(aCommand, aRun, session, this->now);
     if (observation && this->options.learnsInterference) {
+      observation->neighbours = NeighboursOf(aRun, session);
       this->interference.Add(*observation, this->now);
     }
     this->StopOtherRuns(aCommand.task, aRun);
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -380,10 +380,10 @@
 PlacementQuery
 Dispatcher::QueryOf(const JobView& aView, const work::TaskRef& aTask) const
 {
+  const work::Job& job = *this->FindJob(aTask.job);
   PlacementQuery query;
-  query.step = &this->FindJob(aTask.job)->spec.steps[aTask.step];
+  query.step = &job.spec.steps[aTask.step];
   query.task = aTask;
-  const work::Job& job = *this->FindJob(aTask.job);
   query.runs = job.Find(aTask)->runs;
   if (!this->interference.IsEmpty()) {
     query.interference = &this->interference;
--- a/src/dispatch/RunWatch.cpp
+++ b/src/dispatch/RunWatch.cpp
@@ -42,21 +42,6 @@
     static_cast<double>(aDuration.count()) * aFactor));
 }
 
-// Kinds of the runs that were there for the second half of the time of aRun.
-std::vector<std::string>
-NeighboursOf(const LiveRun& aRun, const UpstreamSession& aSession)
-{
-  const Time half =
-    *aRun.measuredSince + (aRun.endProposedAt - *aRun.measuredSince) / 2;
-  std::set<std::string> kinds;
-  for (const auto& [key, live] : aSession.runs) {
-    if (live.phase == RunPhase::Confirmed && live.phaseSince <= half) {
-      kinds.insert(live.kind);
-    }
-  }
-  return { kinds.begin(), kinds.end() };
-}
-
 // True when another upstream of the service takes the run now.
 bool
 HasRoomElsewhere(const Sessions& aSessions,
@@ -93,6 +78,20 @@
   return live;
 }
 
+std::vector<std::string>
+NeighboursOf(const LiveRun& aRun, const UpstreamSession& aSession)
+{
+  const Time half =
+    *aRun.measuredSince + (aRun.endProposedAt - *aRun.measuredSince) / 2;
+  std::set<std::string> kinds;
+  for (const auto& [key, live] : aSession.runs) {
+    if (live.phase == RunPhase::Confirmed && live.phaseSince <= half) {
+      kinds.insert(live.kind);
+    }
+  }
+  return { kinds.begin(), kinds.end() };
+}
+
 RunWatch::Expectation
 RunWatch::Expect(const work::TaskRef& aTask,
                  const LiveRun& aRun,
@@ -140,8 +139,11 @@
     return;
   }
   const Duration elapsed = aNow - *aRun.measuredSince;
+  if (elapsed < kMinMeasured) {
+    return;
+  }
   const Expectation expected = this->Expect(aKey.first, aRun, aNow);
-  if (elapsed < kMinMeasured || elapsed < expected.time / 2) {
+  if (elapsed < expected.time / 2) {
     return;
   }
   const std::uint32_t percent = aRun.percent - aRun.percentAtStart;
@@ -171,7 +173,6 @@
   observation.fraction = (100 - aRun.percentAtStart) / 100.0;
   observation.declared = aRun.declared;
   observation.milliCpus = aRun.size.milliCpus;
-  observation.neighbours = NeighboursOf(aRun, aSession);
   this->ObserveSpeed(aEnd.upstream,
                      aEnd.task,
                      this->Expect(aEnd.task, aRun, aNow),
--- a/src/dispatch/RunWatch.h
+++ b/src/dispatch/RunWatch.h
@@ -25,6 +25,12 @@
             const work::TaskRef& aTask,
             const work::Run& aRun);
 
+// Kinds of the runs on aSession that were there for the second half of the time
+// of aRun, which has been observed and has left aSession. Sorted, without
+// repetition.
+std::vector<std::string>
+NeighboursOf(const LiveRun& aRun, const UpstreamSession& aSession);
+
 struct RunReview
 {
   struct SpeedChange
@@ -50,8 +56,8 @@
                        LiveRun& aRun,
                        Time aNow);
   // Called when an end as done is recorded and the run has left aSession.
-  // Returns what it has shown, unless its time is not known or its upstream is
-  // held slow.
+  // Returns what it has shown, without its neighbours, unless its time is not
+  // known or its upstream is held slow.
   std::optional<RunObservation> ObserveEnd(const work::EndRun& aEnd,
                                            const LiveRun& aRun,
                                            const UpstreamSession& aSession,
