--- a/review/standin-3/Gangs.cpp
+++ b/review/standin-3/Gangs.cpp
@@ -1,14 +1,17 @@
-// Stand-in for the operator, nine workers of one service and their clients, and the judge of the case.
+// Stand-in for the operator, nine workers of one service and their clients, and
+// the judge of the case.
 //
 // Usage: Gangs TROUBLE WORKER_IP_PREFIX WORKER_PORT FRONTS CONTROLS
-//   TROUBLE           1: a client hands in a gang of 20,000 lasting subtasks, which no pool can hold;
+//   TROUBLE           1: a client hands in a gang of 20,000 lasting subtasks,
+//   which no pool can hold;
 //                     0: the same with a gang of 20
 //   WORKER_IP_PREFIX  the workers listen on PREFIX.21 to PREFIX.29
 //   FRONTS, CONTROLS  addresses IP:PORT of the daemons, divided by commas
-// After the gang, twelve small jobs follow, one a second: two steps of two subtasks of 0.4 s. Judged 14 s
-// later (`finish_s`): for 3 s, an accepted job has nothing running while the turn of a subtask has come.
-// Nine workers of 32 cores are there for it. Prints all calls, starts and ends. Ends with 1 if the rule is
-// broken, with 0 if it held, with 2 if the case couldn't run.
+// After the gang, twelve small jobs follow, one a second: two steps of two
+// subtasks of 0.4 s. Judged 14 s later (`finish_s`): for 3 s, an accepted job
+// has nothing running while the turn of a subtask has come. Nine workers of 32
+// cores are there for it. Prints all calls, starts and ends. Ends with 1 if the
+// rule is broken, with 0 if it held, with 2 if the case couldn't run.
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -180,7 +183,8 @@
   return answer;
 }
 
-// One worker: runs each subtask for kTaskMs, or, of a gang, until it is stopped or its lease expires.
+// One worker: runs each subtask for kTaskMs, or, of a gang, until it is stopped
+// or its lease expires.
 class Worker
 {
 public:
@@ -459,7 +463,8 @@
   return answer;
 }
 
-// True while the job has nothing running although the turn of one of its subtasks has come.
+// True while the job has nothing running although the turn of one of its
+// subtasks has come.
 bool
 IsIdle(const std::string& aJob)
 {
@@ -508,7 +513,8 @@
   std::vector<Worker*> workers;
   for (int i = 1; i <= 9; ++i) {
     const std::string n = std::to_string(i);
-    workers.push_back(new Worker("i-7f3a91c" + n, prefix + ".2" + n + ":" + port));
+    workers.push_back(
+      new Worker("i-7f3a91c" + n, prefix + ".2" + n + ":" + port));
     if (!workers.back()->Start(controls)) {
       return 2;
     }
@@ -526,8 +532,9 @@
   bool isCalm = false;
   for (int i = 0; i < 20 && !isCalm; ++i) {
     SleepMs(500);
-    isCalm = Insist(fronts, "GET", path + first, "", 3000)
-               .body.find("completed") != std::string::npos;
+    isCalm =
+      Insist(fronts, "GET", path + first, "", 3000).body.find("completed") !=
+      std::string::npos;
   }
   if (!isCalm) {
     return 2;
--- a/review/standin-3/Operator.cpp
+++ b/review/standin-3/Operator.cpp
@@ -1,13 +1,15 @@
-// Stand-in for the operator: sends complete configurations with rising versions, one after the other.
-// Follows a 307 twice, moves on to another daemon after any other failure, and sends a change that got
-// no clear answer again unchanged.
+// Stand-in for the operator: sends complete configurations with rising
+// versions, one after the other. Follows a 307 twice, moves on to another
+// daemon after any other failure, and sends a change that got no clear answer
+// again unchanged.
 //
 // Usage: Operator ROUTES FIRST LAST PAUSE_MS CONTROL...
 //   ROUTES    routes of each configuration
 //   FIRST     first version; the versions up to LAST follow
 //   PAUSE_MS  pause after each acknowledged change
 //   CONTROL   addresses IP:PORT of the daemons that serve control
-// Prints one line for each acknowledged version, and one for each answer that is no acknowledgement.
+// Prints one line for each acknowledged version, and one for each answer that
+// is no acknowledgement.
 #include <arpa/inet.h>
 #include <chrono>
 #include <cstdio>
@@ -44,11 +46,10 @@
             "\"target_completion_ms\":2500,\"priority\":0,\"service\":\"s0\","
             "\"max_attempts\":3,\"stretch\":2.2,\"allow_anonymous\":true}";
   }
-  return text +
-         "],\"services\":[{\"name\":\"s0\",\"health_path\":\"/healthz\","
-         "\"max_connections\":64,\"protocol\":\"h1\",\"tls\":false,"
-         "\"enforces_capacity\":true,\"standby\":false}],"
-         "\"limits\":{},\"tenants\":[]}";
+  return text + "],\"services\":[{\"name\":\"s0\",\"health_path\":\"/healthz\","
+                "\"max_connections\":64,\"protocol\":\"h1\",\"tls\":false,"
+                "\"enforces_capacity\":true,\"standby\":false}],"
+                "\"limits\":{},\"tenants\":[]}";
 }
 
 int
--- a/review/standin-3/Submitter.cpp
+++ b/review/standin-3/Submitter.cpp
@@ -2,13 +2,16 @@
 //
 // Usage: Submitter submit COUNT OCCURRENCES SUBTASKS PAUSE_MS SECONDS FRONT...
 //        Submitter ask COUNT SECONDS FRONT...
-//   submit  hands in the jobs 1 to COUNT, one after the other, each with one step of SUBTASKS subtasks
-//           that runs OCCURRENCES times, once a minute, for the first time in an hour
-//   ask     asks for the state of the jobs that were accepted (their numbers come on standard input)
-//   FRONT   addresses IP:PORT of the daemons
-// A call without an answer, a 502 or a 504 is sent again, to the next daemon; a 429 or 503 ends a job as
-// rejected. `submit` prints the number of each accepted job on standard output; both print all calls on
-// standard error. After SECONDS the program ends.
+//   submit  hands in the jobs 1 to COUNT, one after the other, each with one
+//   step of SUBTASKS subtasks
+//           that runs OCCURRENCES times, once a minute, for the first time in
+//           an hour
+//   ask     asks for the state of the jobs that were accepted (their numbers
+//   come on standard input) FRONT   addresses IP:PORT of the daemons
+// A call without an answer, a 502 or a 504 is sent again, to the next daemon; a
+// 429 or 503 ends a job as rejected. `submit` prints the number of each
+// accepted job on standard output; both print all calls on standard error.
+// After SECONDS the program ends.
 #include <arpa/inet.h>
 #include <chrono>
 #include <cstdio>
@@ -19,8 +22,8 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <thread>
-#include <vector>
 #include <unistd.h>
+#include <vector>
 
 namespace {
 
@@ -134,8 +137,8 @@
         return 0;
       }
       const std::string& to = daemons[next++ % daemons.size()];
-      const Answer answer = Call(
-        to, submits ? "POST" : "GET", "/puxa0/" + IdOf(number), body);
+      const Answer answer =
+        Call(to, submits ? "POST" : "GET", "/puxa0/" + IdOf(number), body);
       std::cerr << MsSince(begun) << " ms: " << (submits ? "POST" : "GET")
                 << " job " << number << " at " << to << ": " << answer.status
                 << " " << answer.body << std::endl;
