Count the comparisons that placement makes

Change: the dispatcher counts the comparisons of a waiting task with other tasks and upstreams; the metric plan_steps shows them on the leader. Placement itself is unchanged.

--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -88,6 +88,10 @@
     return this->loadMeasurements;
   }
 
+  // Comparisons of a waiting task with another one or with an upstream that
+  // placement has made. Their number, unlike a time, is the same in each run.
+  [[nodiscard]] std::uint64_t PlanSteps() const { return this->planSteps; }
+
   // What is left of the evacuations of data centres.
   [[nodiscard]] std::vector<EvacuationProgress> Evacuations(Time aNow) const
   {
@@ -393,6 +397,7 @@
   TurnForecast turns;
   std::map<ServiceId, RecentLoad> recentLoads;
   std::uint64_t loadMeasurements = 0;
+  std::uint64_t planSteps = 0;
   OrderHistory history; // kept when leadership is lost
 
   Time nextEvacuationCheckAt{};
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -99,6 +99,7 @@
   std::vector<work::TaskRef> tasks;
   const work::TaskRef* last = nullptr;
   bool mayFit = false;
+  this->planSteps += aView.pending.size();
   for (const work::TaskRef& task : aView.pending) {
     if (last == nullptr || !IsSameStep(*last, task)) {
       const work::Step& step = job.spec.steps[task.step];
@@ -316,6 +317,7 @@
   if (!this->ProposeStart(aPass, aView, aTask, task->lastRun + 1)) {
     return false;
   }
+  this->planSteps += aView.pending.size();
   std::erase(aView.pending, aTask);
   return true;
 }
@@ -335,7 +337,9 @@
     work::TaskRef ref = aTask;
     ref.index = i;
     const auto& pending = aView.pending;
-    if (std::find(pending.begin(), pending.end(), ref) == pending.end()) {
+    const auto found = std::find(pending.begin(), pending.end(), ref);
+    this->planSteps += static_cast<std::uint64_t>(found - pending.begin()) + 1;
+    if (found == pending.end()) {
       return false; // an earlier run of a member is still recorded
     }
     number = std::max(number, members[i].lastRun + 1);
@@ -372,6 +376,7 @@
     return false;
   }
   for (const work::TaskRef& ref : refs) {
+    this->planSteps += aView.pending.size();
     std::erase(aView.pending, ref);
   }
   return true;
@@ -419,6 +424,7 @@
   }
   PlacementQuery query = this->QueryOf(aView, aTask);
   query.rack = this->RackOf(aPass, job, aTask);
+  this->planSteps += aPass.Candidates().size();
   const Candidate* chosen = ChooseUpstream(aPass.Candidates(), query);
   if (chosen == nullptr) {
     if (query.hasTicket) {
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -367,6 +367,9 @@
     gauges.push_back({ "commit_index",
                        "Last entry committed.",
                        number(this->replica->RaftState().CommitIndex()) });
+    gauges.push_back({ "plan_steps",
+                       "Comparisons that placement has made since the start.",
+                       number(this->dispatcher->PlanSteps()) });
     AppendEvacuationGauges(
       tables, *this->dispatcher, SuspendAwareNow(), gauges);
   }
--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -335,7 +335,10 @@
 void
 FakeDeployment::ProcessOutput()
 {
+  const std::uint64_t before = this->PlanSteps();
   dispatch::Output output = this->dispatcher->TakeOutput();
+  this->mostPlanSteps =
+    std::max(this->mostPlanSteps, this->PlanSteps() - before);
   std::move(output.decisions.begin(),
             output.decisions.end(),
             std::back_inserter(this->decisions));
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -115,6 +115,11 @@
   {
     return this->dispatcher->LoadMeasurements();
   }
+  // Comparisons that placement of the leader has made.
+  [[nodiscard]] std::uint64_t PlanSteps() const
+  {
+    return this->dispatcher->PlanSteps();
+  }
   void Cancel(const std::string& aJob);
   // Brings the next version of the setup into force.
   void ChangeSetup(const std::function<void(work::Setup&)>& aChange);
@@ -172,6 +177,7 @@
   std::uint32_t moves = 0;
   std::uint32_t adviceRequests = 0;
   std::uint32_t rejectedStarts = 0;
+  std::uint64_t mostPlanSteps = 0; // for one output of the leader
   // Maximum number of instances under maintenance.
   std::size_t maxAwayAtOnce = 0;
   std::vector<std::string> violations;
