Look at the steps of a job, not at each task, and bound a pass

Cause: a gang's members were looked up one by one in a list of all waiting tasks before placement asked whether the gang fits: 200,032,601 comparisons in a pass. A pass had no bound, so that heartbeats waited for it. Work that can never run counted as backlog, as demand for instances and as waiting for room.

Tasks that should share a rack get one rack a pass.

Why it works: what holds for one task of a step holds for all of them, so that the cost of a pass follows the steps and upstreams; whatever its input, the leader handles other events after a bounded number of comparisons.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -47,6 +47,9 @@
   this->dirtyServices.clear();
   this->plannedAt.clear();
   this->cutShort.clear();
+  this->unfinishedPlans.clear();
+  this->fleetCapacities.clear();
+  this->fleetChanged = false;
   this->tickets.Clear();
   this->owner = {};
   this->forecast = {};
@@ -100,13 +103,8 @@
   if (session == nullptr) {
     return; // the batch that removes the upstream also ends the run
   }
-  if (!aRun.fills) {
-    session->used += aRun.size;
-  } else {
-    session->used.memoryMb += aRun.size.memoryMb;
-  }
+  session->CountRun(aRun, 1);
   this->used[aRun.workspace] += aRun.size;
-  session->endingRuns += aRun.longRunning ? 0 : 1;
   session->runs[aKey] = std::move(aRun);
 }
 
@@ -140,13 +138,8 @@
     return;
   }
   const LiveRun& run = found->second;
-  if (!run.fills) {
-    session->used -= run.size;
-  } else {
-    session->used.memoryMb -= run.size.memoryMb;
-  }
+  session->CountRun(run, -1);
   this->used[run.workspace] -= run.size;
-  session->endingRuns -= run.longRunning ? 0 : 1;
   session->runs.erase(found);
 }
 
@@ -192,21 +185,54 @@
   }
   const work::Queue* queue =
     this->queues.Find(this->state.CurrentSetup(), job->queue);
-  JobView& view = this->views[aJob];
-  view =
-    MakeView(aJob, *job, queue, this->wall, &this->runWatch.StepTimesSoFar());
+  const auto [found, isNew] = this->views.try_emplace(aJob);
+  JobView& view = found->second;
+  // Known until the fleet or the setup changes.
+  ImpossibleSteps impossible =
+    isNew ? this->FindImpossibleSteps(*job, queue) : std::move(view.impossible);
+  view = MakeView(aJob,
+                  *job,
+                  queue,
+                  this->wall,
+                  &this->runWatch.StepTimesSoFar(),
+                  std::move(impossible));
   this->AddSecondRuns(view);
-  std::erase_if(view.pending, [this](const work::TaskRef& aTask) {
-    return this->proposedStarts.contains(aTask);
-  });
+  this->LeaveOutProposedStarts(view);
+  if (isNew && view.HasImpossibleSteps()) {
+    this->LogImpossibleSteps(view, *job);
+  }
   this->dirtyServices.insert(view.service);
 }
 
+void
+Dispatcher::LeaveOutProposedStarts(JobView& aView) const
+{
+  for (WaitingStep& step : aView.waiting) {
+    std::vector<std::uint32_t> proposed; // ascending, like the set
+    const work::TaskRef first = step.Ref(aView.id, 0);
+    for (auto task = this->proposedStarts.lower_bound(first);
+         task != this->proposedStarts.end() && StepOf(*task) == first;
+         ++task) {
+      proposed.push_back(task->index);
+    }
+    if (!proposed.empty()) {
+      std::erase_if(step.indexes, [&proposed](std::uint32_t aIndex) {
+        return std::binary_search(proposed.begin(), proposed.end(), aIndex);
+      });
+    }
+  }
+  std::erase_if(aView.waiting,
+                [](const WaitingStep& aStep) { return aStep.indexes.empty(); });
+}
+
 void
 Dispatcher::RefreshAllViews()
 {
-  this->views.clear();
+  std::erase_if(this->views, [this](const auto& aItem) {
+    return this->FindJob(aItem.first) == nullptr;
+  });
   for (const auto& [id, job] : this->state.Tables().jobs) {
+    this->JudgeSteps(id);
     this->RefreshView(id);
   }
   for (const auto& [id, session] : this->sessions) {
@@ -268,7 +294,7 @@
                             aNow);
       const auto recent = this->recentLoads.find(view->second.service);
       if (recent != this->recentLoads.end() && !view->second.longRunning) {
-        recent->second.load.backlog += view->second.remainingWork;
+        recent->second.load.backlog += view->second.possibleWork;
       }
     }
   }
@@ -448,6 +474,7 @@
   }
   this->ReviewRuns();
   this->ReviewInterference();
+  this->ReviewImpossibleSteps();
   this->CompleteSettledPlans();
   std::erase_if(this->owner.takenDown, [this](const auto& aItem) {
     return this->now >= aItem.second.until;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -16,15 +16,18 @@
 #include "dispatch/DataCentreEvacuation.h"
 #include "dispatch/Decision.h"
 #include "dispatch/DemandForecast.h"
+#include "dispatch/FleetCapacity.h"
 #include "dispatch/InstanceOwner.h"
 #include "dispatch/Interference.h"
 #include "dispatch/JobView.h"
 #include "dispatch/Options.h"
 #include "dispatch/OrderHistory.h"
 #include "dispatch/PlanPass.h"
+#include "dispatch/PlanRound.h"
 #include "dispatch/RunWatch.h"
 #include "dispatch/TicketCache.h"
 #include "dispatch/TurnForecast.h"
+#include "dispatch/WorkRank.h"
 #include "work/WorkState.h"
 
 #include <set>
@@ -32,8 +35,6 @@
 
 namespace hyssoppaddle::dispatch {
 
-struct WorkRank;
-
 struct Output
 {
   std::vector<work::Command> commands; // proposed as one batch
@@ -101,9 +102,21 @@
   // Number of accepted jobs of the queue that have not started any task.
   [[nodiscard]] std::uint64_t CountQueuedJobs(const work::Queue& aQueue) const;
 
+  // Number of jobs with a step that the whole fleet or the limit of their
+  // workspace could not hold.
+  [[nodiscard]] std::size_t CountImpossibleJobs() const;
+
   // Places waiting tasks and returns all output since the last call. Called
   // once after a group of events, so that these share one pass over the tasks.
   [[nodiscard]] Output TakeOutput();
+  // True when the last pass has ended before it had looked at all waiting
+  // tasks. TakeOutput is then called again after other events have been
+  // handled.
+  [[nodiscard]] bool HasUnfinishedPlans() const
+  {
+    return this->Leads() &&
+           (!this->unfinishedPlans.empty() || !this->dirtyServices.empty());
+  }
   [[nodiscard]] const Sessions& Upstreams() const { return this->sessions; }
 
 private:
@@ -129,6 +142,7 @@
   void On(const work::OrderInstance& aCommand, work::Verdict aVerdict);
   void On(const work::SetEvacuation& aCommand, work::Verdict aVerdict);
   void RefreshView(const JobId& aJob);
+  void LeaveOutProposedStarts(JobView& aView) const;
   void RefreshAllViews();
   void AdoptRuns();
   void HandleRunEnd(const work::EndRun& aCommand, const LiveRun& aRun);
@@ -213,51 +227,97 @@
                                       const UpstreamSession& aSession);
   void ClearDepartureIfAlive(UpstreamSession& aSession, Time aAsked);
 
-  // DispatcherPlan.cpp: choice of tasks and upstreams.
+  struct RankedJob
+  {
+    WorkRank rank;
+    JobView* view = nullptr;
+  };
+
+  // DispatcherPlan.cpp: choice of the jobs that are served next.
   void Plan();
   void PlanService(const ServiceId& aService);
+  // The waiting jobs of a service that the round has not looked at.
+  [[nodiscard]] std::vector<RankedJob> RankJobs(const ServiceId& aService,
+                                                const PlanRound& aRound);
+  // True when the pass has made as many comparisons as it may.
+  [[nodiscard]] bool IsPassSpent() const
+  {
+    return this->planSteps >= this->planEnd;
+  }
   // The usable upstreams of a service. Marks the others as left out.
   [[nodiscard]] std::vector<Candidate> TakeCandidates(
     const ServiceId& aService);
   // Marks the service of an upstream that has become usable since it was left
   // out of a plan. No event tells when a delay has passed.
   void PlanAgainIfUsable(UpstreamSession& aSession);
-  // The waiting tasks of a job that may find an upstream in this pass.
-  [[nodiscard]] std::vector<work::TaskRef> TasksToPlace(const PlanPass& aPass,
-                                                        const JobView& aView);
-  void PlaceTasks(PlanPass& aPass,
-                  JobView& aView,
-                  std::span<const work::TaskRef> aTasks);
   // The waiting tasks of a job that would start if tasks that end by themselves
   // left them room. Others can wait for any time, so they hold back no job.
   [[nodiscard]] std::size_t CountWaitingForRoom(const PlanPass& aPass,
-                                                const JobView& aView) const;
-  // Marks the services whose last pass was cut short some time ago.
+                                                const JobView& aView);
+  // Marks the services whose last round was cut short some time ago.
   void CompleteSettledPlans();
   [[nodiscard]] bool NeedsTicket(const JobView& aView) const;
-  // False when the limit of the workspace leaves no room for aSize. The service
-  // is then planned again when a run of the workspace ends.
+  // False when the limit of the workspace leaves no room for aCount tasks of
+  // the step. The service is then planned again when a run of the workspace
+  // ends.
   [[nodiscard]] bool CheckLimit(const JobView& aView,
-                                const state::Resources& aSize);
+                                const work::Step& aStep,
+                                std::uint32_t aCount);
   void LogPlacement(const JobView& aView,
                     const work::TaskRef& aFirst,
                     std::size_t aPlaced,
                     const WorkRank& aRank,
                     std::size_t aAhead);
-  bool PlaceTask(PlanPass& aPass, JobView& aView, const work::TaskRef& aTask);
-  bool PlaceGang(PlanPass& aPass, JobView& aView, const work::TaskRef& aTask);
-  bool ProposeStart(PlanPass& aPass,
-                    const JobView& aView,
+  // Number of tasks, at most aMost, that the limit of the workspace allows
+  // beside its runs and aBeside.
+  [[nodiscard]] std::uint32_t CountAllowed(const WorkspaceId& aWorkspace,
+                                           const state::Resources& aBeside,
+                                           const state::Resources& aSize,
+                                           std::uint32_t aMost) const;
+  [[nodiscard]] bool IsWithinLimit(const WorkspaceId& aWorkspace,
+                                   const state::Resources& aSize) const;
+  [[nodiscard]] double ShareOf(const WorkspaceId& aWorkspace) const;
+
+  // DispatcherPlace.cpp: upstreams for the tasks of a job.
+  // False when the pass has ended before all steps of the job were looked at.
+  bool PlaceJob(PlanPass& aPass,
+                PlanRound& aRound,
+                const RankedJob& aJob,
+                std::size_t aAhead);
+  std::uint32_t PlaceTasks(PlanPass& aPass,
+                           const JobView& aView,
+                           const WaitingStep& aStep);
+  std::uint32_t PlaceGang(PlanPass& aPass,
+                          const JobView& aView,
+                          const WaitingStep& aStep);
+  [[nodiscard]] bool HasRoomFor(const PlanPass& aPass,
+                                const PlacementQuery& aQuery,
+                                std::uint32_t aCount);
+  const Candidate* ChooseNext(const PlanPass& aPass,
+                              const PlacementQuery& aQuery,
+                              const Candidate*& aLast);
+  void ProposeStart(const Candidate& aUpstream,
                     const work::TaskRef& aTask,
                     std::uint32_t aNumber);
   [[nodiscard]] PlacementQuery QueryOf(const JobView& aView,
                                        const work::TaskRef& aTask) const;
-  [[nodiscard]] bool IsWithinLimit(const WorkspaceId& aWorkspace,
-                                   const state::Resources& aSize) const;
-  [[nodiscard]] double ShareOf(const WorkspaceId& aWorkspace) const;
   [[nodiscard]] std::string RackOf(const PlanPass& aPass,
                                    const work::Job& aJob,
-                                   const work::TaskRef& aTask) const;
+                                   const WaitingStep& aStep) const;
+
+  // DispatcherImpossible.cpp: steps that the fleet or a limit cannot hold.
+  [[nodiscard]] const FleetCapacity& FleetCapacityFor(
+    const ServiceId& aService);
+  // aQueue may be null.
+  [[nodiscard]] ImpossibleSteps FindImpossibleSteps(const work::Job& aJob,
+                                                    const work::Queue* aQueue);
+  // Finds the impossible steps of a job that has a view anew. Returns true, and
+  // tells its owner, when they have changed.
+  bool JudgeSteps(const JobId& aJob);
+  void LogImpossibleSteps(const JobView& aView, const work::Job& aJob);
+  void OnFleetChanged();
+  // Looks again at the jobs some time after a change of the fleet.
+  void ReviewImpossibleSteps();
 
   // DispatcherUpstreams.cpp: evacuation of data centres.
   void EvacuateDataCentres();
@@ -389,7 +449,15 @@
   std::set<work::TaskRef> proposedStarts;
   std::set<ServiceId> dirtyServices;   // services that must be planned again
   std::map<ServiceId, Time> plannedAt; // last plan
-  std::set<ServiceId> cutShort;        // services whose last pass was cut short
+  std::set<ServiceId> cutShort; // services whose last round was cut short
+  // Rounds that the last pass has not completed.
+  std::map<ServiceId, PlanRound> unfinishedPlans;
+  ServiceId planNext;        // with which the next pass begins
+  std::uint64_t planEnd = 0; // value of planSteps at which a pass ends
+  // Kept until an instance comes or goes.
+  std::map<ServiceId, FleetCapacity> fleetCapacities;
+  bool fleetChanged = false; // since the last review
+  Time fleetReviewedAt{};
   work::QueueIndex queues;
   TicketCache tickets;
   InstanceOwner owner;
--- a/src/dispatch/DispatcherLoads.cpp
+++ b/src/dispatch/DispatcherLoads.cpp
@@ -24,7 +24,7 @@
   ServiceLoad load;
   for (const auto& [id, view] : this->views) {
     if (view.service == aService && !view.longRunning) {
-      load.backlog += view.remainingWork;
+      load.backlog += view.possibleWork;
     }
   }
   for (const auto& [id, session] : this->sessions) {
@@ -100,10 +100,10 @@
     std::size_t waiting = 0;
     std::size_t limited = 0;
     for (const auto& [id, view] : this->views) {
-      if (view.service == service && !view.pending.empty()) {
+      if (view.service == service && !view.waiting.empty()) {
         ++waiting;
         const work::Job& job = *this->FindJob(id);
-        const auto& step = job.spec.steps[view.pending.front().step];
+        const auto& step = job.spec.steps[view.waiting.front().step];
         limited += this->IsWithinLimit(view.workspace, step.size) ? 0 : 1;
       }
     }
@@ -129,7 +129,7 @@
 {
   const JobView* waiting = nullptr;
   for (const auto& [id, view] : this->views) {
-    const bool waits = view.service == aService && !view.pending.empty();
+    const bool waits = view.service == aService && !view.waiting.empty();
     if (waits &&
         (waiting == nullptr || (view.longRunning && !waiting->longRunning))) {
       waiting = &view;
@@ -139,7 +139,7 @@
     return;
   }
   const PlacementQuery query =
-    this->QueryOf(*waiting, waiting->pending.front());
+    this->QueryOf(*waiting, waiting->waiting.front().First(waiting->id));
   const std::vector<Candidate> candidates =
     FindCandidates(this->sessions, aService, this->now);
   state::Resources most;
@@ -160,10 +160,12 @@
     { { "service", aService.value },
       { "planned_ms_ago", Text(this->now - this->plannedAt[aService]) },
       { "at_workspace_limit", isAllowed ? "no" : "yes" },
+      { "impossible",
+        waiting->IsImpossible(waiting->waiting.front()) ? "yes" : "no" },
       { "task", Text(query.task) },
       { "long_running", query.step->longRunning ? "yes" : "no" },
       { "fills", query.step->fills ? "yes" : "no" },
-      { "waiting", Text(waiting->pending.size()) },
+      { "waiting", Text(waiting->CountWaiting()) },
       { "millicores", Text(query.step->size.milliCpus) },
       { "memory_mb", Text(query.step->size.memoryMb) },
       { "most_free_millicores", Text(most.milliCpus) },
--- a/src/dispatch/DispatcherPools.cpp
+++ b/src/dispatch/DispatcherPools.cpp
@@ -93,17 +93,18 @@
   const state::Resources capacity = this->EmptyCapacity(aService);
   double cores = 0;
   for (const auto& [id, view] : this->views) {
-    if (view.service != aService || view.pending.empty()) {
+    if (view.service != aService || view.waiting.empty()) {
       continue;
     }
     const work::Job& job = *this->FindJob(id);
     const double urgency = UrgencyOf(view, this->wall);
-    for (const work::TaskRef& task : view.pending) {
-      const work::Step& step = job.spec.steps[task.step];
-      const bool allowed = this->IsWithinLimit(view.workspace, step.size);
-      cores += step.fills || !allowed
-                 ? 0
-                 : urgency * EffectiveCores(step.size, capacity);
+    for (const WaitingStep& waiting : view.waiting) {
+      const work::Step& step = job.spec.steps[waiting.step];
+      const bool waits = !step.fills && !view.IsImpossible(waiting) &&
+                         this->IsWithinLimit(view.workspace, step.size);
+      cores += waits ? urgency * EffectiveCores(step.size, capacity) *
+                         static_cast<double>(waiting.Count())
+                     : 0;
     }
   }
   return cores;
@@ -135,7 +136,7 @@
   if (aView.longRunning) {
     return 0;
   }
-  return aView.remainingWork * 1000.0 /
+  return aView.possibleWork * 1000.0 /
          static_cast<double>(ChainOf(aView).count());
 }
 
@@ -207,12 +208,14 @@
     }
     const work::Job& job = *this->FindJob(id);
     state::Resources asked;
-    for (const work::TaskRef& task : view.pending) {
-      const work::Step& step = job.spec.steps[task.step];
-      asked += step.size;
-      if (step.longRunning && step.requiredLabel.empty() &&
-          this->IsWithinLimit(view.workspace, asked)) {
-        ++waiting[StepOf(task)];
+    for (const WaitingStep& each : view.waiting) {
+      const work::Step& step = job.spec.steps[each.step];
+      const std::uint32_t allowed =
+        this->CountAllowed(view.workspace, asked, step.size, each.Count());
+      asked += step.size * each.Count();
+      if (step.longRunning && step.requiredLabel.empty() && allowed > 0 &&
+          !view.IsImpossible(each)) {
+        waiting[each.Ref(id, 0)] += allowed;
       }
     }
   }
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -298,12 +298,13 @@
 void
 Dispatcher::StopGang(const work::TaskRef& aTask)
 {
+  const work::TaskRef step = StepOf(aTask);
   for (auto& [id, session] : this->sessions) {
     std::vector<RunKey> members;
-    for (const auto& [key, run] : session.runs) {
-      if (StepOf(key.first) == StepOf(aTask)) {
-        members.push_back(key);
-      }
+    for (auto run = session.runs.lower_bound({ step, 0 });
+         run != session.runs.end() && StepOf(run->first.first) == step;
+         ++run) {
+      members.push_back(run->first);
     }
     for (const RunKey& key : members) {
       this->RequestStop(session, key, "gang broken");
@@ -408,9 +409,14 @@
        task != this->secondRunsWanted.end() && task->job == aView.id;
        ++task) {
     const work::Task* record = job->Find(*task);
-    if (record != nullptr && !record->done && record->runs.size() == 1) {
-      aView.pending.push_back(*task);
+    if (record == nullptr || record->done || record->runs.size() != 1) {
+      continue;
+    }
+    if (aView.waiting.empty() || !aView.waiting.back().isSecond ||
+        StepOf(aView.waiting.back().First(aView.id)) != StepOf(*task)) {
+      aView.waiting.push_back({ true, task->occurrence, task->step });
     }
+    aView.waiting.back().indexes.push_back(task->index);
   }
 }
 
--- a/src/dispatch/DispatcherUpstreams.cpp
+++ b/src/dispatch/DispatcherUpstreams.cpp
@@ -46,6 +46,7 @@
     this->FindSession(aCommand.id)->evacuating = true;
   }
   this->dirtyServices.insert(next.service);
+  this->OnFleetChanged();
   this->LogDecision("upstream_recorded",
                     {},
                     { { "upstream", aCommand.id.value },
@@ -70,6 +71,8 @@
   next.runs = std::move(aSession.runs);
   next.used = aSession.used;
   next.endingRuns = aSession.endingRuns;
+  next.servingRuns = aSession.servingRuns;
+  next.bestEffortRuns = aSession.bestEffortRuns;
   this->runWatch.ForgetUpstream(aId);
   for (auto& [key, live] : next.runs) {
     // The earlier boot may have accepted the stop.
@@ -96,6 +99,7 @@
     this->DropRun(aCommand.id, session->runs.begin()->first);
   }
   this->sessions.erase(aCommand.id);
+  this->OnFleetChanged();
   this->runWatch.ForgetUpstream(aCommand.id);
   this->LogDecision(
     "upstream_removed", {}, { { "upstream", aCommand.id.value } });
--- a/src/dispatch/JobView.cpp
+++ b/src/dispatch/JobView.cpp
@@ -76,35 +76,71 @@
               std::uint32_t aNumber)
 {
   const auto& steps = aJob.tasks[aNumber];
+  std::vector<bool> stuck(steps.size(), false); // waits for an impossible step
   for (std::uint32_t s = 0; s < steps.size(); ++s) {
     const work::Step& step = aJob.spec.steps[s];
     const bool open = aJob.IsStepOpen(aNumber, s);
     const double each =
       static_cast<double>(step.size.milliCpus) / 1000.0 *
       std::chrono::duration<double, std::milli>(aTimes[s]).count();
+    double work = 0;
+    bool hasRuns = false;
+    WaitingStep waiting{ false, aNumber, s };
     for (std::uint32_t i = 0; i < steps[s].size(); ++i) {
       const work::Task& task = steps[s][i];
       if (task.done) {
         continue;
       }
-      aView.remainingWork += each;
+      work += each;
+      hasRuns = hasRuns || !task.runs.empty();
       if (open && task.runs.empty()) {
-        aView.pending.push_back({ aView.id, aNumber, s, i });
+        waiting.indexes.push_back(i);
       }
     }
+    stuck[s] = (aView.impossible[s] && !hasRuns) ||
+               std::any_of(step.after.begin(),
+                           step.after.end(),
+                           [&](std::uint32_t aBefore) {
+                             return stuck[aBefore] && !IsDone(steps[aBefore]);
+                           });
+    aView.remainingWork += work;
+    aView.possibleWork += stuck[s] ? 0 : work;
+    if (!waiting.indexes.empty()) {
+      aView.waiting.push_back(std::move(waiting));
+    }
   }
 }
 
 } // namespace
 
+bool
+JobView::HasImpossibleSteps() const
+{
+  const auto end = this->impossible.end();
+  return std::find(this->impossible.begin(), end, true) != end;
+}
+
+std::size_t
+JobView::CountWaiting() const
+{
+  std::size_t count = 0;
+  for (const WaitingStep& step : this->waiting) {
+    count += step.Count();
+  }
+  return count;
+}
+
 JobView
 MakeView(const JobId& aId,
          const work::Job& aJob,
          const work::Queue* aQueue,
          WallTime aNow,
-         const StepTimes* aMeasured)
+         const StepTimes* aMeasured,
+         ImpossibleSteps aImpossible)
 {
   JobView view;
+  view.impossible = std::move(aImpossible);
+  view.impossible.resize(aJob.spec.steps.size(), false);
   view.id = aId;
   view.queue = aJob.queue;
   view.workspace = aJob.workspace;
--- a/src/dispatch/Placement.cpp
+++ b/src/dispatch/Placement.cpp
@@ -21,10 +21,7 @@
   if (!aStep.longRunning && !aStep.fills) {
     return 0;
   }
-  return std::count_if(
-    aSession.runs.begin(), aSession.runs.end(), [&](const auto& aItem) {
-      return aItem.second.longRunning && aItem.second.fills != aStep.fills;
-    });
+  return aStep.fills ? aSession.servingRuns : aSession.bestEffortRuns;
 }
 
 // Number of runs that would slow down the task, or that it would slow down.
@@ -136,14 +133,40 @@
   return size;
 }
 
+bool
+Accepts(const Candidate& aCandidate, const PlacementQuery& aQuery)
+{
+  return RefusalOf(aCandidate, aQuery) == Refusal::None;
+}
+
+std::uint32_t
+CountRoom(const Candidate& aCandidate,
+          const PlacementQuery& aQuery,
+          std::uint32_t aMost)
+{
+  if (!Accepts(aCandidate, aQuery)) {
+    return 0;
+  }
+  const work::Step& step = *aQuery.step;
+  const UpstreamSession& session = *aCandidate.session;
+  if (session.isSlow && !step.longRunning) {
+    return std::min(1U, aMost);
+  }
+  std::uint32_t most = aMost;
+  if (step.maxPerUpstream > 0) {
+    most =
+      std::min(most, step.maxPerUpstream - CountOfStep(session, aQuery.task));
+  }
+  return SizeInRoom(step).CountInto(session.Free(), most);
+}
+
 bool
 HasLastingRoom(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery)
 {
   return std::any_of(
     aCandidates.begin(), aCandidates.end(), [&](const Candidate& aCandidate) {
-      return !aCandidate.session->maintenanceDue &&
-             RefusalOf(aCandidate, aQuery) == Refusal::None;
+      return !aCandidate.session->maintenanceDue && Accepts(aCandidate, aQuery);
     });
 }
 
@@ -159,7 +182,7 @@
   for (const Candidate& candidate : aCandidates) {
     const UpstreamSession& session = *candidate.session;
     const InstanceId& id = *candidate.id;
-    if (RefusalOf(candidate, aQuery) != Refusal::None) {
+    if (!Accepts(candidate, aQuery)) {
       continue;
     }
     const std::string& wanted =
--- a/src/dispatch/Placement.h
+++ b/src/dispatch/Placement.h
@@ -75,17 +75,29 @@
 std::uint32_t
 CountOfStep(const UpstreamSession& aSession, const work::TaskRef& aTask);
 
+// Whether the upstream takes the task now.
+bool
+Accepts(const Candidate& aCandidate, const PlacementQuery& aQuery);
+
+// Number of tasks of the step of aQuery that the upstream takes now, at most
+// aMost.
+std::uint32_t
+CountRoom(const Candidate& aCandidate,
+          const PlacementQuery& aQuery,
+          std::uint32_t aMost);
+
 // What a task of the step takes of an upstream's free resources. Best-effort
 // tasks receive the cores that others leave unused.
 state::Resources
 SizeInRoom(const work::Step& aStep);
 
-// Returns the best upstream, or null when none is suitable.
 // True when an upstream takes the task that no wave will maintain.
 bool
 HasLastingRoom(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery);
 
+// Returns the best upstream, or null when none is suitable. It stays the best
+// for further tasks of the step for as long as it accepts them.
 const Candidate*
 ChooseUpstream(std::span<const Candidate> aCandidates,
                const PlacementQuery& aQuery);
--- a/src/dispatch/PlanPass.cpp
+++ b/src/dispatch/PlanPass.cpp
@@ -1,6 +1,8 @@
 // Remembers what found no room in this pass.
 #include "dispatch/PlanPass.h"
 
+#include "dispatch/FleetCapacity.h"
+
 #include <algorithm>
 
 namespace hyssoppaddle::dispatch {
@@ -67,15 +69,17 @@
 bool
 PlanPass::FitsIntoEmpty(const work::Step& aStep) const
 {
-  return std::any_of(this->candidates.begin(),
-                     this->candidates.end(),
-                     [&](const Candidate& aCandidate) {
-                       const work::Upstream& record =
-                         aCandidate.session->record;
-                       return SizeInRoom(aStep).FitsInto(record.capacity) &&
-                              (aStep.requiredLabel.empty() ||
-                               HasLabel(record, aStep.requiredLabel));
-                     });
+  std::uint32_t left = TasksTogether(aStep);
+  for (const Candidate& candidate : this->candidates) {
+    const work::Upstream& record = candidate.session->record;
+    if (aStep.requiredLabel.empty() || HasLabel(record, aStep.requiredLabel)) {
+      left -= SizeInRoom(aStep).CountInto(record.capacity, left);
+    }
+    if (left == 0) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void
--- a/src/dispatch/PlanPass.h
+++ b/src/dispatch/PlanPass.h
@@ -17,18 +17,6 @@
 class PlanPass
 {
 public:
-  // What the searches of the pass have shown not to fit. Holds as long as no
-  // candidate gains room.
-  struct Misses
-  {
-    // At least the free resources of each candidate.
-    state::Resources mostFree;
-    // Sizes that fit no candidate, of steps without constraints of their own.
-    std::vector<state::Resources> sizes;
-    // The same for steps whose members start together, with their numbers.
-    std::vector<std::pair<state::Resources, std::uint32_t>> gangs;
-  };
-
   // aCandidates are the usable upstreams of the service. Starts that are
   // proposed during the pass reduce their room but do not change which of them
   // are usable.
@@ -43,17 +31,26 @@
   [[nodiscard]] bool IsUnplaceable(const work::Step& aStep) const;
   // The same for all members of a gang together.
   [[nodiscard]] bool IsGangUnplaceable(const work::Step& aStep) const;
-  // True when a candidate would take a task of the step if it were empty.
+  // True when the candidates would take a task of the step, or all tasks of a
+  // gang, if they were empty.
   [[nodiscard]] bool FitsIntoEmpty(const work::Step& aStep) const;
   // Records that the step found no upstream.
   void RecordMiss(const work::Step& aStep);
   void RecordGangMiss(const work::Step& aStep);
 
-  // For starts that are withdrawn: what was missed while they held room.
-  [[nodiscard]] const Misses& GetMisses() const { return this->misses; }
-  void RestoreMisses(Misses aMisses) { this->misses = std::move(aMisses); }
-
 private:
+  // What the searches of the pass have shown not to fit. Holds as long as no
+  // candidate gains room.
+  struct Misses
+  {
+    // At least the free resources of each candidate.
+    state::Resources mostFree;
+    // Sizes that fit no candidate, of steps without constraints of their own.
+    std::vector<state::Resources> sizes;
+    // The same for steps whose members start together, with their numbers.
+    std::vector<std::pair<state::Resources, std::uint32_t>> gangs;
+  };
+
   void MeasureRoom();
 
   std::vector<Candidate> candidates;
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -112,6 +112,8 @@
   Time nextOrderAt{};
   Time coldUntil{};                // runs tasks slowly until then
   std::size_t endingRuns = 0;      // runs of tasks that end by themselves
+  std::int64_t servingRuns = 0;    // runs of long-running tasks
+  std::int64_t bestEffortRuns = 0; // the same, of best-effort tasks
   std::optional<Time> silentSince; // first review that found it unanswered
   bool hasMixedLoad = false;       // best-effort tasks run beside serving tasks
   // A wave will maintain its instance. Long-running tasks avoid it.
@@ -124,6 +126,28 @@
   // itself at a time, and only where no other upstream has room.
   bool isSlow = false;
 
+  // Keeps the sums over the runs; aSign is 1 for a new run and -1 for one that
+  // is removed.
+  void CountRun(const LiveRun& aRun, int aSign)
+  {
+    state::Resources size = aRun.size;
+    if (aRun.fills) {
+      size = { 0, aRun.size.memoryMb, 0 };
+    }
+    if (aSign > 0) {
+      this->used += size;
+    } else {
+      this->used -= size;
+    }
+    if (!aRun.longRunning) {
+      this->endingRuns += aSign;
+    } else if (aRun.fills) {
+      this->bestEffortRuns += aSign;
+    } else {
+      this->servingRuns += aSign;
+    }
+  }
+
   // Lets the upstream discard its ends once all listed ends are recorded.
   void AdvanceRecordedEnd()
   {
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -311,6 +311,9 @@
   for (const dispatch::Instruction& instruction : output.instructions) {
     this->Execute(instruction);
   }
+  if (this->dispatcher->HasUnfinishedPlans()) {
+    this->ScheduleOutputProcessing();
+  }
 }
 
 void
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -370,6 +370,10 @@
     gauges.push_back({ "plan_steps",
                        "Comparisons that placement has made since the start.",
                        number(this->dispatcher->PlanSteps()) });
+    gauges.push_back({ "jobs_impossible",
+                       "Jobs on the leader that the fleet or the limit of "
+                       "their workspace could not hold.",
+                       number(this->dispatcher->CountImpossibleJobs()) });
     AppendEvacuationGauges(
       tables, *this->dispatcher, SuspendAwareNow(), gauges);
   }
--- a/src/state/Resources.h
+++ b/src/state/Resources.h
@@ -2,6 +2,7 @@
 #ifndef hyssoppaddle_state_Resources_h
 #define hyssoppaddle_state_Resources_h
 
+#include <algorithm>
 #include <cstdint>
 
 namespace hyssoppaddle::state {
@@ -30,6 +31,13 @@
     return *this;
   }
 
+  [[nodiscard]] Resources operator*(std::int64_t aCount) const
+  {
+    return { this->milliCpus * aCount,
+             this->memoryMb * aCount,
+             this->accelerators * aCount };
+  }
+
   // Returns true if no resource exceeds that of aOther.
   [[nodiscard]] bool FitsInto(const Resources& aOther) const
   {
@@ -37,6 +45,23 @@
            this->memoryMb <= aOther.memoryMb &&
            this->accelerators <= aOther.accelerators;
   }
+
+  // How many of these fit into aRoom together, at most aMost.
+  [[nodiscard]] std::uint32_t CountInto(const Resources& aRoom,
+                                        std::uint32_t aMost) const
+  {
+    if (!this->FitsInto(aRoom)) {
+      return 0;
+    }
+    std::int64_t count = aMost;
+    const auto bound = [&count](std::int64_t aEach, std::int64_t aWhole) {
+      count = aEach > 0 ? std::min(count, aWhole / aEach) : count;
+    };
+    bound(this->milliCpus, aRoom.milliCpus);
+    bound(this->memoryMb, aRoom.memoryMb);
+    bound(this->accelerators, aRoom.accelerators);
+    return static_cast<std::uint32_t>(count);
+  }
 };
 
 } // namespace hyssoppaddle::state
