--- a/src/agreement/LogEntry.h
+++ b/src/agreement/LogEntry.h
@@ -4,6 +4,7 @@
 
 #include "base/Id.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -37,6 +38,13 @@
   bool operator==(const LogEntry&) const = default;
 };
 
+// Bytes that the entry takes in a log in memory.
+[[nodiscard]] inline std::size_t
+SizeInMemory(const LogEntry& aEntry)
+{
+  return sizeof(LogEntry) + aEntry.payload.size();
+}
+
 // Must be durable before any message that depends on it is sent.
 struct HardState
 {
--- a/src/agreement/Raft.cpp
+++ b/src/agreement/Raft.cpp
@@ -147,9 +147,11 @@
   }
   this->snapshot = std::make_shared<StoredSnapshot>(
     StoredSnapshot{ aEvent.meta, aEvent.bytes, SnapshotDigest(aEvent.bytes) });
-  const LogIndex kept = this->limits.entriesKeptAfterSnapshot;
-  if (index > kept) {
-    this->log.CompactTo(std::min(index - kept, this->log.LastIndex()));
+  if (index > this->log.BaseIndex()) {
+    this->log.CompactTo(
+      this->log.CompactionIndex(std::min(index, this->log.LastIndex()),
+                                this->limits.entriesKeptAfterSnapshot,
+                                this->limits.bytesKeptAfterSnapshot));
   }
 }
 
@@ -478,6 +480,12 @@
   return this->impl->log.LastIndex();
 }
 
+std::size_t
+Raft::LogBytes() const
+{
+  return this->impl->log.Bytes();
+}
+
 const Configuration&
 Raft::ActiveConfiguration() const
 {
--- a/src/agreement/Raft.h
+++ b/src/agreement/Raft.h
@@ -42,7 +42,10 @@
   std::size_t snapshotChunkBytes = 16UL * 1024;
   std::size_t snapshotAfterEntries = 4096;
   std::size_t snapshotAfterBytes = 4UL * 1024 * 1024;
-  std::size_t entriesKeptAfterSnapshot = 1024; // for followers slightly behind
+  // For followers slightly behind. Others get the snapshot. Both limits hold,
+  // since a single entry can be as large as the configuration of a deployment.
+  std::size_t entriesKeptAfterSnapshot = 1024;
+  std::size_t bytesKeptAfterSnapshot = 4UL * 1024 * 1024;
   std::size_t maxReplicas = 12;
 };
 
@@ -96,6 +99,8 @@
   [[nodiscard]] const InstanceId& Leader() const; // empty when unknown
   [[nodiscard]] LogIndex CommitIndex() const;
   [[nodiscard]] LogIndex LastIndex() const;
+  // Memory of the entries in the log.
+  [[nodiscard]] std::size_t LogBytes() const;
   [[nodiscard]] const Configuration& ActiveConfiguration() const;
   // On the leader: time of the last reply from that replica; empty if its
   // connection was closed after that.
--- a/src/agreement/ReplicaLog.cpp
+++ b/src/agreement/ReplicaLog.cpp
@@ -63,11 +63,11 @@
                   std::size_t aMaxBytes) const
 {
   std::vector<LogEntry> slice;
-  std::size_t bytes = 0;
+  std::size_t payloads = 0;
   for (LogIndex index = aFrom; index <= this->LastIndex(); ++index) {
     const LogEntry& entry = this->At(index);
-    bytes += entry.payload.size();
-    const bool full = slice.size() >= aMaxEntries || bytes > aMaxBytes;
+    payloads += entry.payload.size();
+    const bool full = slice.size() >= aMaxEntries || payloads > aMaxBytes;
     if (!slice.empty() && full) {
       break;
     }
@@ -87,6 +87,7 @@
         { aEntry.index, std::move(*configuration) });
     }
   }
+  this->bytes += SizeInMemory(aEntry);
   this->entries.push_back(std::move(aEntry));
 }
 
@@ -94,6 +95,7 @@
 ReplicaLog::TruncateFrom(LogIndex aFrom)
 {
   while (this->LastIndex() >= aFrom && !this->entries.empty()) {
+    this->bytes -= SizeInMemory(this->entries.back());
     this->entries.pop_back();
   }
   while (this->configurations.size() > 1 &&
@@ -108,6 +110,7 @@
   while (this->baseIndex < aIndex && !this->entries.empty()) {
     this->baseTerm = this->entries.front().term;
     this->baseIndex = this->entries.front().index;
+    this->bytes -= SizeInMemory(this->entries.front());
     this->entries.pop_front();
   }
   while (this->configurations.size() > 1 &&
@@ -116,6 +119,23 @@
   }
 }
 
+LogIndex
+ReplicaLog::CompactionIndex(LogIndex aLast,
+                            std::size_t aMaxEntries,
+                            std::size_t aMaxBytes) const
+{
+  LogIndex index = aLast;
+  std::size_t kept = 0;
+  while (index > this->baseIndex && aLast - index < aMaxEntries) {
+    kept += SizeInMemory(this->At(index));
+    if (kept > aMaxBytes) {
+      break;
+    }
+    --index;
+  }
+  return index;
+}
+
 const Configuration&
 ReplicaLog::ActiveConfiguration() const
 {
--- a/src/agreement/ReplicaLog.h
+++ b/src/agreement/ReplicaLog.h
@@ -41,6 +41,13 @@
   void TruncateFrom(LogIndex aFrom);
   // Drops entries up to aIndex, which must be in the log.
   void CompactTo(LogIndex aIndex);
+  // Lowest index after which both limits hold for the entries up to aLast,
+  // which must be in the log.
+  [[nodiscard]] LogIndex CompactionIndex(LogIndex aLast,
+                                         std::size_t aMaxEntries,
+                                         std::size_t aMaxBytes) const;
+  // Memory of the entries.
+  [[nodiscard]] std::size_t Bytes() const { return this->bytes; }
 
   [[nodiscard]] const Configuration& ActiveConfiguration() const;
   // Index of the entry that set the active configuration; 0 for the initial
@@ -59,6 +66,7 @@
   LogIndex baseIndex = 0;
   Term baseTerm = 0;
   std::deque<LogEntry> entries; // entries[i].index == baseIndex + 1 + i
+  std::size_t bytes = 0;        // sum of SizeInMemory of the entries
   // Ascending by index and never empty; the first is in force at the base.
   std::vector<ConfigurationRecord> configurations{ ConfigurationRecord{} };
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -2,6 +2,7 @@
 #include "node/NodeImpl.h"
 
 #include "node/Clock.h"
+#include "node/LogLimits.h"
 #include "shell/Clock.h"
 #include "shell/HandlerErrors.h"
 #include "shell/JsonLog.h"
@@ -69,16 +70,6 @@
   return times;
 }
 
-agreement::RaftLimits
-LogLimits()
-{
-  agreement::RaftLimits limits;
-  limits.snapshotAfterEntries = 20000;
-  limits.snapshotAfterBytes = 12UL * 1024 * 1024;
-  limits.entriesKeptAfterSnapshot = 2000;
-  return limits;
-}
-
 } // namespace
 
 Node::Impl::Impl(NodeSettings aSettings,
@@ -189,7 +180,8 @@
 Node::Impl::MakeReplica(bool aFoundsCluster)
 {
   agreement::Configuration initial;
-  agreement::RecoveredLog recoveredLog = this->recovered;
+  // Only a replica whose log is empty is made a second time.
+  agreement::RecoveredLog recoveredLog = std::exchange(this->recovered, {});
   if (aFoundsCluster) {
     initial.voters = { this->self };
   }
@@ -234,15 +226,15 @@
     this->LogUnthrottled(
       { "log_unreadable", {}, { { "reason", aError.message } } });
   };
-  this->replica =
-    std::make_unique<Replica>(agreement::Raft(this->self,
-                                              std::move(initial),
-                                              std::move(recoveredLog),
-                                              RandomSeed(),
-                                              SuspendAwareNow(),
-                                              ElectionTimeouts(),
-                                              LogLimits()),
-                              std::move(hooks));
+  this->replica = std::make_unique<Replica>(
+    agreement::Raft(this->self,
+                    std::move(initial),
+                    std::move(recoveredLog),
+                    RandomSeed(),
+                    SuspendAwareNow(),
+                    ElectionTimeouts(),
+                    LogLimits(MemoryLimit(this->settings))),
+    std::move(hooks));
   this->MakeLeaderParts();
   if (this->storage) {
     return;
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -367,6 +367,9 @@
     gauges.push_back({ "commit_index",
                        "Last entry committed.",
                        number(this->replica->RaftState().CommitIndex()) });
+    gauges.push_back({ "log_memory_bytes",
+                       "Entries of the replicated log in memory.",
+                       number(this->replica->RaftState().LogBytes()) });
     gauges.push_back({ "plan_steps",
                        "Comparisons that placement has made since the start.",
                        number(this->dispatcher->PlanSteps()) });
--- a/test/agreement/Simulation.cpp
+++ b/test/agreement/Simulation.cpp
@@ -286,11 +286,13 @@
 }
 
 void
-Simulation::Propose(std::size_t aNode)
+Simulation::Propose(std::size_t aNode, std::size_t aBytes)
 {
   const std::uint64_t token = ++this->nextToken;
-  this->proposals[token] = "value " + std::to_string(token);
-  this->Step(aNode, raft::Propose{ token, this->proposals[token] });
+  std::string& payload = this->proposals[token];
+  payload = "value " + std::to_string(token);
+  payload.resize(std::max(payload.size(), aBytes), ' ');
+  this->Step(aNode, raft::Propose{ token, payload });
 }
 
 void
--- a/test/agreement/Simulation.h
+++ b/test/agreement/Simulation.h
@@ -61,7 +61,8 @@
   void SetFaults(NetworkFaults aFaults) { this->faults = aFaults; }
   void SetSyncTime(Duration aMax) { this->maxSync = aMax; }
 
-  void Propose(std::size_t aNode); // proposes a unique payload
+  // Proposes a unique payload of at least aBytes.
+  void Propose(std::size_t aNode, std::size_t aBytes = 0);
   void Read(std::size_t aNode);
   void Change(raft::ChangeKind aKind, std::size_t aNode); // at the leader
   void Transfer();
