--- a/src/agreement/Raft.cpp
+++ b/src/agreement/Raft.cpp
@@ -40,6 +40,8 @@
     this->log = ReplicaLog(0, 0, std::move(aInitial));
   }
   for (LogEntry& entry : aRecovered.entries) {
+    // A process that is restarted again and again would never take a snapshot.
+    this->bytesSinceSnapshot += entry.payload.size();
     this->log.Append(std::move(entry));
   }
   this->emittedHardState = this->currentHardState;
--- a/test/agreement/LogMemoryTest.cpp
+++ b/test/agreement/LogMemoryTest.cpp
@@ -101,3 +101,22 @@
   });
   EXPECT_EQUAL(trace, cluster.violation, "");
 }
+
+// Guards against a log that grows without end, because each restart forgets how
+// much was written since the last snapshot.
+Test(LogMemory, ReplicasThatAreRestartedOftenStillTakeSnapshots)
+{
+  TestTrace trace;
+  Simulation cluster(kReplicas, 6, MakeLimits());
+  cluster.Run(4 * kSecond);
+  for (int round = 0; round < 12; ++round) {
+    ProposeMany(cluster, 12); // fewer bytes than a snapshot is due after
+    for (std::size_t i = 0; i < kReplicas; ++i) {
+      cluster.Crash(i);
+      cluster.Restart(i);
+    }
+    cluster.Run(4 * kSecond);
+  }
+  EXPECT_THAT(trace, MostLogBytes(cluster) <= kMaxLogBytes);
+  EXPECT_EQUAL(trace, cluster.violation, "");
+}
