Do not refuse a repeated call because of the current setup

Callers saw: 401 for a job that had been accepted and then ran.

Cause: a leader commits a submission and is lost before it answers. The entry node sends the call again; the next leader checks the key by its own setup, which has withdrawn the key meanwhile, before it looks for the job.

Change: a call that is sent again after it may have run carries a mark. Refusals of it that only the setup explains become "outcome unknown".

Why it works: only the setup can change between the attempts in a way that hides the record of the job. All other refusals are made with the record at hand.

CallDeadline TravelsWithEachForwardedCall counted the fields of a repeated call; the mark is one more, and the test still demands the exact number.

--- a/src/node/CallQueue.h
+++ b/src/node/CallQueue.h
@@ -28,7 +28,8 @@
   CallClass callClass = CallClass::Read;
   api::HttpRequest request;
   Time arrivedAt{};
-  Time answerBy{}; // nobody waits for the reply after this time
+  Time answerBy{};         // nobody waits for the reply after this time
+  bool isRepeated = false; // an earlier leader may have executed it
   CallRouter::RoutedReplyCallback done;
 };
 
--- a/src/node/CallRouter.cpp
+++ b/src/node/CallRouter.cpp
@@ -3,6 +3,7 @@
 
 #include "dispatch/Text.h"
 #include "node/CallDeadline.h"
+#include "node/RepeatedCall.h"
 
 #include <algorithm>
 
@@ -80,6 +81,9 @@
   entry.key() = token;
   OpenCall& open = this->calls.insert(std::move(entry)).position->second;
   open.call.token = token;
+  if (open.MayHaveRun()) {
+    MarkRepeated(open.call);
+  }
   open.sentTo = aLeader;
   if (open.isHeld) {
     open.isHeld = false;
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -6,6 +6,7 @@
 #include "node/Clock.h"
 #include "node/LeaderRedirect.h"
 #include "node/OperatorCalls.h"
+#include "node/RepeatedCall.h"
 #include "shell/Clock.h"
 
 #include <algorithm>
@@ -185,6 +186,7 @@
   QueuedCall queued;
   queued.arrivedAt = SuspendAwareNow();
   queued.done = std::move(aDone);
+  queued.isRepeated = IsRepeated(aCall);
   const std::optional<Duration> timeLeft = TimeLeft(aCall);
   api::HttpRequest& request = queued.request;
   request.method = std::move(aCall.method);
@@ -255,7 +257,16 @@
   const Time begun = SuspendAwareNow();
   const Call decoded = this->DecodeCall(aCall.request);
   this->handler->Handle(
-    decoded, [this, done = std::move(aCall.done)](const Reply& aReply) {
+    decoded,
+    [this, isRepeated = aCall.isRepeated, done = std::move(aCall.done)](
+      const Reply& aReply) {
+      if (isRepeated && OutcomeOfRepeated(aReply.outcome) != aReply.outcome) {
+        Reply unknown;
+        unknown.outcome = OutcomeOfRepeated(aReply.outcome);
+        this->LogThrottled({ "repeated_call_not_refused", {}, {} });
+        done({ true, true, this->protocol->Encode(unknown) });
+        return;
+      }
       const bool undecided = aReply.outcome == Outcome::Undecided;
       const bool decided = !undecided && aReply.outcome != Outcome::NotLeading;
       done({ decided, undecided, this->protocol->Encode(aReply) });
--- a/test/node/CallDeadlineTest.cpp
+++ b/test/node/CallDeadlineTest.cpp
@@ -40,7 +40,8 @@
     leader = InstanceId("c");
     router.Tick(start + milliseconds(500));
     EXPECT_EQUAL(trace, *TimeLeft(sent.at(1)), Duration(milliseconds(1440)));
-    EXPECT_EQUAL(trace, sent.at(1).fields.size(), 2U);
+    // "Host", the time left, and the mark of a repeated call.
+    EXPECT_EQUAL(trace, sent.at(1).fields.size(), 3U);
   });
   trace.Section("so does this node, if it leads", [&] {
     leader = InstanceId("a");
