Judge steps once a second and copy no names in a pass

Ruled out: the decisions. Change: a review each second, or 100 ms while a job is impossible; the capacities are those of the last review; names are built for tasks that are started.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -50,6 +50,7 @@
   this->unfinishedPlans.clear();
   this->fleetCapacities.clear();
   this->fleetChanged = false;
+  this->hasImpossibleJobs = false;
   this->tickets.Clear();
   this->owner = {};
   this->forecast = {};
@@ -198,8 +199,11 @@
                   std::move(impossible));
   this->AddSecondRuns(view);
   this->LeaveOutProposedStarts(view);
-  if (isNew && view.HasImpossibleSteps()) {
-    this->LogImpossibleSteps(view, *job);
+  if (view.HasImpossibleSteps()) {
+    this->hasImpossibleJobs = true;
+    if (isNew) {
+      this->LogImpossibleSteps(view, *job);
+    }
   }
   this->dirtyServices.insert(view.service);
 }
@@ -207,11 +211,14 @@
 void
 Dispatcher::LeaveOutProposedStarts(JobView& aView) const
 {
+  if (this->proposedStarts.empty()) {
+    return;
+  }
   for (WaitingStep& step : aView.waiting) {
     std::vector<std::uint32_t> proposed; // ascending, like the set
-    const work::TaskRef first = step.Ref(aView.id, 0);
-    for (auto task = this->proposedStarts.lower_bound(first);
-         task != this->proposedStarts.end() && StepOf(*task) == first;
+    for (auto task = this->proposedStarts.lower_bound(step.Ref(aView.id, 0));
+         task != this->proposedStarts.end() && task->job == aView.id &&
+         task->occurrence == step.occurrence && task->step == step.step;
          ++task) {
       proposed.push_back(task->index);
     }
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -315,7 +315,6 @@
   // tells its owner, when they have changed.
   bool JudgeSteps(const JobId& aJob);
   void LogImpossibleSteps(const JobView& aView, const work::Job& aJob);
-  void OnFleetChanged();
   // Looks again at the jobs some time after a change of the fleet.
   void ReviewImpossibleSteps();
 
@@ -454,9 +453,10 @@
   std::map<ServiceId, PlanRound> unfinishedPlans;
   ServiceId planNext;        // with which the next pass begins
   std::uint64_t planEnd = 0; // value of planSteps at which a pass ends
-  // Kept until an instance comes or goes.
+  // As of the last review.
   std::map<ServiceId, FleetCapacity> fleetCapacities;
-  bool fleetChanged = false; // since the last review
+  bool hasImpossibleJobs = false;
+  bool fleetChanged = false; // an instance has come or gone since then
   Time fleetReviewedAt{};
   work::QueueIndex queues;
   TicketCache tickets;
--- a/src/dispatch/DispatcherImpossible.cpp
+++ b/src/dispatch/DispatcherImpossible.cpp
@@ -10,9 +10,10 @@
 
 namespace {
 
-// Interval between two reviews after a change of the fleet. Upstreams come and
-// go in waves.
-constexpr Duration kFleetReviewInterval = milliseconds(100);
+// Intervals between two reviews after a change of the fleet. Instances move all
+// the time, which rarely makes a job possible or impossible.
+constexpr Duration kFleetReviewInterval = seconds(1);
+constexpr Duration kImpossibleJobReviewInterval = milliseconds(100);
 
 // aWorkspace may be null.
 bool
@@ -127,22 +128,18 @@
       { "accelerators", Text(step.size.accelerators) } });
 }
 
-void
-Dispatcher::OnFleetChanged()
-{
-  this->fleetChanged = true;
-  this->fleetCapacities.clear();
-}
-
 void
 Dispatcher::ReviewImpossibleSteps()
 {
-  if (!this->fleetChanged ||
-      this->now - this->fleetReviewedAt < kFleetReviewInterval) {
+  const Duration interval = this->hasImpossibleJobs
+                              ? kImpossibleJobReviewInterval
+                              : kFleetReviewInterval;
+  if (!this->fleetChanged || this->now - this->fleetReviewedAt < interval) {
     return;
   }
   this->fleetChanged = false;
   this->fleetReviewedAt = this->now;
+  this->fleetCapacities.clear();
   std::vector<JobId> changed;
   for (const auto& [id, view] : this->views) {
     if (this->JudgeSteps(id)) {
@@ -152,6 +149,7 @@
   for (const JobId& id : changed) {
     this->RefreshView(id);
   }
+  this->hasImpossibleJobs = this->CountImpossibleJobs() > 0;
 }
 
 bool
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -73,7 +73,7 @@
   this->owner.instances = std::exchange(this->owner.collected, {});
   this->owner.collectedPages.clear();
   this->owner.hasList = true;
-  this->OnFleetChanged();
+  this->fleetChanged = true;
   this->owner.listedAt = this->now;
   this->owner.nextListAt = this->now + kListInterval;
 }
--- a/src/dispatch/DispatcherPlace.cpp
+++ b/src/dispatch/DispatcherPlace.cpp
@@ -16,28 +16,28 @@
   const work::Job& job = *this->FindJob(view.id);
   std::optional<work::TaskRef> first;
   std::size_t placed = 0;
-  std::optional<work::TaskRef> missed; // the step that found no room last
+  const WaitingStep* missed = nullptr; // found no room for all of its tasks
   std::size_t next = 0;
   for (; next < view.waiting.size() && !this->IsPassSpent(); ++next) {
     WaitingStep& waiting = view.waiting[next];
     const work::Step& step = job.spec.steps[waiting.step];
-    const work::TaskRef ref = waiting.First(view.id);
     ++this->planSteps;
     if (view.IsImpossible(waiting) || !view.hasQueue ||
-        aRound.HasSeen(view.id, waiting) || missed == StepOf(ref)) {
+        (missed != nullptr && waiting.IsSameStep(*missed)) ||
+        aRound.HasSeen(view.id, waiting)) {
       continue;
     }
     const std::uint32_t started = step.gang
                                     ? this->PlaceGang(aPass, view, waiting)
                                     : this->PlaceTasks(aPass, view, waiting);
     if (started > 0 && !first) {
-      first = ref;
+      first = waiting.First(view.id);
     }
     placed += started;
     waiting.indexes.erase(waiting.indexes.begin(),
                           waiting.indexes.begin() + started);
     if (!waiting.indexes.empty()) {
-      missed = StepOf(ref);
+      missed = &waiting;
       if (this->IsPassSpent() && !step.gang) {
         break; // the next pass goes on with this step
       }
@@ -94,7 +94,7 @@
   const work::Job& job = *this->FindJob(aView.id);
   const work::Step& step = job.spec.steps[aStep.step];
   const bool needsTicket = this->NeedsTicket(aView);
-  const std::string rack = this->RackOf(aPass, job, aStep);
+  std::optional<std::string> rack;
   const Candidate* last = nullptr;
   std::uint32_t started = 0;
   for (const std::uint32_t index : aStep.indexes) {
@@ -103,9 +103,12 @@
         !this->CheckLimit(aView, step, 1)) {
       break;
     }
+    if (!rack) {
+      rack = this->RackOf(aPass, job, aStep);
+    }
     const work::TaskRef task = aStep.Ref(aView.id, index);
     PlacementQuery query = this->QueryOf(aView, task);
-    query.rack = rack;
+    query.rack = *rack;
     const Candidate* chosen = this->ChooseNext(aPass, query, last);
     if (chosen == nullptr) {
       if (needsTicket) {
@@ -141,7 +144,6 @@
     return 0;
   }
   const work::TaskRef first = aStep.First(aView.id);
-  const std::string rack = this->RackOf(aPass, job, aStep);
   if (!this->HasRoomFor(aPass, this->QueryOf(aView, first), aStep.Count())) {
     if (needsTicket) {
       this->RequestTickets(aView, first);
@@ -150,6 +152,7 @@
     }
     return 0;
   }
+  const std::string rack = this->RackOf(aPass, job, aStep);
   std::uint32_t number = 0;
   for (const work::Task& member : members) {
     number = std::max(number, member.lastRun + 1);
--- a/src/dispatch/DispatcherUpstreams.cpp
+++ b/src/dispatch/DispatcherUpstreams.cpp
@@ -46,7 +46,7 @@
     this->FindSession(aCommand.id)->evacuating = true;
   }
   this->dirtyServices.insert(next.service);
-  this->OnFleetChanged();
+  this->fleetChanged = true;
   this->LogDecision("upstream_recorded",
                     {},
                     { { "upstream", aCommand.id.value },
@@ -99,7 +99,7 @@
     this->DropRun(aCommand.id, session->runs.begin()->first);
   }
   this->sessions.erase(aCommand.id);
-  this->OnFleetChanged();
+  this->fleetChanged = true;
   this->runWatch.ForgetUpstream(aCommand.id);
   this->LogDecision(
     "upstream_removed", {}, { { "upstream", aCommand.id.value } });
--- a/src/dispatch/JobView.cpp
+++ b/src/dispatch/JobView.cpp
@@ -94,6 +94,9 @@
       work += each;
       hasRuns = hasRuns || !task.runs.empty();
       if (open && task.runs.empty()) {
+        if (waiting.indexes.empty()) {
+          waiting.indexes.reserve(steps[s].size() - i);
+        }
         waiting.indexes.push_back(i);
       }
     }
--- a/src/dispatch/JobView.h
+++ b/src/dispatch/JobView.h
@@ -28,6 +28,10 @@
   {
     return this->Ref(aJob, this->indexes.front());
   }
+  [[nodiscard]] bool IsSameStep(const WaitingStep& aOther) const
+  {
+    return this->occurrence == aOther.occurrence && this->step == aOther.step;
+  }
   [[nodiscard]] std::uint32_t Count() const
   {
     return static_cast<std::uint32_t>(this->indexes.size());
