--- a/src/agreement/Raft.cpp
+++ b/src/agreement/Raft.cpp
@@ -482,26 +482,10 @@
   return this->impl->log.LastIndex();
 }
 
-std::size_t
-Raft::LogBytes() const
-{
-  return this->impl->log.Bytes();
-}
-
 const Configuration&
 Raft::ActiveConfiguration() const
 {
   return this->impl->log.ActiveConfiguration();
 }
 
-LogIndex
-Raft::MatchIndex(const InstanceId& aReplica) const
-{
-  if (aReplica == this->impl->self) {
-    return this->impl->durableIndex;
-  }
-  const auto found = this->impl->progress.find(aReplica);
-  return found == this->impl->progress.end() ? 0 : found->second.match;
-}
-
 } // namespace hyssoppaddle::agreement
--- a/src/agreement/RaftInspect.cpp
+++ b/src/agreement/RaftInspect.cpp
@@ -1,5 +1,6 @@
-// Copies and fingerprints of a replica for tests that explore all interleavings
-// of several replicas up to a bounded depth.
+// Inspection of a replica: sizes and positions, and its copies and fingerprints
+// for tests that explore all interleavings of several replicas up to a bounded
+// depth.
 #include "agreement/ConfigurationCodec.h"
 #include "agreement/RaftImpl.h"
 
@@ -222,4 +223,20 @@
   return this->impl->Fingerprint();
 }
 
+std::size_t
+Raft::LogBytes() const
+{
+  return this->impl->log.Bytes();
+}
+
+LogIndex
+Raft::MatchIndex(const InstanceId& aReplica) const
+{
+  if (aReplica == this->impl->self) {
+    return this->impl->durableIndex;
+  }
+  const auto found = this->impl->progress.find(aReplica);
+  return found == this->impl->progress.end() ? 0 : found->second.match;
+}
+
 } // namespace hyssoppaddle::agreement
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -129,7 +129,7 @@
     std::optional<double> reachable;
   };
 
-  // Dispatcher.cpp: committed commands and job views.
+  // Dispatcher.cpp: committed commands.
   void On(const work::SetSetup& aCommand, work::Verdict aVerdict);
   void On(const work::SubmitJob& aCommand, work::Verdict aVerdict);
   void On(const work::CancelJob& aCommand, work::Verdict aVerdict);
@@ -141,15 +141,17 @@
   void On(const work::AdvanceWave& aCommand, work::Verdict aVerdict);
   void On(const work::OrderInstance& aCommand, work::Verdict aVerdict);
   void On(const work::SetEvacuation& aCommand, work::Verdict aVerdict);
-  void RefreshView(const JobId& aJob);
-  void LeaveOutProposedStarts(JobView& aView) const;
-  void RefreshAllViews();
   void AdoptRuns();
   void HandleRunEnd(const work::EndRun& aCommand, const LiveRun& aRun);
   void ReplaceBoot(const InstanceId& aId,
                    UpstreamSession& aSession,
                    const work::Upstream& aNext);
 
+  // DispatcherViews.cpp: views of jobs.
+  void RefreshView(const JobId& aJob);
+  void LeaveOutProposedStarts(JobView& aView) const;
+  void RefreshAllViews();
+
   // DispatcherRuns.cpp: the life cycle of one run.
   void SendStart(UpstreamSession& aSession, const RunKey& aKey);
   void RequestStop(UpstreamSession& aSession,
