Log what a leader does with its runs, and keep the lines of each second

In the seconds of the incident the log did not tell whether cores or the leader itself limit the work: it is throttled just then, and service_load was among the lines left out.

run_load counts once a second the starts by the outlook of their job, the orders, ends, stops and passes. Lines that are written at most once in a fixed time are no longer left out.

Test: RunMeter.

--- a/src/dispatch/Decision.h
+++ b/src/dispatch/Decision.h
@@ -15,6 +15,9 @@
   std::string job;       // ID of the job concerned; may be empty
   // The inputs and the result of the decision, in log order.
   std::vector<std::pair<std::string_view, std::string>> fields;
+  // Written at most once in a fixed time, so it is never left out of the log,
+  // least of all when there is much to log.
+  bool isSummary = false;
 };
 
 } // namespace hyssoppaddle::dispatch
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -56,6 +56,7 @@
   this->forecast = {};
   this->turns = {};
   this->recentLoads.clear();
+  this->runMeter = {};
   this->runWatch = {};
   this->interference = {};
   this->secondRunsWanted.clear();
@@ -347,6 +348,7 @@
   const work::Job* job = this->FindJob(aCommand.task.job);
   const bool ended = job == nullptr || job->IsFinal();
   this->secondRunsWanted.erase(aCommand.task);
+  this->runMeter.RecordEnd(aCommand.kind == work::EndKind::Done);
   if (aCommand.kind == work::EndKind::Done) {
     session.consecutiveFailures = 0;
     this->failedOn.erase(aCommand.task);
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -24,6 +24,7 @@
 #include "dispatch/OrderHistory.h"
 #include "dispatch/PlanPass.h"
 #include "dispatch/PlanRound.h"
+#include "dispatch/RunMeter.h"
 #include "dispatch/RunWatch.h"
 #include "dispatch/TicketCache.h"
 #include "dispatch/TurnForecast.h"
@@ -332,6 +333,7 @@
   [[nodiscard]] ServiceLoad LoadOf(const ServiceId& aService) const;
   [[nodiscard]] RecentLoad& RecentLoadOf(const ServiceId& aService);
   void LogServiceLoads();
+  void LogRunLoad();
   void LogWaitingTask(const ServiceId& aService);
 
   // DispatcherDrainAndPace.cpp: tasks on draining upstreams, and best-effort
@@ -396,6 +398,9 @@
   // so that a boot refuses orders that were sent to an earlier one and are
   // carried out late.
   [[nodiscard]] std::uint64_t FenceOf(const InstanceId& aId) const;
+  // Starts that are proposed, or ordered and not answered. An order that is
+  // older than an answer takes waits for its upstream and is not counted.
+  [[nodiscard]] std::size_t CountStartsUnderway() const;
   void CountBoot(const InstanceId& aId, std::uint64_t aBoot);
   [[nodiscard]] const work::Job* FindJob(const JobId& aId) const;
   void LogDecision(
@@ -472,6 +477,7 @@
 
   Time nextEvacuationCheckAt{};
   Time evacuationsLoggedAt{};
+  RunMeter runMeter;
   RunWatch runWatch;
   Interference interference;
   Time interferenceReviewedAt{};
--- a/src/dispatch/DispatcherLoads.cpp
+++ b/src/dispatch/DispatcherLoads.cpp
@@ -117,8 +117,22 @@
         { "backlog_core_ms", Text(static_cast<std::int64_t>(load.backlog)) },
         { "waiting_jobs", Text(waiting) },
         { "at_workspace_limit", Text(limited) } });
+    this->output.decisions.back().isSummary = true;
     this->LogWaitingTask(service);
   }
+  this->LogRunLoad();
+}
+
+void
+Dispatcher::LogRunLoad()
+{
+  RunGauges gauges;
+  gauges.jobs = this->views.size();
+  for (const auto& [id, session] : this->sessions) {
+    gauges.running += session.runs.size();
+  }
+  gauges.startsUnderway = this->CountStartsUnderway();
+  this->output.decisions.push_back(this->runMeter.TakeReport(gauges));
 }
 
 // Logs why no upstream takes one of the waiting tasks, because the totals of
--- a/src/dispatch/DispatcherPlace.cpp
+++ b/src/dispatch/DispatcherPlace.cpp
@@ -50,6 +50,7 @@
   std::erase_if(view.waiting,
                 [](const WaitingStep& aStep) { return aStep.indexes.empty(); });
   if (placed > 0) {
+    this->runMeter.RecordPlaced(aJob.rank.outlook, placed);
     this->LogPlacement(view, *first, placed, aJob.rank, aAhead);
   }
   return isDone;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -115,6 +115,7 @@
               }
               return aLeft.view->id < aRight.view->id;
             });
+  this->runMeter.RecordPass(jobs.size());
   return jobs;
 }
 
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kReviewInterval = milliseconds(100);
 // Interval between two comparisons of kinds of tasks.
 constexpr Duration kInterferenceInterval = seconds(1);
+// Within this time a healthy upstream answers a start.
+constexpr Duration kStartAnswerTime = milliseconds(200);
 
 } // namespace
 
@@ -54,6 +56,7 @@
   this->orders[start.token] = {
     live.run.upstream, aSession.record.boot, aKey, false, false, this->now
   };
+  this->runMeter.RecordOrdered();
   this->output.instructions.emplace_back(std::move(start));
 }
 
@@ -85,6 +88,7 @@
     return;
   }
   live.stopping = true;
+  this->runMeter.RecordStopped();
   this->LogDecision("run_stopped",
                     aKey.first.job.value,
                     { { "task", Text(aKey.first) },
@@ -202,6 +206,20 @@
   }
 }
 
+std::size_t
+Dispatcher::CountStartsUnderway() const
+{
+  std::size_t count = this->proposedStarts.size();
+  // Tokens rise, so the last orders are the latest.
+  for (auto order = this->orders.rbegin();
+       order != this->orders.rend() &&
+       this->now - order->second.sentAt < kStartAnswerTime;
+       ++order) {
+    count += order->second.isStop || order->second.isPace ? 0 : 1;
+  }
+  return count;
+}
+
 void
 Dispatcher::OnStartAnswer(UpstreamSession& aSession,
                           const RunKey& aKey,
--- a/src/node/NodeEvents.cpp
+++ b/src/node/NodeEvents.cpp
@@ -316,7 +316,11 @@
   }
   dispatch::Output output = this->dispatcher->TakeOutput();
   for (const dispatch::Decision& decision : output.decisions) {
-    this->LogThrottled(decision);
+    if (decision.isSummary) {
+      this->LogUnthrottled(decision);
+    } else {
+      this->LogThrottled(decision);
+    }
   }
   this->ProposeDispatcherCommands(std::move(output.commands));
   for (const dispatch::Instruction& instruction : output.instructions) {
