Scan less on the leader for a submission, a timer and an end of a job

Admission measured the load of all pools anew for each service ten times a second, although the balance of the pools measures the same loads every 100 ms; long-running use and best-effort tasks were counted over all runs of an upstream at each measurement and timer; the end of each job searched all upstreams for runs of it although its record says that there are none.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -56,6 +56,8 @@
   this->forecast = {};
   this->turns = {};
   this->recentLoads.clear();
+  this->recentPools.clear();
+  this->poolsMeasuredAt = {};
   this->runMeter = {};
   this->runWatch = {};
   this->interference = {};
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -24,6 +24,7 @@
 #include "dispatch/OrderHistory.h"
 #include "dispatch/PlanPass.h"
 #include "dispatch/PlanRound.h"
+#include "dispatch/RecentLoad.h"
 #include "dispatch/RunMeter.h"
 #include "dispatch/RunWatch.h"
 #include "dispatch/TicketCache.h"
@@ -121,15 +122,6 @@
   [[nodiscard]] const Sessions& Upstreams() const { return this->sessions; }
 
 private:
-  // A load that admission uses for some time, so that deciding about a job does
-  // not look at all upstreams and jobs.
-  struct RecentLoad
-  {
-    Time measuredAt{};
-    ServiceLoad load; // with the jobs that were accepted since
-    std::optional<double> reachable;
-  };
-
   // Dispatcher.cpp: committed commands.
   void On(const work::SetSetup& aCommand, work::Verdict aVerdict);
   void On(const work::SubmitJob& aCommand, work::Verdict aVerdict);
@@ -375,12 +367,13 @@
 
   // DispatcherPools.cpp: load of the pools.
   [[nodiscard]] std::vector<PoolLoad> PoolLoads() const;
+  void MeasurePools();
   [[nodiscard]] static Duration ChainOf(const JobView& aView);
   [[nodiscard]] static double CoresOf(const JobView& aView);
   [[nodiscard]] double PlannedCores(const ServiceId& aService) const;
   [[nodiscard]] static double UrgencyOf(const JobView& aView, WallTime aNow);
   [[nodiscard]] double WaitingCores(const ServiceId& aService) const;
-  [[nodiscard]] double ReachableCores(const ServiceId& aService) const;
+  [[nodiscard]] double ReachableCores(const ServiceId& aService);
   void AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const;
   void AddMissingUpstreams(PoolLoad& aPool) const;
   [[nodiscard]] state::Resources EmptyCapacity(const ServiceId& aService) const;
@@ -471,6 +464,8 @@
   DemandForecast forecast;
   TurnForecast turns;
   std::map<ServiceId, RecentLoad> recentLoads;
+  std::vector<PoolLoad> recentPools; // of all services
+  Time poolsMeasuredAt{};
   std::uint64_t loadMeasurements = 0;
   std::uint64_t planSteps = 0;
   OrderHistory history; // kept when leadership is lost
--- a/src/dispatch/DispatcherDrainAndPace.cpp
+++ b/src/dispatch/DispatcherDrainAndPace.cpp
@@ -54,11 +54,7 @@
 {
   double worst = 0;
   bool hasServing = false;
-  bool hasBestEffort = false;
-  for (const auto& [key, live] : aSession.runs) {
-    hasBestEffort = hasBestEffort || live.fills;
-  }
-  if (!hasBestEffort) {
+  if (aSession.fillingRuns == 0) {
     aSession.hasMixedLoad = false;
     return;
   }
--- a/src/dispatch/DispatcherInstances.cpp
+++ b/src/dispatch/DispatcherInstances.cpp
@@ -139,10 +139,10 @@
     return;
   }
   this->owner.nextBalanceAt = this->now + kBalanceInterval;
-  std::vector<PoolLoad> pools = this->PoolLoads();
-  this->ObserveTurns(pools);
+  this->MeasurePools();
+  this->ObserveTurns(this->recentPools);
   for (const PoolMove& move :
-       this->owner.balance.PlanMoves(std::move(pools), this->now)) {
+       this->owner.balance.PlanMoves(this->recentPools, this->now)) {
     this->OrderMove(move);
   }
 }
--- a/src/dispatch/DispatcherLoads.cpp
+++ b/src/dispatch/DispatcherLoads.cpp
@@ -34,12 +34,12 @@
     ++load.upstreams;
     const state::Resources& capacity = session.record.capacity;
     load.capacity += EffectiveCores(capacity, capacity) -
-                     EffectiveCores(LongRunningUse(session), capacity);
+                     EffectiveCores(session.longRunningUse, capacity);
   }
   return load;
 }
 
-Dispatcher::RecentLoad&
+RecentLoad&
 Dispatcher::RecentLoadOf(const ServiceId& aService)
 {
   const auto [found, isNew] = this->recentLoads.try_emplace(aService);
--- a/src/dispatch/DispatcherPools.cpp
+++ b/src/dispatch/DispatcherPools.cpp
@@ -18,6 +18,9 @@
 // From the end of a move to the first start: the announcement, its commit and
 // the first renewal of the lease.
 constexpr Duration kArrivalDelay = milliseconds(300);
+// How long measured loads are used for admission. They are measured for the
+// balance of the pools more often than this.
+constexpr Duration kPoolsLifetime = milliseconds(200);
 
 // True when the upstream takes tasks now or soon.
 bool
@@ -86,6 +89,13 @@
   return pools;
 }
 
+void
+Dispatcher::MeasurePools()
+{
+  this->recentPools = this->PoolLoads();
+  this->poolsMeasuredAt = this->now;
+}
+
 // Effective cores of the tasks that wait only for capacity.
 double
 Dispatcher::WaitingCores(const ServiceId& aService) const
@@ -155,14 +165,17 @@
 // Cores of the instances that are moving to this service, and of idle instances
 // that could be moved to it.
 double
-Dispatcher::ReachableCores(const ServiceId& aService) const
+Dispatcher::ReachableCores(const ServiceId& aService)
 {
   if (!this->owner.hasList) {
     return 0;
   }
   double each = 0;
   std::size_t count = 0;
-  for (const PoolLoad& pool : this->PoolLoads()) {
+  if (this->now - this->poolsMeasuredAt >= kPoolsLifetime) {
+    this->MeasurePools();
+  }
+  for (const PoolLoad& pool : this->recentPools) {
     each = std::max(each, pool.coresPerUpstream);
     const std::size_t needed = PoolBalance::NeededUpstreams(pool);
     const std::size_t spare = pool.present > needed ? pool.present - needed : 0;
@@ -178,7 +191,7 @@
 Dispatcher::AddToPool(const UpstreamSession& aSession, PoolLoad& aPool) const
 {
   const state::Resources& capacity = aSession.record.capacity;
-  const double longRunning = EffectiveCores(LongRunningUse(aSession), capacity);
+  const double longRunning = EffectiveCores(aSession.longRunningUse, capacity);
   aPool.longRunningCores += longRunning;
   aPool.runningCores += EffectiveCores(aSession.used, capacity) - longRunning;
   if (capacity.milliCpus > 0) {
--- a/src/dispatch/DispatcherRuns.cpp
+++ b/src/dispatch/DispatcherRuns.cpp
@@ -121,6 +121,14 @@
 Dispatcher::StopAllRuns(const JobId& aJob, std::string_view aReason)
 {
   const RunKey first{ { aJob, 0, 0, 0 }, 0 };
+  // A job that has ended keeps its tasks for as long as a run is recorded.
+  const work::Job* job = this->FindJob(aJob);
+  const auto proposed = this->proposedStarts.lower_bound(first.first);
+  const bool hasProposed =
+    proposed != this->proposedStarts.end() && proposed->job == aJob;
+  if ((job == nullptr || job->tasks.empty()) && !hasProposed) {
+    return;
+  }
   for (auto& [id, session] : this->sessions) {
     std::vector<RunKey> keys;
     for (auto run = session.runs.lower_bound(first);
--- a/src/dispatch/DispatcherUpstreams.cpp
+++ b/src/dispatch/DispatcherUpstreams.cpp
@@ -70,6 +70,8 @@
   next.otherBootSeenAt = this->now;
   next.runs = std::move(aSession.runs);
   next.used = aSession.used;
+  next.longRunningUse = aSession.longRunningUse;
+  next.fillingRuns = aSession.fillingRuns;
   next.endingRuns = aSession.endingRuns;
   next.servingRuns = aSession.servingRuns;
   next.bestEffortRuns = aSession.bestEffortRuns;
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -99,6 +99,7 @@
 
   // Resources used by all runs; best-effort runs count only their memory.
   state::Resources used;
+  state::Resources longRunningUse; // the same, of the long-running ones
   std::map<RunKey, LiveRun> runs;
 
   Time avoidUntil{}; // no new starts before this
@@ -114,6 +115,7 @@
   std::size_t endingRuns = 0;      // runs of tasks that end by themselves
   std::int64_t servingRuns = 0;    // runs of long-running tasks
   std::int64_t bestEffortRuns = 0; // the same, of best-effort tasks
+  std::size_t fillingRuns = 0;     // runs of best-effort tasks
   std::optional<Time> silentSince; // first review that found it unanswered
   bool hasMixedLoad = false;       // best-effort tasks run beside serving tasks
   // A wave will maintain its instance. Long-running tasks avoid it.
@@ -134,11 +136,15 @@
     if (aRun.fills) {
       size = { 0, aRun.size.memoryMb, 0 };
     }
+    state::Resources longRunning = aRun.longRunning ? size : state::Resources{};
     if (aSign > 0) {
       this->used += size;
+      this->longRunningUse += longRunning;
     } else {
       this->used -= size;
+      this->longRunningUse -= longRunning;
     }
+    this->fillingRuns += aRun.fills ? aSign : 0;
     if (!aRun.longRunning) {
       this->endingRuns += aSign;
     } else if (aRun.fills) {
@@ -164,21 +170,6 @@
   }
 };
 
-// Resources used by the long-running tasks; best-effort ones count only their
-// memory.
-[[nodiscard]] inline state::Resources
-LongRunningUse(const UpstreamSession& aSession)
-{
-  state::Resources use;
-  for (const auto& [key, live] : aSession.runs) {
-    if (live.longRunning) {
-      use += live.size;
-      use.milliCpus -= live.fills ? live.size.milliCpus : 0;
-    }
-  }
-  return use;
-}
-
 } // namespace hyssoppaddle::dispatch
 
 #endif
