Limit the starts underway while the leader cannot keep up with its events

A start was issued as soon as a core was free. In a peak the leader binds, not the cores: at 2,000 runs a second its events waited 100 to 145 ms for one another, several times in each step, so that jobs that would have been in time were late, and cores stayed on record as used meanwhile. The order of jobs could not help, as what had been started waited in the leader and no longer among the jobs.

While the shortest delay of its timer in 100 ms reaches 20 ms, the leader limits the starts that are proposed or not answered, and adapts the limit. Jobs of all services in time come first, by their full estimate, since half of it leaves out what the leader adds; services take turns. Long-running tasks are exempt. Ends are collected for 60 instead of 15 ms while there is a limit.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -48,6 +48,8 @@
   this->plannedAt.clear();
   this->cutShort.clear();
   this->unfinishedPlans.clear();
+  this->startWindow = {};
+  this->isHeldBack = false;
   this->fleetCapacities.clear();
   this->fleetChanged = false;
   this->hasImpossibleJobs = false;
@@ -432,6 +434,14 @@
   }
 }
 
+void
+Dispatcher::ObserveLoopDelay(Duration aDelay, Time aNow)
+{
+  if (this->Leads()) {
+    this->startWindow.Observe(aDelay, this->CountStartsUnderway(), aNow);
+  }
+}
+
 void
 Dispatcher::Handle(const Answer& aAnswer, Time aNow, WallTime aWall)
 {
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -27,6 +27,8 @@
 #include "dispatch/RecentLoad.h"
 #include "dispatch/RunMeter.h"
 #include "dispatch/RunWatch.h"
+#include "dispatch/ServicePlan.h"
+#include "dispatch/StartWindow.h"
 #include "dispatch/TicketCache.h"
 #include "dispatch/TurnForecast.h"
 #include "dispatch/WorkRank.h"
@@ -66,6 +68,9 @@
                WallTime aWall);
   void Handle(const Answer& aAnswer, Time aNow, WallTime aWall);
   void Tick(Time aNow, WallTime aWall);
+  // aDelay is the time for which an event that was due has waited before it was
+  // handled. Limits the starts while the leader cannot keep up with its events.
+  void ObserveLoopDelay(Duration aDelay, Time aNow);
 
   // Returns the commands that record aAnnouncement. The result is empty when
   // nothing has changed, or the announcement is outdated or must be checked
@@ -116,7 +121,7 @@
   // handled.
   [[nodiscard]] bool HasUnfinishedPlans() const
   {
-    return this->Leads() &&
+    return this->Leads() && !this->isHeldBack &&
            (!this->unfinishedPlans.empty() || !this->dirtyServices.empty());
   }
   [[nodiscard]] const Sessions& Upstreams() const { return this->sessions; }
@@ -222,15 +227,18 @@
                                       const UpstreamSession& aSession);
   void ClearDepartureIfAlive(UpstreamSession& aSession, Time aAsked);
 
-  struct RankedJob
-  {
-    WorkRank rank;
-    JobView* view = nullptr;
-  };
-
   // DispatcherPlan.cpp: choice of the jobs that are served next.
   void Plan();
-  void PlanService(const ServiceId& aService);
+  void PlanService(ServicePlan& aPlan, WorkRank::Outlook aWorst);
+  void BeginPlan(ServicePlan& aPlan);
+  void EndPlan(ServicePlan& aPlan);
+  // True when the step waits because the leader has as many starts underway as
+  // it can carry out. Long-running tasks are few, and each should run at all
+  // times.
+  [[nodiscard]] bool IsHeldBack(const work::Step& aStep) const
+  {
+    return this->startsLeft == 0 && !aStep.longRunning;
+  }
   // The waiting jobs of a service that the round has not looked at.
   [[nodiscard]] std::vector<RankedJob> RankJobs(const ServiceId& aService,
                                                 const PlanRound& aRound);
@@ -451,8 +459,12 @@
   std::set<ServiceId> cutShort; // services whose last round was cut short
   // Rounds that the last pass has not completed.
   std::map<ServiceId, PlanRound> unfinishedPlans;
-  ServiceId planNext;        // with which the next pass begins
+  ServiceId planLast;        // behind which the next pass begins
   std::uint64_t planEnd = 0; // value of planSteps at which a pass ends
+  StartWindow startWindow;
+  std::size_t startsLeft = 0; // in this pass
+  // Waiting jobs were passed over until fewer starts are underway.
+  bool isHeldBack = false;
   // As of the last review.
   std::map<ServiceId, FleetCapacity> fleetCapacities;
   bool hasImpossibleJobs = false;
--- a/src/dispatch/DispatcherLoads.cpp
+++ b/src/dispatch/DispatcherLoads.cpp
@@ -132,6 +132,7 @@
     gauges.running += session.runs.size();
   }
   gauges.startsUnderway = this->CountStartsUnderway();
+  gauges.startLimit = this->startWindow.Limit();
   this->output.decisions.push_back(this->runMeter.TakeReport(gauges));
 }
 
--- a/src/dispatch/DispatcherPlace.cpp
+++ b/src/dispatch/DispatcherPlace.cpp
@@ -100,7 +100,8 @@
   std::uint32_t started = 0;
   for (const std::uint32_t index : aStep.indexes) {
     // A task that needs tickets requests them before there is room for it.
-    if (this->IsPassSpent() || (!needsTicket && aPass.IsUnplaceable(step)) ||
+    if (this->IsPassSpent() || this->IsHeldBack(step) ||
+        (!needsTicket && aPass.IsUnplaceable(step)) ||
         !this->CheckLimit(aView, step, 1)) {
       break;
     }
@@ -139,6 +140,9 @@
   if (aStep.indexes.size() != members.size()) {
     return 0; // an earlier run of a member is still recorded
   }
+  if (this->IsHeldBack(step)) {
+    return 0; // a gang may exceed what is left, since a limit can be below it
+  }
   const bool needsTicket = this->NeedsTicket(aView);
   if ((!needsTicket && aPass.IsGangUnplaceable(step)) ||
       !this->CheckLimit(aView, step, aStep.Count())) {
@@ -249,6 +253,7 @@
   live.isSecond = !job.Find(aTask)->runs.empty();
   this->AddRun(*aUpstream.id, { aTask, aNumber }, std::move(live));
   this->proposedStarts.insert(aTask);
+  this->startsLeft -= this->startsLeft > 0 ? 1 : 0;
   this->output.commands.emplace_back(work::StartRun{ aTask, run });
 }
 
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -27,75 +27,141 @@
 
 } // namespace
 
-// Begins with the first service that the last pass did not reach, so that none
+// Begins behind the service with which the last pass ended early, so that none
 // of them waits for the others for good.
 void
 Dispatcher::Plan()
 {
+  const std::size_t underway =
+    this->startWindow.IsLimited() ? this->CountStartsUnderway() : 0;
+  this->isHeldBack = !this->startWindow.IsOpen(underway);
+  if (this->isHeldBack) {
+    return;
+  }
+  this->startsLeft = this->startWindow.Room(underway);
+  this->planEnd = this->planSteps + kMaxPlanSteps;
   std::set<ServiceId> services = std::exchange(this->dirtyServices, {});
   for (auto& [service, round] : this->unfinishedPlans) {
     round.isOutdated = !services.insert(service).second || round.isOutdated;
   }
-  this->planEnd = this->planSteps + kMaxPlanSteps;
-  const ServiceId first = this->planNext;
-  bool isFirstLeft = true;
-  const auto plan = [&](const ServiceId& aService) {
-    if (!this->IsPassSpent()) {
-      this->PlanService(aService);
+  std::vector<ServicePlan> plans;
+  plans.reserve(services.size());
+  const auto first = services.upper_bound(this->planLast);
+  for (auto service = first; service != services.end(); ++service) {
+    plans.emplace_back(*service);
+  }
+  for (auto service = services.begin(); service != first; ++service) {
+    plans.emplace_back(*service);
+  }
+  // A start that the leader can carry out now is worth most for a job in time,
+  // whichever service it belongs to.
+  for (const auto worst : { WorkRank::Outlook::InTime,
+                            WorkRank::Outlook::Late,
+                            WorkRank::Outlook::Hopeless }) {
+    for (ServicePlan& plan : plans) {
+      if (!plan.isEnded) {
+        this->PlanService(plan, worst);
+      }
+    }
+  }
+}
+
+// Looks at the jobs of a service up to an outlook. One that a pass does not
+// reach is left for the next one.
+void
+Dispatcher::PlanService(ServicePlan& aPlan, WorkRank::Outlook aWorst)
+{
+  if (!aPlan.pass) {
+    if (this->IsPassSpent()) {
+      this->EndPlan(aPlan);
+      return;
+    }
+    this->BeginPlan(aPlan);
+  }
+  PlanRound& round = aPlan.round;
+  for (; aPlan.next < aPlan.waiting.size(); ++aPlan.next) {
+    const RankedJob& job = aPlan.waiting[aPlan.next];
+    if (job.rank.outlook > aWorst) {
       return;
     }
-    if (std::exchange(isFirstLeft, false)) {
-      this->planNext = aService;
+    if (this->startsLeft == 0 && !job.view->longRunning) {
+      aPlan.isHeldBack = true;
+      continue;
+    }
+    if (round.waitingForRoom > kMaxWaitingForRoom && !round.isSettled) {
+      this->cutShort.insert(aPlan.service);
+      break;
+    }
+    if (this->IsPassSpent()) {
+      aPlan.isInterrupted = true;
+      break;
     }
-    if (!this->unfinishedPlans.contains(aService)) {
-      this->dirtyServices.insert(aService);
+    if (!this->PlaceJob(*aPlan.pass, round, job, aPlan.next)) {
+      aPlan.isInterrupted = true;
+      this->planLast = aPlan.service;
+      break;
     }
-  };
-  std::for_each(services.lower_bound(first), services.end(), plan);
-  std::for_each(services.begin(), services.lower_bound(first), plan);
+    if (this->startsLeft == 0) {
+      aPlan.isHeldBack = true;
+      this->planLast = aPlan.service;
+    } else {
+      round.waitingForRoom += this->CountWaitingForRoom(*aPlan.pass, *job.view);
+    }
+  }
+  this->EndPlan(aPlan);
 }
 
 void
-Dispatcher::PlanService(const ServiceId& aService)
+Dispatcher::BeginPlan(ServicePlan& aPlan)
 {
-  PlanRound round;
-  const auto unfinished = this->unfinishedPlans.extract(aService);
+  PlanRound& round = aPlan.round;
+  const auto unfinished = this->unfinishedPlans.extract(aPlan.service);
   if (!unfinished.empty()) {
     round = std::move(unfinished.mapped());
   } else {
-    round.isSettled = this->now - this->plannedAt[aService] >= kSettleTime;
+    round.isSettled = this->now - this->plannedAt[aPlan.service] >= kSettleTime;
   }
-  this->plannedAt[aService] = this->now;
-  this->cutShort.erase(aService);
-  const std::vector<RankedJob> waiting = this->RankJobs(aService, round);
-  if (!waiting.empty()) {
-    PlanPass pass(this->TakeCandidates(aService));
-    for (std::size_t i = 0; i < waiting.size(); ++i) {
-      if (round.waitingForRoom > kMaxWaitingForRoom && !round.isSettled) {
-        this->cutShort.insert(aService);
-        break;
-      }
-      const RankedJob& job = waiting[i];
-      if (this->IsPassSpent() || !this->PlaceJob(pass, round, job, i)) {
-        for (std::size_t done = 0; done < i; ++done) {
-          round.seen.insert(waiting[done].view->id);
-        }
-        this->unfinishedPlans[aService] = std::move(round);
-        return;
-      }
-      round.waitingForRoom += this->CountWaitingForRoom(pass, *job.view);
+  this->plannedAt[aPlan.service] = this->now;
+  this->cutShort.erase(aPlan.service);
+  aPlan.waiting = this->RankJobs(aPlan.service, round);
+  aPlan.pass.emplace(aPlan.waiting.empty()
+                       ? std::vector<Candidate>()
+                       : this->TakeCandidates(aPlan.service));
+}
+
+void
+Dispatcher::EndPlan(ServicePlan& aPlan)
+{
+  aPlan.isEnded = true;
+  if (!aPlan.pass) {
+    if (!this->unfinishedPlans.contains(aPlan.service)) {
+      this->dirtyServices.insert(aPlan.service);
+    }
+    return;
+  }
+  this->isHeldBack = this->isHeldBack || aPlan.isHeldBack;
+  PlanRound& round = aPlan.round;
+  round.isOutdated = round.isOutdated || aPlan.isHeldBack;
+  if (aPlan.isInterrupted) {
+    for (const RankedJob& job : std::span(aPlan.waiting).first(aPlan.next)) {
+      round.seen.insert(job.view->id);
     }
+    this->unfinishedPlans[aPlan.service] = std::move(round);
+    return;
   }
   if (round.isOutdated) {
-    this->dirtyServices.insert(aService);
+    this->dirtyServices.insert(aPlan.service);
   }
 }
 
-std::vector<Dispatcher::RankedJob>
+std::vector<RankedJob>
 Dispatcher::RankJobs(const ServiceId& aService, const PlanRound& aRound)
 {
   std::vector<RankedJob> jobs;
   std::map<WorkspaceId, double> shares;
+  const ChainEstimate estimate = this->startWindow.IsLimited()
+                                   ? ChainEstimate::Full
+                                   : ChainEstimate::Optimistic;
   for (auto& [id, view] : this->views) {
     if (view.service != aService || view.waiting.empty() ||
         aRound.seen.contains(id)) {
@@ -105,7 +171,8 @@
     if (isNew) {
       share->second = this->ShareOf(view.workspace);
     }
-    jobs.push_back({ RankOf(view, share->second, this->wall), &view });
+    jobs.push_back(
+      { RankOf(view, share->second, this->wall, estimate), &view });
   }
   std::sort(jobs.begin(),
             jobs.end(),
--- a/src/dispatch/DispatcherSessions.cpp
+++ b/src/dispatch/DispatcherSessions.cpp
@@ -12,6 +12,9 @@
 // Minimum time between two renewals for one upstream, so that ends that occur
 // close together are committed together.
 constexpr Duration kMinRenewInterval = milliseconds(15);
+// The same while the leader limits the starts, when each commit saved is room
+// for further ones.
+constexpr Duration kMinRenewIntervalAtLimit = milliseconds(60);
 constexpr Duration kRenewRetry = milliseconds(150);
 // Poll interval where best-effort tasks run beside serving tasks: a tenth of
 // the shortest time over which an increase of the tail latency counts as harm.
@@ -147,7 +150,9 @@
   if (aAnswer.clock) {
     session->clock.AddReading(*aAnswer.clock, asked, this->now);
   }
-  session->nextRenewAt = this->now + kMinRenewInterval;
+  session->nextRenewAt =
+    this->now + (this->startWindow.IsLimited() ? kMinRenewIntervalAtLimit
+                                               : kMinRenewInterval);
   this->ClearDepartureIfAlive(*session, asked);
   if (aAnswer.unreadableRows > 0) {
     this->LogDecision("task_list_unreadable",
--- a/src/dispatch/RunMeter.cpp
+++ b/src/dispatch/RunMeter.cpp
@@ -27,7 +27,8 @@
                   { "jobs_ranked", Text(counts.ranked) },
                   { "jobs", Text(aGauges.jobs) },
                   { "running", Text(aGauges.running) },
-                  { "starts_underway", Text(aGauges.startsUnderway) } };
+                  { "starts_underway", Text(aGauges.startsUnderway) },
+                  { "start_limit", Text(aGauges.startLimit) } };
   return line;
 }
 
--- a/src/dispatch/RunMeter.h
+++ b/src/dispatch/RunMeter.h
@@ -19,6 +19,7 @@
   std::size_t jobs = 0;           // that have not ended
   std::size_t running = 0;        // runs on record
   std::size_t startsUnderway = 0; // proposed, or ordered and not answered
+  std::size_t startLimit = 0;     // on these; zero: none
 };
 
 class RunMeter
--- /dev/null
+++ b/src/dispatch/StartWindow.cpp
@@ -0,0 +1,68 @@
+// Adapts the limit to the delay of the leader's events.
+#include "dispatch/StartWindow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssoppaddle::dispatch {
+
+namespace {
+
+// A start waits for about four events, so at this delay of each the leader adds
+// to a step less than a tenth of a second.
+constexpr Duration kMaxDelay = milliseconds(20);
+constexpr Duration kInterval = milliseconds(100);
+constexpr std::size_t kMinLimit = 32;
+// A limit above this one makes no difference.
+constexpr std::size_t kMaxLimit = 4096;
+// Smallest increase.
+constexpr std::size_t kMinIncrease = 4;
+
+} // namespace
+
+void
+StartWindow::Observe(Duration aDelay, std::size_t aUnderway, Time aNow)
+{
+  this->shortestDelay = std::min(this->shortestDelay, aDelay);
+  if (aNow < this->intervalEndsAt) {
+    return;
+  }
+  this->intervalEndsAt = aNow + kInterval;
+  const Duration delay = std::exchange(this->shortestDelay, Duration::max());
+  this->Adapt(delay >= kMaxDelay, aUnderway);
+}
+
+void
+StartWindow::Adapt(bool aIsLate, std::size_t aUnderway)
+{
+  if (aIsLate) {
+    const std::size_t base =
+      std::min(this->limit, std::max(aUnderway, kMinLimit));
+    this->limit = std::max(kMinLimit, base - base / 8);
+    return;
+  }
+  if (!this->IsLimited()) {
+    return;
+  }
+  // A limit that is not used up limits nothing, so it need not stay.
+  this->limit += aUnderway < this->limit / 2
+                   ? this->limit
+                   : std::max(kMinIncrease, this->limit / 8);
+  if (this->limit > kMaxLimit) {
+    this->limit = kUnlimited;
+  }
+}
+
+bool
+StartWindow::IsOpen(std::size_t aUnderway) const
+{
+  return !this->IsLimited() || aUnderway <= this->limit / 4 * 3;
+}
+
+std::size_t
+StartWindow::Room(std::size_t aUnderway) const
+{
+  return this->limit - std::min(this->limit, aUnderway);
+}
+
+} // namespace hyssoppaddle::dispatch
--- a/src/dispatch/WorkRank.cpp
+++ b/src/dispatch/WorkRank.cpp
@@ -28,7 +28,10 @@
 } // namespace
 
 WorkRank
-RankOf(const JobView& aView, double aShare, WallTime aNow)
+RankOf(const JobView& aView,
+       double aShare,
+       WallTime aNow,
+       ChainEstimate aEstimate)
 {
   WorkRank rank;
   rank.priority = aView.priority;
@@ -36,8 +39,9 @@
     return rank; // its value depends on its running time, so waiting never
                  // helps
   }
-  const WallTime soonest =
-    aNow + Scaled(aView.remainingChain, kOptimisticChainFactor);
+  const double factor =
+    aEstimate == ChainEstimate::Full ? 1.0 : kOptimisticChainFactor;
+  const WallTime soonest = aNow + Scaled(aView.remainingChain, factor);
   if (soonest > aView.latest) {
     rank.outlook = WorkRank::Outlook::Hopeless;
   } else if (soonest > aView.objective) {
--- a/src/dispatch/WorkRank.h
+++ b/src/dispatch/WorkRank.h
@@ -31,10 +31,20 @@
   auto operator<=>(const WorkRank&) const = default;
 };
 
+// How much of its estimated critical path a job needs at least.
+enum class ChainEstimate : std::uint8_t
+{
+  Optimistic, // half, since estimates are wrong by up to that
+  Full,       // where the leader itself adds to the time of each step
+};
+
 // aShare is the workspace's current usage relative to its share by weight; 1
 // means exactly its share.
 WorkRank
-RankOf(const JobView& aView, double aShare, WallTime aNow);
+RankOf(const JobView& aView,
+       double aShare,
+       WallTime aNow,
+       ChainEstimate aEstimate = ChainEstimate::Optimistic);
 
 } // namespace hyssoppaddle::dispatch
 
--- a/src/node/NodeTimers.cpp
+++ b/src/node/NodeTimers.cpp
@@ -119,6 +119,8 @@
 Node::Impl::TickDispatcher(Time aNow)
 {
   const LoopMeter::Scope scope(this->loopMeter, LoopPart::DispatchTick);
+  this->dispatcher->ObserveLoopDelay(
+    std::max(Duration(0), aNow - this->tickDueAt), aNow);
   this->dispatcher->Tick(aNow, shell::WallClockNow());
 }
 
--- a/test/dispatch/FakeDeployment.cpp
+++ b/test/dispatch/FakeDeployment.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Duration kTimeStep = dispatch::milliseconds(5);
 constexpr Duration kAnnounceInterval = dispatch::milliseconds(1500);
 // A run whose task is done is stopped within this time.
 constexpr Duration kStopLimit = dispatch::seconds(1);
@@ -141,6 +140,7 @@
 {
   this->proposed.clear();
   this->answers.clear();
+  this->arrived.clear();
   if (this->dispatcher != nullptr) {
     this->dispatcher->LoseLeadership();
   }
@@ -317,6 +317,7 @@
     batch.stamp = this->Wall();
     batch.commands = std::move(this->proposed.front());
     this->proposed.pop_front();
+    this->eventsLeft -= static_cast<double>(batch.commands.size());
     const std::vector<work::Verdict> verdicts = this->state.Apply(batch);
     for (std::size_t i = 0; i < verdicts.size(); ++i) {
       const auto* end = std::get_if<work::EndRun>(&batch.commands[i]);
@@ -363,15 +364,8 @@
   }
   this->AdvanceInstances();
   this->AdvanceUpstreams();
-  std::vector<Pending> due;
-  for (Pending& pending : std::exchange(this->answers, {})) {
-    (pending.at <= this->now ? due : this->answers)
-      .push_back(std::move(pending));
-  }
-  for (const Pending& pending : due) {
-    this->dispatcher->Handle(pending.answer(), this->now, this->Wall());
-    this->ProcessOutput();
-  }
+  this->HandleAnswers();
+  this->dispatcher->ObserveLoopDelay(this->LoopDelay(), this->now);
   this->dispatcher->Tick(this->now, this->Wall());
   this->ProcessOutput();
   this->Commit();
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -19,6 +19,9 @@
 
 namespace hyssoppaddle::test {
 
+// Virtual time advances by this.
+inline constexpr Duration kTimeStep = dispatch::milliseconds(5);
+
 struct FakeRun
 {
   std::uint32_t run = 0;
@@ -159,6 +162,9 @@
   std::map<InstanceId, FakeUpstream> upstreams;
   std::map<std::string, FakeInstance> instances;
   bool holdCommits = false; // keeps proposals uncommitted
+  // Answers and committed commands that the leader can handle in a second. The
+  // others wait in the order of their arrival. Zero: any number.
+  std::uint32_t leaderEventsPerSecond = 0;
   // How many times longer than declared a task takes by itself.
   std::function<double(const work::TaskRef&)> ownFactor;
   std::size_t secondRunsSeen = 0; // tasks of which two runs executed at once
@@ -187,6 +193,10 @@
   void Step();
   void ProcessOutput();
   void Commit();
+  // Handles the answers that are due, as far as the leader gets.
+  void HandleAnswers();
+  // How long the answer that waits longest has waited for the leader.
+  [[nodiscard]] Duration LoopDelay() const;
   void Announce(const InstanceId& aId);
   void Deliver(dispatch::Instruction aInstruction);
   void Answer(const dispatch::RenewLease& aOrder);
@@ -243,6 +253,10 @@
   std::deque<std::vector<work::Command>> proposed;
   std::vector<dispatch::StartTask> heldStarts;
   std::vector<Pending> answers;
+  std::deque<Pending> arrived; // wait for the leader
+  // Events that the leader can handle now. Negative after a large batch, which
+  // delays the events behind it.
+  double eventsLeft = 0;
   std::map<InstanceId, Time> nextAnnouncement;
   std::map<InstanceId, Duration> leaving;
   std::map<std::string, WallTime> submitted;
