Let the lowest limit on starts grow with the upstreams

With 2,998 upstreams the events of the leader are late whatever starts are underway. So the limit fell to 32, and no pass took place while 24 starts waited for their commit, not even for long-running tasks, which are exempt.

The lowest limit is now one start for four upstreams, and a pass takes place every 100 ms at least.

StartWindow.LowestLimitGrowsWithTheUpstreams guards it; the lowest limit was 32 before, whatever the number of upstreams.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -50,6 +50,7 @@
   this->unfinishedPlans.clear();
   this->startWindow = {};
   this->isHeldBack = false;
+  this->nextPassAt = {};
   this->fleetCapacities.clear();
   this->fleetChanged = false;
   this->hasImpossibleJobs = false;
@@ -438,7 +439,8 @@
 Dispatcher::ObserveLoopDelay(Duration aDelay, Time aNow)
 {
   if (this->Leads()) {
-    this->startWindow.Observe(aDelay, this->CountStartsUnderway(), aNow);
+    this->startWindow.Observe(
+      aDelay, this->CountStartsUnderway(), this->sessions.size(), aNow);
   }
 }
 
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -465,6 +465,7 @@
   std::size_t startsLeft = 0; // in this pass
   // Waiting jobs were passed over until fewer starts are underway.
   bool isHeldBack = false;
+  Time nextPassAt{}; // at the latest
   // As of the last review.
   std::map<ServiceId, FleetCapacity> fleetCapacities;
   bool hasImpossibleJobs = false;
--- a/src/dispatch/DispatcherPlan.cpp
+++ b/src/dispatch/DispatcherPlan.cpp
@@ -24,6 +24,9 @@
 // microsecond each, a pass on a tenth of a core ends within the timeout of an
 // election, and heartbeats, leases and calls have their turn.
 constexpr std::uint64_t kMaxPlanSteps = 50000;
+// Longest time between two passes. Long-running tasks do not wait for starts
+// that take long.
+constexpr Duration kMaxPassInterval = milliseconds(100);
 
 } // namespace
 
@@ -34,10 +37,12 @@
 {
   const std::size_t underway =
     this->startWindow.IsLimited() ? this->CountStartsUnderway() : 0;
-  this->isHeldBack = !this->startWindow.IsOpen(underway);
+  this->isHeldBack =
+    !this->startWindow.IsOpen(underway) && this->now < this->nextPassAt;
   if (this->isHeldBack) {
     return;
   }
+  this->nextPassAt = this->now + kMaxPassInterval;
   this->startsLeft = this->startWindow.Room(underway);
   this->planEnd = this->planSteps + kMaxPlanSteps;
   std::set<ServiceId> services = std::exchange(this->dirtyServices, {});
--- a/src/dispatch/StartWindow.cpp
+++ b/src/dispatch/StartWindow.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kMaxDelay = milliseconds(20);
 constexpr Duration kInterval = milliseconds(100);
 constexpr std::size_t kMinLimit = 32;
+// The lowest limit is one start for this many upstreams.
+constexpr std::size_t kUpstreamsPerStart = 4;
 // A limit above this one makes no difference.
 constexpr std::size_t kMaxLimit = 4096;
 // Smallest increase.
@@ -21,7 +23,10 @@
 } // namespace
 
 void
-StartWindow::Observe(Duration aDelay, std::size_t aUnderway, Time aNow)
+StartWindow::Observe(Duration aDelay,
+                     std::size_t aUnderway,
+                     std::size_t aUpstreams,
+                     Time aNow)
 {
   this->shortestDelay = std::min(this->shortestDelay, aDelay);
   if (aNow < this->intervalEndsAt) {
@@ -29,16 +34,18 @@
   }
   this->intervalEndsAt = aNow + kInterval;
   const Duration delay = std::exchange(this->shortestDelay, Duration::max());
-  this->Adapt(delay >= kMaxDelay, aUnderway);
+  this->Adapt(delay >= kMaxDelay,
+              aUnderway,
+              std::max(kMinLimit, aUpstreams / kUpstreamsPerStart));
 }
 
 void
-StartWindow::Adapt(bool aIsLate, std::size_t aUnderway)
+StartWindow::Adapt(bool aIsLate, std::size_t aUnderway, std::size_t aLowest)
 {
   if (aIsLate) {
     const std::size_t base =
-      std::min(this->limit, std::max(aUnderway, kMinLimit));
-    this->limit = std::max(kMinLimit, base - base / 8);
+      std::min(this->limit, std::max(aUnderway, aLowest));
+    this->limit = std::max(aLowest, base - base / 8);
     return;
   }
   if (!this->IsLimited()) {
--- a/src/dispatch/StartWindow.h
+++ b/src/dispatch/StartWindow.h
@@ -20,8 +20,12 @@
 public:
   // Adapts the limit once in an interval. aDelay is the time for which an event
   // that was due has waited for the leader, aUnderway the number of starts
-  // underway.
-  void Observe(Duration aDelay, std::size_t aUnderway, Time aNow);
+  // underway. With the number of upstreams grows the other work of the leader,
+  // which delays events whatever the limit is, and so does the lowest limit.
+  void Observe(Duration aDelay,
+               std::size_t aUnderway,
+               std::size_t aUpstreams,
+               Time aNow);
 
   [[nodiscard]] bool IsLimited() const { return this->limit != kUnlimited; }
   // False until a good part of the limit is free, so that the starts of one
@@ -39,7 +43,7 @@
   static constexpr std::size_t kUnlimited =
     std::numeric_limits<std::size_t>::max();
 
-  void Adapt(bool aIsLate, std::size_t aUnderway);
+  void Adapt(bool aIsLate, std::size_t aUnderway, std::size_t aLowest);
 
   std::size_t limit = kUnlimited;
   // A burst of events delays some of them for a moment. Only a leader that is
--- a/test/dispatch/StartWindowTest.cpp
+++ b/test/dispatch/StartWindowTest.cpp
@@ -16,10 +16,11 @@
         Time& aNow,
         Duration aFor,
         Duration aDelay,
-        std::size_t aUnderway)
+        std::size_t aUnderway,
+        std::size_t aUpstreams = 0)
 {
   for (const Time end = aNow + aFor; aNow < end; aNow += milliseconds(10)) {
-    aWindow.Observe(aDelay, aUnderway, aNow);
+    aWindow.Observe(aDelay, aUnderway, aUpstreams, aNow);
   }
 }
 
@@ -68,3 +69,17 @@
     EXPECT_THAT(trace, !window.IsLimited());
   });
 }
+
+// Guards against a leader of many upstreams that starts next to nothing, since
+// its events are late whatever the limit is.
+Test(StartWindow, LowestLimitGrowsWithTheUpstreams)
+{
+  TestTrace trace;
+  Time now{ std::chrono::seconds(1000) };
+  StartWindow few;
+  Observe(few, now, milliseconds(60000), milliseconds(500), 2000, 100);
+  StartWindow many;
+  Observe(many, now, milliseconds(60000), milliseconds(500), 2000, 3000);
+  EXPECT_THAT(trace, few.Limit() < 100);
+  EXPECT_THAT(trace, many.Limit() >= 3000 / 4);
+}
