Count the starts underway only when the limit on them is adapted

Each tick of the leader counted the orders of the last 200 ms, although the limit is adapted once in 100 ms. Observe now takes the delay alone, and Adapt the counts. Behaviour is the same. Comments on best-effort runs and on the events of the simulated leader say what the code does.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -438,9 +438,8 @@
 void
 Dispatcher::ObserveLoopDelay(Duration aDelay, Time aNow)
 {
-  if (this->Leads()) {
-    this->startWindow.Observe(
-      aDelay, this->CountStartsUnderway(), this->sessions.size(), aNow);
+  if (this->Leads() && this->startWindow.Observe(aDelay, aNow)) {
+    this->startWindow.Adapt(this->CountStartsUnderway(), this->sessions.size());
   }
 }
 
--- a/src/dispatch/StartWindow.cpp
+++ b/src/dispatch/StartWindow.cpp
@@ -22,30 +22,26 @@
 
 } // namespace
 
-void
-StartWindow::Observe(Duration aDelay,
-                     std::size_t aUnderway,
-                     std::size_t aUpstreams,
-                     Time aNow)
+bool
+StartWindow::Observe(Duration aDelay, Time aNow)
 {
   this->shortestDelay = std::min(this->shortestDelay, aDelay);
   if (aNow < this->intervalEndsAt) {
-    return;
+    return false;
   }
   this->intervalEndsAt = aNow + kInterval;
-  const Duration delay = std::exchange(this->shortestDelay, Duration::max());
-  this->Adapt(delay >= kMaxDelay,
-              aUnderway,
-              std::max(kMinLimit, aUpstreams / kUpstreamsPerStart));
+  return true;
 }
 
 void
-StartWindow::Adapt(bool aIsLate, std::size_t aUnderway, std::size_t aLowest)
+StartWindow::Adapt(std::size_t aUnderway, std::size_t aUpstreams)
 {
-  if (aIsLate) {
-    const std::size_t base =
-      std::min(this->limit, std::max(aUnderway, aLowest));
-    this->limit = std::max(aLowest, base - base / 8);
+  const Duration delay = std::exchange(this->shortestDelay, Duration::max());
+  const std::size_t lowest =
+    std::max(kMinLimit, aUpstreams / kUpstreamsPerStart);
+  if (delay >= kMaxDelay) {
+    const std::size_t base = std::min(this->limit, std::max(aUnderway, lowest));
+    this->limit = std::max(lowest, base - base / 8);
     return;
   }
   if (!this->IsLimited()) {
--- a/src/dispatch/StartWindow.h
+++ b/src/dispatch/StartWindow.h
@@ -18,14 +18,14 @@
 class StartWindow
 {
 public:
-  // Adapts the limit once in an interval. aDelay is the time for which an event
-  // that was due has waited for the leader, aUnderway the number of starts
-  // underway. With the number of upstreams grows the other work of the leader,
-  // which delays events whatever the limit is, and so does the lowest limit.
-  void Observe(Duration aDelay,
-               std::size_t aUnderway,
-               std::size_t aUpstreams,
-               Time aNow);
+  // aDelay is the time for which an event that was due has waited for the
+  // leader. Returns true at the end of an interval, when Adapt is to be called.
+  [[nodiscard]] bool Observe(Duration aDelay, Time aNow);
+  // Adapts the limit to the delays of the last interval. aUnderway is the
+  // number of starts underway. With the number of upstreams grows the other
+  // work of the leader, which delays events whatever the limit is, and so does
+  // the lowest limit.
+  void Adapt(std::size_t aUnderway, std::size_t aUpstreams);
 
   [[nodiscard]] bool IsLimited() const { return this->limit != kUnlimited; }
   // False until a good part of the limit is free, so that the starts of one
@@ -43,8 +43,6 @@
   static constexpr std::size_t kUnlimited =
     std::numeric_limits<std::size_t>::max();
 
-  void Adapt(bool aIsLate, std::size_t aUnderway, std::size_t aLowest);
-
   std::size_t limit = kUnlimited;
   // A burst of events delays some of them for a moment. Only a leader that is
   // behind delays all, so the shortest delay of an interval counts.
--- a/src/dispatch/UpstreamSession.h
+++ b/src/dispatch/UpstreamSession.h
@@ -115,7 +115,7 @@
   std::size_t endingRuns = 0;      // runs of tasks that end by themselves
   std::int64_t servingRuns = 0;    // runs of long-running tasks
   std::int64_t bestEffortRuns = 0; // the same, of best-effort tasks
-  std::size_t fillingRuns = 0;     // runs of best-effort tasks
+  std::size_t fillingRuns = 0;     // all runs of best-effort tasks
   std::optional<Time> silentSince; // first review that found it unanswered
   bool hasMixedLoad = false;       // best-effort tasks run beside serving tasks
   // A wave will maintain its instance. Long-running tasks avoid it.
@@ -136,7 +136,8 @@
     if (aRun.fills) {
       size = { 0, aRun.size.memoryMb, 0 };
     }
-    state::Resources longRunning = aRun.longRunning ? size : state::Resources{};
+    const state::Resources longRunning =
+      aRun.longRunning ? size : state::Resources{};
     if (aSign > 0) {
       this->used += size;
       this->longRunningUse += longRunning;
--- a/test/dispatch/FakeDeployment.h
+++ b/test/dispatch/FakeDeployment.h
@@ -162,8 +162,9 @@
   std::map<InstanceId, FakeUpstream> upstreams;
   std::map<std::string, FakeInstance> instances;
   bool holdCommits = false; // keeps proposals uncommitted
-  // Answers and committed commands that the leader can handle in a second. The
-  // others wait in the order of their arrival. Zero: any number.
+  // Answers and committed commands that the leader can handle in a second.
+  // Answers beyond that wait in the order of their arrival; commands are
+  // handled at once and delay the answers behind them. Zero: any number.
   std::uint32_t leaderEventsPerSecond = 0;
   // How many times longer than declared a task takes by itself.
   std::function<double(const work::TaskRef&)> ownFactor;
--- a/test/dispatch/StartWindowTest.cpp
+++ b/test/dispatch/StartWindowTest.cpp
@@ -20,7 +20,9 @@
         std::size_t aUpstreams = 0)
 {
   for (const Time end = aNow + aFor; aNow < end; aNow += milliseconds(10)) {
-    aWindow.Observe(aDelay, aUnderway, aUpstreams, aNow);
+    if (aWindow.Observe(aDelay, aNow)) {
+      aWindow.Adapt(aUnderway, aUpstreams);
+    }
   }
 }
 
